LibCaller: authentication, chat and service handlers, refusals; settings of the daemon

The handlers see the rest of the daemon through hooks, so that each failure can be brought about in a test. Not linked into a program yet; compiled only.

--- /dev/null
+++ b/Libraries/LibCaller/include/LibCaller/CallerApi.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "LibCaller/ChatHandler.h"
+#include "LibCaller/Hooks.h"
+#include "LibCaller/ServiceHandler.h"
+#include "LibHTTP/Message.h"
+#include "LibHTTP/ResponseWriter.h"
+#include <functional>
+#include <string>
+
+namespace Caller {
+
+// Routes callers' requests to the handlers.
+class CallerApi {
+public:
+    // Whether the balancer should send callers here, for /readyz.
+    using IsReady = std::function<bool()>;
+    // The text for /metrics.
+    using MetricsText = std::function<std::string()>;
+    // Told of each refusal before it is sent.
+    using OnRefusal = std::function<void(const Refusal&)>;
+
+    CallerApi(const Hooks&, ChatHandler&, ServiceHandler&, IsReady, MetricsText, OnRefusal);
+
+    Core::Task<void> handle(HTTP::Request, HTTP::ResponseWriter&);
+
+private:
+    Core::Task<bool> answerPlainPath(const std::string& path, HTTP::ResponseWriter&);
+    Core::Task<void> listModels(HTTP::ResponseWriter&);
+    Core::Task<void> refuse(const Refusal&, HTTP::ResponseWriter&);
+
+    const Hooks& m_hooks;
+    ChatHandler& m_chat;
+    ServiceHandler& m_services;
+    IsReady m_isReady;
+    MetricsText m_metricsText;
+    OnRefusal m_onRefusal;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibCaller/include/LibCaller/ServiceHandler.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "LibCaller/Attempt.h"
+#include "LibCaller/Hooks.h"
+#include "LibHTTP/Client.h"
+#include "LibHTTP/ResponseWriter.h"
+
+namespace Caller {
+
+// Answers calls of plain services below /services/<service>/. Calls that may not be repeated are claimed in the ledger
+// before dispatch and run at most once.
+class ServiceHandler {
+public:
+    ServiceHandler(const boost::asio::any_io_executor&, const Hooks&, HTTP::Client&);
+
+    Core::Task<void> handle(const HTTP::Request&, const RequestIdentity&, HTTP::ResponseWriter&);
+
+    // Outcomes that are not in the ledger yet.
+    size_t pendingOutcomes() const { return m_pendingOutcomes; }
+
+private:
+    struct Call;
+
+    Core::Task<std::optional<HTTP::Response>> runRepeatable(Call&, Refusal&);
+    Core::Task<std::optional<HTTP::Response>> runOnce(Call&, Refusal&);
+    Core::Task<std::optional<HTTP::Response>> send(Call&, bool& mayHaveRun, Refusal&);
+    Core::Task<bool> claim(Call&, std::optional<HTTP::Response>& stored, Refusal&);
+    Core::Task<bool> submitOne(Ledger::Entry, Core::Deadline, Ledger::EntryResult&, Core::Reason&);
+    Core::Task<void> submitUntilDone(Ledger::Entry);
+
+    boost::asio::any_io_executor m_executor;
+    const Hooks& m_hooks;
+    HTTP::Client& m_client;
+    size_t m_pendingOutcomes { 0 };
+};
+
+}
--- /dev/null
+++ b/Libraries/LibCaller/src/Attempt.cpp
@@ -0,0 +1,122 @@
+#include "LibCaller/Attempt.h"
+
+#include <chrono>
+
+namespace Caller {
+
+// After a request's deadline its daemon forwards nothing more; the margin covers clocks that run at different rates
+// and the transfer of the record.
+static constexpr std::chrono::seconds recordMargin(5);
+
+static int64_t wallClockMs()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+Attempt::Attempt(const Hooks& hooks, const RequestIdentity& identity)
+    : m_hooks(hooks)
+    , m_identity(identity)
+{
+}
+
+Core::Task<bool> Attempt::hold(Ledger::Tokens tokens, Refusal& refusal)
+{
+    Core::Reason reason;
+    m_hold = co_await m_hooks.acquire(m_identity.budget, tokens, m_identity.deadline, reason);
+    if (m_hold)
+        co_return true;
+    if (reason.kind == Core::FailureKind::Refused)
+        refusal = notRun("budget_exhausted", 402, reason);
+    else if (reason.kind == Core::FailureKind::NotFound)
+        refusal = notRun("unknown_budget", 402, reason);
+    else
+        refusal = notRun("platform_unavailable", 503, reason, 1000);
+    co_return false;
+}
+
+Core::Task<bool> Attempt::open(const Route& route, Refusal& refusal)
+{
+    Witness::Record record;
+    record.attemptId = m_identity.attemptId();
+    record.requestId = m_identity.requestId;
+    record.budget = m_identity.budget;
+    record.owner = m_hooks.self;
+    record.tokensHeld = m_hold->tokens;
+    record.endpoint = route.endpoint;
+    record.streamId = record.attemptId;
+    record.deadline = Core::Deadline(m_identity.deadline.at() + recordMargin);
+    // A second open of this attempt only names another endpoint; it must not find itself.
+    bool mayBeRetry = m_identity.hasIdempotencyKey && !m_isOpen;
+    Core::Reason reason;
+    std::optional<Hooks::Opened> opened = co_await m_hooks.openAttempt(record, mayBeRetry, m_identity.deadline, reason);
+    if (!opened) {
+        refusal = notRun("witness_unavailable", 503, reason, 1000);
+        co_return false;
+    }
+    if (!opened->existing) {
+        m_record = std::move(record);
+        m_isOpen = true;
+        co_return true;
+    }
+    if (opened->existing->attemptId != record.attemptId) {
+        refusal = { "idempotency_key_reused", 422, Ran::NotRun, "compare request", "caller",
+            "the Idempotency-Key was used for a different request", 0 };
+        co_return false;
+    }
+    adopt(std::move(*opened->existing));
+    co_return true;
+}
+
+void Attempt::adopt(Witness::Record existing)
+{
+    if (m_hold)
+        m_hooks.release(*m_hold);
+    m_hold.reset();
+    m_record = std::move(existing);
+    m_isJoined = true;
+}
+
+Ledger::Usage Attempt::usageOf(Ledger::Tokens used, Ledger::UsageKind kind) const
+{
+    Ledger::Usage usage;
+    usage.attemptId = m_record.attemptId;
+    usage.requestId = m_record.requestId;
+    usage.budget = m_record.budget;
+    // A joined attempt is charged to the grant of the daemon that dispatched it.
+    usage.holder = m_record.owner;
+    usage.tokens = used;
+    usage.kind = kind;
+    usage.endedAtMs = wallClockMs();
+    return usage;
+}
+
+Core::Task<bool> Attempt::makeDurable(Ledger::Tokens used, Ledger::UsageKind kind, Core::Deadline deadline, Core::Reason& reason)
+{
+    co_return co_await m_hooks.closeAttempt(usageOf(used, kind), deadline, reason);
+}
+
+void Attempt::finish(Ledger::Tokens used, Ledger::UsageKind kind)
+{
+    if (m_hold)
+        m_hooks.settle(*m_hold, used);
+    m_hold.reset();
+    m_hooks.bill(usageOf(used, kind));
+}
+
+void Attempt::abandon()
+{
+    if (m_isOpen && !m_isJoined)
+        m_hooks.forgetAttempt(m_record.attemptId);
+    if (m_hold)
+        m_hooks.release(*m_hold);
+    m_hold.reset();
+}
+
+void Attempt::leaveToOwner()
+{
+    if (m_hold)
+        m_hooks.release(*m_hold);
+    m_hold.reset();
+}
+
+}
--- /dev/null
+++ b/Libraries/LibCaller/src/CallerApi.cpp
@@ -0,0 +1,81 @@
+#include "LibCaller/CallerApi.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Caller {
+
+static constexpr std::string_view servicesPath = "/services/";
+
+CallerApi::CallerApi(const Hooks& hooks, ChatHandler& chat, ServiceHandler& services, IsReady isReady, MetricsText metricsText, OnRefusal onRefusal)
+    : m_hooks(hooks)
+    , m_chat(chat)
+    , m_services(services)
+    , m_isReady(std::move(isReady))
+    , m_metricsText(std::move(metricsText))
+    , m_onRefusal(std::move(onRefusal))
+{
+}
+
+Core::Task<void> CallerApi::handle(HTTP::Request request, HTTP::ResponseWriter& writer)
+{
+    std::string path = HTTP::pathOf(request.target);
+    if (request.method == "GET" && co_await answerPlainPath(path, writer))
+        co_return;
+    bool isChat = path == "/v1/chat/completions";
+    bool isService = path.starts_with(servicesPath);
+    if (!isChat && !isService) {
+        Core::Reason reason { Core::FailureKind::NotFound, "find path", "daemon", "no such path: " + path };
+        co_return co_await refuse(notRun("not_found", 404, reason), writer);
+    }
+    if (isChat && request.method != "POST")
+        co_return co_await refuse({ "bad_request", 405, Ran::NotRun, "read method", "caller", "expected POST", 0 }, writer);
+    std::optional<Refusal> closed = m_hooks.admission();
+    if (closed)
+        co_return co_await refuse(*closed, writer);
+    Refusal refusal;
+    std::optional<RequestIdentity> identity = identify(request, *m_hooks.state(), refusal);
+    if (!identity)
+        co_return co_await refuse(refusal, writer);
+    if (isChat)
+        co_await m_chat.handle(request, *identity, writer);
+    else
+        co_await m_services.handle(request, *identity, writer);
+}
+
+Core::Task<bool> CallerApi::answerPlainPath(const std::string& path, HTTP::ResponseWriter& writer)
+{
+    Core::Reason ignored;
+    if (path == "/healthz") {
+        co_await writer.send({ 200, { { "Content-Type", "text/plain" } }, "ok\n" }, ignored);
+    } else if (path == "/readyz") {
+        bool isReady = m_isReady();
+        co_await writer.send({ isReady ? 200u : 503u, { { "Content-Type", "text/plain" } }, isReady ? "ready\n" : "not ready\n" }, ignored);
+    } else if (path == "/metrics") {
+        co_await writer.send({ 200, { { "Content-Type", "text/plain; version=0.0.4" } }, m_metricsText() }, ignored);
+    } else if (path == "/v1/models") {
+        co_await listModels(writer);
+    } else {
+        co_return false;
+    }
+    co_return true;
+}
+
+Core::Task<void> CallerApi::listModels(HTTP::ResponseWriter& writer)
+{
+    std::shared_ptr<const Intent::FleetState> state = m_hooks.state();
+    nlohmann::json models = nlohmann::json::array();
+    for (const std::pair<const std::string, Intent::Model>& model : state->models)
+        models.push_back({ { "id", model.first }, { "object", "model" } });
+    nlohmann::json body = { { "object", "list" }, { "data", models } };
+    Core::Reason ignored;
+    co_await writer.send({ 200, { { "Content-Type", "application/json" } }, body.dump() }, ignored);
+}
+
+Core::Task<void> CallerApi::refuse(const Refusal& refusal, HTTP::ResponseWriter& writer)
+{
+    m_onRefusal(refusal);
+    Core::Reason ignored;
+    co_await writer.send(refusal.response(), ignored);
+}
+
+}
--- /dev/null
+++ b/Services/jujuberelayd/src/LedgerGateway.cpp
@@ -0,0 +1,91 @@
+#include "LedgerGateway.h"
+
+#include <algorithm>
+#include <charconv>
+
+// A submission at a peer that does not answer must leave time for the own try.
+static constexpr std::chrono::milliseconds peerTimeout(1500);
+
+static const char* const submitType = "ledgerSubmit";
+
+LedgerGateway::LedgerGateway(std::string selfHost, Peer::Network& network, Ledger::Submit local, LiveMembers liveMembers)
+    : m_selfHost(std::move(selfHost))
+    , m_network(network)
+    , m_local(std::move(local))
+    , m_liveMembers(std::move(liveMembers))
+{
+}
+
+// The body of a submission is the shard's number, a line break, and the encoded entries.
+static std::string encodeSubmission(uint32_t shard, const std::vector<Ledger::Entry>& entries)
+{
+    return std::to_string(shard) + "\n" + Ledger::encodeEntries(entries);
+}
+
+static std::optional<std::vector<Ledger::Entry>> decodeSubmission(const std::string& body, uint32_t& shard)
+{
+    const char* end = body.data() + body.size();
+    std::from_chars_result parsed = std::from_chars(body.data(), end, shard);
+    if (parsed.ec != std::errc() || parsed.ptr == end || *parsed.ptr != '\n')
+        return std::nullopt;
+    return Ledger::decodeEntries(std::string(parsed.ptr + 1, end));
+}
+
+void LedgerGateway::serve()
+{
+    m_network.onCall(submitType, [this](Peer::Identity from, std::string body, Core::Reason& reason) -> Core::Task<std::optional<std::string>> {
+        uint32_t shard = 0;
+        std::optional<std::vector<Ledger::Entry>> entries = decodeSubmission(body, shard);
+        if (!entries) {
+            reason = { Core::FailureKind::Invalid, "decode ledger entries", from.host, "the message is malformed" };
+            co_return std::nullopt;
+        }
+        std::optional<std::vector<Ledger::EntryResult>> results
+            = co_await m_local(shard, std::move(*entries), Core::Deadline::after(peerTimeout), reason);
+        if (!results)
+            co_return std::nullopt;
+        co_return Ledger::encodeResults(*results);
+    });
+}
+
+std::optional<Membership::Member> LedgerGateway::writerOf(uint32_t shard) const
+{
+    std::vector<Membership::Member> order = Membership::rendezvousOrder("shard-" + std::to_string(shard), m_liveMembers());
+    if (order.empty())
+        return std::nullopt;
+    return order.front();
+}
+
+bool LedgerGateway::isWriter(uint32_t shard) const
+{
+    std::optional<Membership::Member> writer = writerOf(shard);
+    return !writer || writer->host == m_selfHost;
+}
+
+Core::Task<std::optional<std::vector<Ledger::EntryResult>>> LedgerGateway::submitToPeer(const Membership::Member& writer, uint32_t shard,
+    const std::vector<Ledger::Entry>& entries, Core::Deadline deadline, Core::Reason& reason)
+{
+    Core::Deadline peerDeadline = std::min(deadline, Core::Deadline::after(peerTimeout));
+    std::optional<std::string> reply
+        = co_await m_network.call(writer.peerAddress, submitType, encodeSubmission(shard, entries), peerDeadline, reason);
+    if (!reply)
+        co_return std::nullopt;
+    std::optional<std::vector<Ledger::EntryResult>> results = Ledger::decodeResults(*reply);
+    if (!results || results->size() != entries.size()) {
+        reason = { Core::FailureKind::OutcomeUnknown, "decode ledger results", writer.host, "the message is malformed" };
+        co_return std::nullopt;
+    }
+    co_return results;
+}
+
+Core::Task<std::optional<std::vector<Ledger::EntryResult>>> LedgerGateway::submit(
+    uint32_t shard, std::vector<Ledger::Entry> entries, Core::Deadline deadline, Core::Reason& reason)
+{
+    std::optional<Membership::Member> writer = writerOf(shard);
+    if (writer && writer->host != m_selfHost) {
+        std::optional<std::vector<Ledger::EntryResult>> results = co_await submitToPeer(*writer, shard, entries, deadline, reason);
+        if (results)
+            co_return results;
+    }
+    co_return co_await m_local(shard, std::move(entries), deadline, reason);
+}
