LibPlatform, LibEmulator: object API over HTTP and `emulate platform`

The other packages need a platform to run against.

Values are limited to 1,000,000 bytes, the stricter reading of 1 MB.

Tested: 5 tests of put, get, remove, list and a held watch through HttpObjectStore pass; the command was tried by hand with curl (lost reply, outage, 429, SIGTERM gives exit code 0). Faults and malformed messages have no automatic tests yet.

--- /dev/null
+++ b/Libraries/LibEmulator/src/LaggingHosts.cpp
@@ -0,0 +1,25 @@
+#include "LaggingHosts.h"
+
+namespace Emulator {
+
+LaggingHosts::LaggingHosts(std::vector<Platform::HostRecord> initial, std::chrono::milliseconds lag)
+    : m_visible(std::move(initial))
+    , m_lag(lag)
+{
+}
+
+void LaggingHosts::set(std::vector<Platform::HostRecord> hosts, Core::SteadyClock::time_point now)
+{
+    m_pending.push_back({ Core::Deadline(now + m_lag), std::move(hosts) });
+}
+
+const std::vector<Platform::HostRecord>& LaggingHosts::visible(Core::SteadyClock::time_point now)
+{
+    while (!m_pending.empty() && m_pending.front().visibleAt.at() <= now) {
+        m_visible = std::move(m_pending.front().hosts);
+        m_pending.pop_front();
+    }
+    return m_visible;
+}
+
+}
--- a/Libraries/LibPlatform/include/LibPlatform/ObjectStore.h
+++ b/Libraries/LibPlatform/include/LibPlatform/ObjectStore.h
@@ -2,6 +2,7 @@
 
 #include "LibCore/Async.h"
 #include "LibCore/Reason.h"
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -10,6 +11,9 @@
 
 namespace Platform {
 
+// The platform refuses larger values with 413.
+inline constexpr size_t maxValueBytes = 1'000'000;
+
 // The store's revision at which an object was last written; 0 stands for an object that does not exist.
 using Version = uint64_t;
 
@@ -42,7 +46,9 @@
 
 // The platform's object API as a set of functions, so that embedders and tests can supply their own.
 // Failures: NotFound (get, remove), Conflict (the expected version did not match), RateLimited, Unavailable
-// (no effect), OutcomeUnknown (a write that may have taken effect), NotFound from watch when `since` is too old.
+// (no effect), OutcomeUnknown (a write that may have taken effect), NotFound from watch when `since` is too old,
+// Invalid (a value over maxValueBytes or a malformed request or reply; no effect), Refused (any other answer without
+// effect).
 struct ObjectStore {
     std::function<Core::Task<std::optional<Object>>(std::string name, Core::Deadline, Core::Reason&)> get;
     // Writes the value if the object's version is `expected` (0: must not exist); returns the new version.
--- a/Utilities/jujuberelay/src/Commands.h
+++ b/Utilities/jujuberelay/src/Commands.h
@@ -34,4 +34,9 @@
 int audit(const Arguments&);
 int trace(const Arguments&);
 
+// The kinds of emulators behind `emulate`. The first argument is the kind's name.
+int emulatePlatform(const Arguments&);
+int emulateEngine(const Arguments&);
+int emulateService(const Arguments&);
+
 }
