LibEmulator: add the engine and service emulators

The router needs stand-ins for model engines and plain services whose real work can be counted. Tokens are a function of prompt and index, so a caller can check that an answer is whole and its own. Streams run independently of their readers and are counted by stream identity, so that a second run or an unbilled token shows in GET /control/counters.

--- /dev/null
+++ b/Tests/LibEmulator/TestEngineStreams.cpp
@@ -0,0 +1,210 @@
+#include "EngineFixture.h"
+
+using Emulator::AnswerText;
+
+// Guards against answers that a caller cannot check: they must depend on the prompt and on nothing else.
+Test(AnswerText, dependsOnPromptAndIndexOnly)
+{
+    AnswerText answer("a prompt", 40);
+    cr_assert_eq(answer.whole(), AnswerText("a prompt", 40).whole());
+    cr_assert_neq(answer.whole(), AnswerText("another prompt", 40).whole());
+    cr_assert_eq(answer.promptTokens(), 2);
+    cr_assert_eq(AnswerText("123456789", 40).promptTokens(), 3);
+    cr_assert_geq(answer.length(), 20);
+    cr_assert_leq(answer.length(), 40);
+    cr_assert_eq(AnswerText("x", 1).length(), 1);
+}
+
+// Guards against lost or reordered tokens and against a usage that differs from what was generated.
+Test(EngineStreams, streamedAndWholeAnswersAreEqual)
+{
+    EngineFixture fixture;
+    AnswerText expected("tell me", 30);
+    EngineFixture::Answer streamed = fixture.call(EngineFixture::post("s1", "tell me", 30));
+    cr_assert(streamed, "%s", fixture.reason.text().c_str());
+    cr_assert_eq(EngineFixture::contentOf(streamed->body, "s1"), expected.whole());
+    cr_assert_eq(HTTP::findHeader(streamed->headers, "X-Stream-Id").value_or(""), "s1");
+    nlohmann::json whole = fixture.callJson(EngineFixture::post("s2", "tell me", 30, false));
+    cr_assert_eq(whole["id"].get<std::string>(), "s2");
+    cr_assert_eq(whole["choices"][0]["message"]["content"].get<std::string>(), expected.whole());
+    cr_assert_eq(whole["usage"]["completion_tokens"].get<int64_t>(), expected.length());
+    cr_assert_eq(whole["usage"]["prompt_tokens"].get<int64_t>(), 2);
+    nlohmann::json total = fixture.counters()["workspaces"]["w"];
+    cr_assert_eq(total["completion_tokens"].get<int64_t>(), 2 * expected.length());
+    cr_assert_eq(total["prompt_tokens"].get<int64_t>(), 4);
+}
+
+// Guards against a retried post that makes the engine generate, and bill, a second time.
+Test(EngineStreams, secondPostJoinsRunningAndFinishedStream)
+{
+    EngineFixture fixture;
+    std::optional<EngineFixture::Answer> first;
+    std::optional<EngineFixture::Answer> second;
+    TestSupport::startTask(fixture.context, fixture.send(EngineFixture::post("s", "p", 100)), first);
+    TestSupport::runUntil(fixture.context, [&] { return fixture.engine.generatedTokensOf("s") > 3; });
+    TestSupport::startTask(fixture.context, fixture.send(EngineFixture::post("s", "p", 100)), second);
+    TestSupport::runUntil(fixture.context, [&] { return first && second; });
+    EngineFixture::Answer third = fixture.call(EngineFixture::post("s", "p", 100));
+    cr_assert(*first && *second && third);
+    cr_assert_eq((*first)->body, (*second)->body);
+    cr_assert_eq((*first)->body, third->body);
+    cr_assert_eq(fixture.engine.runsOf("s"), 1);
+    cr_assert_eq(fixture.engine.generatedTokensOf("s"), AnswerText("p", 100).length());
+}
+
+// Guards against an identity collision that would hand one caller's answer to another.
+Test(EngineStreams, joiningWithAnotherPromptIsRefused)
+{
+    EngineFixture fixture;
+    cr_assert(fixture.call(EngineFixture::post("s", "p", 4)));
+    fixture.callJson(EngineFixture::post("s", "q", 4), 409);
+}
+
+// Guards against a stream that stops with its reader's connection, so that a retry could not get the rest.
+Test(EngineStreams, brokenStreamGoesOnAndIsResumedFromItsStart)
+{
+    EngineFixture fixture;
+    fixture.callJson({ "POST", "/control/faults", {}, R"({"break_streams": 1, "break_after_chunks": 3})" });
+    cr_assert_not(fixture.call(EngineFixture::post("s", "p", 50)));
+    cr_assert_eq(fixture.reason.kind, Core::FailureKind::OutcomeUnknown);
+    EngineFixture::Answer resumed = fixture.call({ "GET", "/v1/streams/s?from=0", {}, "" });
+    cr_assert(resumed, "%s", fixture.reason.text().c_str());
+    cr_assert_eq(EngineFixture::contentOf(resumed->body, "s"), AnswerText("p", 50).whole());
+    EngineFixture::Answer rest = fixture.call({ "GET", "/v1/streams/s?from=20", {}, "" });
+    cr_assert(rest);
+    cr_assert_eq(EngineFixture::contentOf(rest->body, "s"), AnswerText("p", 50).whole().substr(AnswerText("p", 50).firstTokens(20).size()));
+    cr_assert_eq(fixture.engine.runsOf("s"), 1);
+}
+
+// Guards against a broken reply that starts: with 0 chunks the connection must close before the response.
+Test(EngineStreams, brokenBeforeFirstChunk)
+{
+    EngineFixture fixture;
+    Emulator::EngineFaults faults;
+    faults.breakStreams = { 1 };
+    fixture.engine.setFaults(faults);
+    cr_assert_not(fixture.call(EngineFixture::post("s", "p", 5)));
+    cr_assert_eq(fixture.engine.runsOf("s"), 1);
+}
+
+// Guards against an engine that still resumes a stream although the fault setting says that it lost it.
+Test(EngineStreams, lostStreamIsUnknown)
+{
+    EngineFixture fixture;
+    Emulator::EngineFaults faults;
+    faults.breakStreams = { 1 };
+    faults.breakAfterChunks = 2;
+    faults.loseBrokenStreams = true;
+    fixture.engine.setFaults(faults);
+    cr_assert_not(fixture.call(EngineFixture::post("s", "p", 50)));
+    fixture.callJson({ "GET", "/v1/streams/s?from=0", {}, "" }, 404);
+    fixture.callJson({ "POST", "/v1/streams/s/cancel", {}, "" }, 404);
+}
+
+// Guards against a cancel whose usage changes afterwards, so that a bill would be wrong, and against a cancelled answer
+// that looks whole.
+Test(EngineStreams, cancelIsIdempotentAndFinal)
+{
+    EngineFixture fixture;
+    std::optional<EngineFixture::Answer> reader;
+    TestSupport::startTask(fixture.context, fixture.send(EngineFixture::post("s", "p", 100000)), reader);
+    TestSupport::runUntil(fixture.context, [&] { return fixture.engine.generatedTokensOf("s") > 5; });
+    nlohmann::json first = fixture.callJson({ "POST", "/v1/streams/s/cancel", {}, "" });
+    TestSupport::runUntil(fixture.context, [&] { return reader.has_value(); });
+    cr_assert_not(*reader);
+    nlohmann::json second = fixture.callJson({ "POST", "/v1/streams/s/cancel", {}, "" });
+    cr_assert_eq(first.dump(), second.dump());
+    cr_assert_eq(first["usage"]["completion_tokens"].get<int64_t>(), fixture.engine.generatedTokensOf("s"));
+    fixture.callJson(EngineFixture::post("s", "p", 100000), 409);
+    fixture.callJson({ "GET", "/v1/streams/s?from=0", {}, "" }, 409);
+    cr_assert_eq(fixture.engine.runsOf("s"), 1);
+    // The slot is free again.
+    cr_assert_eq(fixture.callJson({ "GET", "/v1/load", {}, "" })["running"].get<int64_t>(), 0);
+}
+
+// Guards against a cancelled stream that runs later from the queue, and against usage for tokens never generated.
+Test(EngineStreams, cancelledInQueueNeverRuns)
+{
+    Emulator::EngineSettings settings = EngineFixture::fastSettings();
+    settings.slots = 1;
+    EngineFixture fixture(settings);
+    std::optional<EngineFixture::Answer> running;
+    std::optional<EngineFixture::Answer> queued;
+    TestSupport::startTask(fixture.context, fixture.send(EngineFixture::post("a", "p", 100000)), running);
+    TestSupport::runUntil(fixture.context, [&] { return fixture.engine.generatedTokensOf("a") > 0; });
+    TestSupport::startTask(fixture.context, fixture.send(EngineFixture::post("b", "p", 10)), queued);
+    TestSupport::runUntil(fixture.context, [&] { return fixture.callJson({ "GET", "/v1/load", {}, "" })["queued"] == 1; });
+    nlohmann::json usage = fixture.callJson({ "POST", "/v1/streams/b/cancel", {}, "" })["usage"];
+    cr_assert_eq(usage["total_tokens"].get<int64_t>(), 0);
+    fixture.callJson({ "POST", "/v1/streams/a/cancel", {}, "" });
+    TestSupport::runUntil(fixture.context, [&] { return running && queued; });
+    cr_assert_eq(fixture.engine.runsOf("b"), 0);
+}
+
+// Guards against finished streams that are kept for ever.
+Test(EngineStreams, finishedStreamIsForgottenAfterItsTime)
+{
+    Emulator::EngineSettings settings = EngineFixture::fastSettings();
+    settings.keepFinishedMs = 1;
+    EngineFixture fixture(settings);
+    cr_assert(fixture.call(EngineFixture::post("s", "p", 5)));
+    TestSupport::runUntil(fixture.context, [&] { return fixture.call({ "GET", "/v1/streams/s", {}, "" })->status == 404; });
+    // The counters remain for the audit.
+    cr_assert_eq(fixture.counters()["streams"]["s"]["runs"].get<int64_t>(), 1);
+}
+
+// Guards against a queue that ignores priorities or grows without bound.
+Test(EngineStreams, queueFollowsPriorityAndHasALimit)
+{
+    Emulator::EngineSettings settings = EngineFixture::fastSettings();
+    settings.slots = 1;
+    settings.queueLimit = 2;
+    EngineFixture fixture(settings);
+    std::optional<EngineFixture::Answer> running;
+    std::optional<EngineFixture::Answer> low;
+    std::optional<EngineFixture::Answer> high;
+    TestSupport::startTask(fixture.context, fixture.send(EngineFixture::post("running", "p", 100000)), running);
+    TestSupport::runUntil(fixture.context, [&] { return fixture.engine.generatedTokensOf("running") > 0; });
+    TestSupport::startTask(fixture.context, fixture.send(EngineFixture::post("low", "p", 100000, true, 0)), low);
+    TestSupport::runUntil(fixture.context, [&] { return fixture.callJson({ "GET", "/v1/load", {}, "" })["queued"] == 1; });
+    TestSupport::startTask(fixture.context, fixture.send(EngineFixture::post("high", "p", 5, true, 7)), high);
+    TestSupport::runUntil(fixture.context, [&] { return fixture.callJson({ "GET", "/v1/load", {}, "" })["queued"] == 2; });
+    fixture.callJson(EngineFixture::post("refused", "p", 5), 503);
+    fixture.callJson({ "POST", "/v1/streams/running/cancel", {}, "" });
+    TestSupport::runUntil(fixture.context, [&] { return high.has_value(); });
+    cr_assert(*high);
+    cr_assert_not(low);
+    cr_assert_eq(fixture.engine.runsOf("refused"), 0);
+}
+
+// Guards against a refusal that ran all the same.
+Test(EngineFaults, refusedPostDoesNotRun)
+{
+    EngineFixture fixture;
+    fixture.callJson({ "POST", "/control/faults", {}, R"({"refuse": 1})" });
+    fixture.callJson(EngineFixture::post("s", "p", 5), 503);
+    cr_assert_eq(fixture.engine.runsOf("s"), 0);
+    cr_assert(fixture.call(EngineFixture::post("s", "p", 5)));
+}
+
+// Guards against an engine that still answers while it must not, or that stays silent afterwards.
+Test(EngineFaults, stoppedEngineAnswersAgainLater)
+{
+    EngineFixture fixture;
+    fixture.callJson({ "POST", "/control/faults", {}, R"({"stop_answering": true})" });
+    cr_assert_not(fixture.call(EngineFixture::post("s", "p", 5), std::chrono::milliseconds(50)));
+    cr_assert_eq(fixture.engine.runsOf("s"), 0);
+    fixture.callJson({ "POST", "/control/faults", {}, R"({"stop_answering": false, "delay_ms": 1})" });
+    EngineFixture::Answer answer = fixture.call(EngineFixture::post("s", "p", 5));
+    cr_assert(answer);
+    cr_assert_eq(EngineFixture::contentOf(answer->body, "s"), AnswerText("p", 5).whole());
+}
+
+// Guards against a misspelt fault that silently tests nothing.
+Test(EngineFaults, unknownFieldIsNamed)
+{
+    EngineFixture fixture;
+    nlohmann::json error = fixture.callJson({ "POST", "/control/faults", {}, R"({"refuse": 1, "brake_streams": 1})" }, 400);
+    cr_assert_neq(error["error"]["message"].get<std::string>().find("brake_streams"), std::string::npos);
+    cr_assert(fixture.call(EngineFixture::post("s", "p", 5))->status == 200);
+}
