--- /dev/null
+++ b/Libraries/LibEndpoint/src/EngineClient.cpp
@@ -0,0 +1,134 @@
+#include "LibEndpoint/EngineClient.h"
+
+#include "SSEEngineStream.h"
+#include "UsageParser.h"
+#include <nlohmann/json.hpp>
+
+namespace Endpoint {
+
+using Json = nlohmann::json;
+using Core::FailureKind;
+
+static constexpr size_t maxErrorBytes = 64 * 1024;
+static constexpr size_t maxErrorMessageBytes = 300;
+
+static FailureKind kindOf(unsigned status)
+{
+    if (status == 429)
+        return FailureKind::RateLimited;
+    if (status == 404)
+        return FailureKind::NotFound;
+    if (status == 503 || (status >= 400 && status < 500))
+        return FailureKind::Refused;
+    return FailureKind::OutcomeUnknown;
+}
+
+static Core::Reason statusReason(const char* step, const Core::Address& address, unsigned status, const std::string& body)
+{
+    return { kindOf(status), step, address.text(), "HTTP status " + std::to_string(status) + ": " + body.substr(0, maxErrorMessageBytes) };
+}
+
+// Turns the response into a stream after checking its status and identity.
+static Core::Task<std::optional<std::unique_ptr<EngineStream>>> openStream(
+    std::unique_ptr<HTTP::ResponseStream> response, const char* step, Core::Address address, std::string streamId, Core::Deadline deadline, Core::Reason& reason)
+{
+    if (response->status() != 200) {
+        Core::Reason ignored;
+        std::optional<std::string> body = co_await response->readAll(maxErrorBytes, deadline, ignored);
+        reason = statusReason(step, address, response->status(), body.value_or(""));
+        co_return std::nullopt;
+    }
+    if (HTTP::findHeader(response->headers(), "X-Stream-Id") != streamId) {
+        reason = { FailureKind::OutcomeUnknown, step, address.text(), "the response does not carry the stream's identity" };
+        co_return std::nullopt;
+    }
+    co_return std::make_unique<SSEEngineStream>(std::move(response), std::move(streamId), address.text());
+}
+
+EngineClient::EngineClient(HTTP::Client& client)
+    : m_client(client)
+{
+}
+
+Core::Task<std::optional<std::unique_ptr<EngineStream>>> EngineClient::dispatch(
+    Core::Address address, Dispatch dispatch, Core::Deadline deadline, HTTP::Client::SendGuard guard, Core::Reason& reason)
+{
+    HTTP::Request request { "POST", "/v1/chat/completions",
+        { { "Content-Type", "application/json" }, { "X-Stream-Id", dispatch.streamId }, { "X-Workspace", dispatch.workspace },
+            { "X-Priority", std::to_string(dispatch.priority) } },
+        std::move(dispatch.body) };
+    if (!dispatch.traceParent.empty())
+        request.headers.push_back({ "traceparent", dispatch.traceParent });
+    bool wasSent = false;
+    HTTP::Client::SendGuard recordingGuard = [&wasSent, &guard]() {
+        wasSent = !guard || guard();
+        return wasSent;
+    };
+    std::optional<std::unique_ptr<HTTP::ResponseStream>> response
+        = co_await m_client.openGuarded(address, std::move(request), deadline, std::move(recordingGuard), reason);
+    if (!response) {
+        // A connection attempt that times out has sent nothing.
+        if (!wasSent && reason.kind == FailureKind::TimedOut)
+            reason.kind = FailureKind::Unavailable;
+        co_return std::nullopt;
+    }
+    std::optional<std::unique_ptr<EngineStream>> stream
+        = co_await openStream(std::move(*response), "dispatch", address, std::move(dispatch.streamId), deadline, reason);
+    // The engine does not serve the model or the path: refused, rather than an unknown stream.
+    if (!stream && reason.kind == FailureKind::NotFound)
+        reason.kind = FailureKind::Refused;
+    co_return stream;
+}
+
+Core::Task<std::optional<std::unique_ptr<EngineStream>>> EngineClient::resume(
+    Core::Address address, std::string streamId, Core::Deadline deadline, Core::Reason& reason)
+{
+    HTTP::Request request { "GET", "/v1/streams/" + HTTP::encodeComponent(streamId) + "?from=0", {}, "" };
+    std::optional<std::unique_ptr<HTTP::ResponseStream>> response = co_await m_client.open(address, std::move(request), deadline, reason);
+    if (!response)
+        co_return std::nullopt;
+    co_return co_await openStream(std::move(*response), "resume", address, std::move(streamId), deadline, reason);
+}
+
+Core::Task<std::optional<UsageCount>> EngineClient::cancel(Core::Address address, std::string streamId, Core::Deadline deadline, Core::Reason& reason)
+{
+    HTTP::Request request { "POST", "/v1/streams/" + HTTP::encodeComponent(streamId) + "/cancel", {}, "" };
+    std::optional<HTTP::Response> response = co_await m_client.roundTrip(address, std::move(request), deadline, reason);
+    if (!response)
+        co_return std::nullopt;
+    if (response->status != 200) {
+        reason = statusReason("cancel", address, response->status, response->body);
+        co_return std::nullopt;
+    }
+    std::optional<UsageCount> usage = parseUsage(response->body);
+    if (!usage)
+        reason = { FailureKind::OutcomeUnknown, "cancel", address.text(), "the usage is malformed" };
+    co_return usage;
+}
+
+Core::Task<std::optional<LoadReport>> EngineClient::load(Core::Address address, Core::Deadline deadline, Core::Reason& reason)
+{
+    std::optional<HTTP::Response> response = co_await m_client.roundTrip(address, { "GET", "/v1/load", {}, "" }, deadline, reason);
+    if (!response)
+        co_return std::nullopt;
+    if (response->status != 200) {
+        reason = statusReason("read load", address, response->status, response->body);
+        co_return std::nullopt;
+    }
+    Json json = Json::parse(response->body, nullptr, false);
+    if (!json.is_object()) {
+        reason = { FailureKind::Invalid, "read load", address.text(), "the report is not a JSON object" };
+        co_return std::nullopt;
+    }
+    LoadReport report;
+    for (const std::pair<const char*, int64_t*>& field : { std::pair { "running", &report.running }, std::pair { "queued", &report.queued }, std::pair { "age_ms", &report.ageMs } }) {
+        if (!json.contains(field.first) || !json[field.first].is_number_integer()) {
+            reason = { FailureKind::Invalid, "read load", address.text(), std::string(field.first) + ": an integer is required" };
+            co_return std::nullopt;
+        }
+        *field.second = json[field.first].get<int64_t>();
+    }
+    co_return report;
+}
+
+}
