--- a/Libraries/LibCaller/include/LibCaller/ServiceHandler.h
+++ b/Libraries/LibCaller/include/LibCaller/ServiceHandler.h
@@ -2,7 +2,7 @@
 
 #include "LibCaller/Attempt.h"
 #include "LibCaller/Hooks.h"
-#include "LibHTTP/Client.h"
+#include "LibEndpoint/ServiceClient.h"
 #include "LibHTTP/ResponseWriter.h"
 
 namespace Caller {
@@ -11,7 +11,7 @@
 // before dispatch and run at most once.
 class ServiceHandler {
 public:
-    ServiceHandler(const boost::asio::any_io_executor&, const Hooks&, HTTP::Client&);
+    ServiceHandler(const boost::asio::any_io_executor&, const Hooks&, Endpoint::ServiceClient&);
 
     Core::Task<void> handle(const HTTP::Request&, const RequestIdentity&, HTTP::ResponseWriter&);
 
@@ -30,7 +30,7 @@
 
     boost::asio::any_io_executor m_executor;
     const Hooks& m_hooks;
-    HTTP::Client& m_client;
+    Endpoint::ServiceClient& m_client;
     size_t m_pendingOutcomes { 0 };
 };
 
--- a/Libraries/LibCaller/src/ServiceHandler.cpp
+++ b/Libraries/LibCaller/src/ServiceHandler.cpp
@@ -5,7 +5,6 @@
 
 namespace Caller {
 
-static constexpr size_t maxResponseBytes = 4 * 1024 * 1024;
 static constexpr size_t maxStoredBodyBytes = 2048;
 static constexpr std::chrono::milliseconds submitTimeout(2000);
 static constexpr std::chrono::milliseconds firstSubmitDelay(200);
@@ -24,7 +23,7 @@
     std::string nonce;
 };
 
-ServiceHandler::ServiceHandler(const boost::asio::any_io_executor& executor, const Hooks& hooks, HTTP::Client& client)
+ServiceHandler::ServiceHandler(const boost::asio::any_io_executor& executor, const Hooks& hooks, Endpoint::ServiceClient& client)
     : m_executor(executor)
     , m_hooks(hooks)
     , m_client(client)
@@ -81,6 +80,16 @@
     return forwarded;
 }
 
+// Headers beside the content type concern the connection to the endpoint.
+static HTTP::Response keepContentType(HTTP::Response response)
+{
+    std::optional<std::string> contentType = HTTP::findHeader(response.headers, "Content-Type");
+    response.headers.clear();
+    if (contentType)
+        response.headers.push_back({ "Content-Type", *contentType });
+    return response;
+}
+
 Core::Task<std::optional<HTTP::Response>> ServiceHandler::send(Call& call, bool& mayHaveRun, Refusal& refusal)
 {
     RouteQuery query;
@@ -96,23 +105,14 @@
             co_return std::nullopt;
         }
         HTTP::Client::SendGuard guard = [this, &call] { return !m_hooks.admission() && !call.identity.deadline.hasPassed(); };
-        // A fresh connection, so that a stale one cannot leave it open whether the call ran.
-        std::optional<std::unique_ptr<HTTP::ResponseStream>> stream = co_await m_client.openGuarded(route->address,
-            forwardedRequest(call.request, call.target, call.identity), call.identity.deadline, guard, reason, HTTP::ConnectionUse::Fresh);
-        std::optional<std::string> body;
-        if (stream)
-            body = co_await (*stream)->readAll(maxResponseBytes, call.identity.deadline, reason);
-        m_hooks.routeDone(route->endpoint, { body.has_value(), !body && reason.kind != Core::FailureKind::Refused });
-        if (body) {
+        std::optional<HTTP::Response> response = co_await m_client.call(
+            route->address, forwardedRequest(call.request, call.target, call.identity), call.identity.deadline, guard, reason);
+        m_hooks.routeDone(route->endpoint, { response.has_value(), !response && reason.kind != Core::FailureKind::Refused });
+        if (response) {
             mayHaveRun = true;
-            HTTP::Response response { (*stream)->status(), {}, std::move(*body) };
-            std::optional<std::string> contentType = HTTP::findHeader((*stream)->headers(), "Content-Type");
-            if (contentType)
-                response.headers.push_back({ "Content-Type", *contentType });
-            co_return response;
+            co_return keepContentType(std::move(*response));
         }
-        bool wasSent = stream || reason.kind == Core::FailureKind::OutcomeUnknown;
-        if (wasSent) {
+        if (reason.kind == Core::FailureKind::OutcomeUnknown) {
             mayHaveRun = true;
             refusal = unknownOutcome("endpoint_failed", 502, reason);
             co_return std::nullopt;
