LibLedger: entry codecs, shard state, shard writer and ledger service

The ledger needs a working writer before grants and bills can be built on it.

Entries, results, commits and checkpoints are CBOR arrays; decoders check nesting, sizes and ranges. ShardLog appends by conditional writes to the ring, resolves lost replies by nonce, reloads after a conflict, and refuses to overwrite a slot that no checkpoint covers. ShardWriter gathers concurrent submissions into one commit; LedgerService opens shards on demand.

Tested: durability over 200 commits with a second loader, one lost reply, a paused writer that resumes after 70 commits.

--- /dev/null
+++ b/Libraries/LibLedger/include/LibLedger/WriterSettings.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "LibLedger/BudgetState.h"
+#include <chrono>
+#include <functional>
+
+namespace Ledger {
+
+// How a shard is written, and hooks.
+struct WriterSettings {
+    // How long the first waiting entry waits for others to join its commit.
+    std::chrono::milliseconds gatherTime { 5 };
+    // The same for commits that contain only bills, for which nobody waits. Longer, since each commit is one of the
+    // platform's few hundred writes a second.
+    std::chrono::milliseconds billGatherTime { 400 };
+    // Limits one call to the platform and one commit with all its repetitions.
+    std::chrono::milliseconds callTimeout { 2000 };
+    std::chrono::milliseconds commitTimeout { 6000 };
+    // First wait after a failed call; doubled for each further one.
+    std::chrono::milliseconds backoff { 20 };
+    // Failed calls after which a commit is given up, so that its entries can take another way.
+    int failedCalls { 4 };
+    // How long identities of attempts, requests and claims are remembered.
+    std::chrono::milliseconds identityLifetime { std::chrono::hours(24) };
+
+    // Wall-clock time in milliseconds since 1970. Empty: the system's clock.
+    std::function<int64_t()> wallClockMs;
+    // Called after a commit in which a grant stayed short, with the holders whose unspent grants could help.
+    std::function<void(const BudgetId&, const std::vector<Holder>&)> recallNeeded;
+};
+
+// Holders other than the one that asked whose unspent grants would help it; empty when the grant was not short.
+std::vector<Holder> holdersToRecall(const BudgetState&, const Grant&, const EntryResult&);
+
+}
--- /dev/null
+++ b/Libraries/LibLedger/src/EntryCodec.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "CBOR.h"
+#include "LibLedger/Entry.h"
+
+namespace Ledger {
+
+nlohmann::json toJSON(const BudgetId&);
+nlohmann::json toJSON(const Holder&);
+nlohmann::json toJSON(const Outcome&);
+nlohmann::json toJSON(const Entry&);
+
+BudgetId readBudget(CBOR::FieldReader&);
+Holder readHolder(CBOR::FieldReader&);
+std::optional<Outcome> outcomeFromJSON(const nlohmann::json&);
+std::optional<Entry> entryFromJSON(const nlohmann::json&);
+nlohmann::json toJSON(const std::vector<Entry>&);
+// The size of the entry within a commit, in bytes.
+size_t encodedSize(const Entry&);
+// The entry's type in lower case, for log lines.
+const char* nameOf(const Entry&);
+std::optional<std::vector<Entry>> entriesFromJSON(const nlohmann::json&);
+
+}
--- /dev/null
+++ b/Libraries/LibLedger/src/IdentitySet.cpp
@@ -0,0 +1,53 @@
+#include "LibLedger/IdentitySet.h"
+
+#include "LibCore/Hash.h"
+#include <algorithm>
+
+namespace Ledger {
+
+static constexpr int64_t millisecondsPerMinute = 60'000;
+
+IdentityHash IdentityHash::of(std::string_view identity)
+{
+    return { Core::hash64(identity, 1), Core::hash64(identity, 2) };
+}
+
+uint8_t IdentitySet::add(const IdentityHash& identity, int64_t timeMs)
+{
+    int64_t minute = timeMs / millisecondsPerMinute + 1;
+    Item& item = m_items[identity];
+    if (item.count < UINT8_MAX)
+        ++item.count;
+    if (minute > item.minute) {
+        item.minute = minute;
+        m_byMinute[minute].push_back(identity);
+    }
+    return item.count;
+}
+
+void IdentitySet::expireBefore(int64_t timeMs)
+{
+    int64_t horizon = timeMs / millisecondsPerMinute;
+    while (!m_byMinute.empty() && m_byMinute.begin()->first < horizon) {
+        for (const IdentityHash& identity : m_byMinute.begin()->second) {
+            std::unordered_map<IdentityHash, Item, Hasher>::iterator item = m_items.find(identity);
+            // A later occurrence has put the identity into a later group as well.
+            if (item != m_items.end() && item->second.minute < horizon)
+                m_items.erase(item);
+        }
+        m_byMinute.erase(m_byMinute.begin());
+    }
+}
+
+std::map<IdentityHash, IdentitySet::Item> IdentitySet::sorted() const
+{
+    return std::map<IdentityHash, Item>(m_items.begin(), m_items.end());
+}
+
+void IdentitySet::restore(const IdentityHash& identity, Item item)
+{
+    m_items[identity] = item;
+    m_byMinute[item.minute].push_back(identity);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibLedger/src/ShardExpiry.cpp
@@ -0,0 +1,84 @@
+#include "LibLedger/ShardState.h"
+
+namespace Ledger {
+
+void ShardState::expireClaims()
+{
+    std::erase_if(m_claims, [this](const std::pair<const std::string, ClaimState>& item) {
+        const ClaimState& claim = item.second;
+        if (claim.changedAtMs >= m_expireBeforeMs)
+            return false;
+        if (claim.outcome)
+            return true;
+        // The call may have run, so its price is not available again.
+        BudgetState& budget = m_budgets[claim.claim.budget];
+        budget.reserved -= claim.claim.price;
+        budget.expiredClaims += claim.claim.price;
+        return true;
+    });
+}
+
+// A holder without tokens is forgotten only when a newer incarnation of its host is known. Its process is gone then,
+// so no message can repeat a cumulative number that the ledger no longer knows.
+void ShardState::expireHolders()
+{
+    for (std::pair<const BudgetId, BudgetState>& budget : m_budgets) {
+        std::map<Holder, HolderState>& holders = budget.second.holders;
+        for (std::map<Holder, HolderState>::iterator item = holders.begin(); item != holders.end();) {
+            std::map<Holder, HolderState>::iterator following = std::next(item);
+            bool isReplaced = following != holders.end() && following->first.host == item->first.host;
+            if (isReplaced && item->second.outstanding() == 0 && item->second.changedAtMs < m_expireBeforeMs)
+                holders.erase(item);
+            item = following;
+        }
+    }
+}
+
+void ShardState::expireOpenAttempts()
+{
+    std::erase_if(m_openAttempts, [this](const std::pair<const std::string, OpenAttemptState>& item) {
+        return item.second.openedAtMs < m_expireBeforeMs;
+    });
+}
+
+bool ShardState::invariantHolds() const
+{
+    for (const std::pair<const BudgetId, BudgetState>& item : m_budgets) {
+        const BudgetState& budget = item.second;
+        if (budget.ungranted() < 0 || budget.reserved < 0 || budget.spent < 0)
+            return false;
+        for (const std::pair<const Holder, HolderState>& holder : budget.holders) {
+            if (holder.second.outstanding() < 0)
+                return false;
+        }
+    }
+    return true;
+}
+
+std::map<BudgetId, BudgetAudit> ShardState::audit() const
+{
+    std::map<BudgetId, BudgetAudit> audits;
+    for (const std::pair<const BudgetId, BudgetState>& item : m_budgets) {
+        const BudgetState& budget = item.second;
+        BudgetAudit& audit = audits[item.first];
+        audit.toppedUp = budget.toppedUp;
+        audit.spent = budget.spent;
+        audit.ungranted = budget.ungranted();
+        audit.reserved = budget.reserved;
+        audit.stranded = budget.expiredClaims;
+        audit.bills = budget.bills;
+        audit.requestsWithSeveralAttempts = budget.requestsWithSeveralAttempts;
+        for (std::map<Holder, HolderState>::const_iterator holder = budget.holders.begin(); holder != budget.holders.end(); ++holder) {
+            Tokens outstanding = holder->second.outstanding();
+            if (outstanding == 0)
+                continue;
+            audit.outstanding[holder->first] = outstanding;
+            std::map<Holder, HolderState>::const_iterator following = std::next(holder);
+            if (following != budget.holders.end() && following->first.host == holder->first.host)
+                audit.stranded += outstanding;
+        }
+    }
+    return audits;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibLedger/src/ShardWriter.cpp
@@ -0,0 +1,213 @@
+#include "LibLedger/ShardWriter.h"
+
+#include "EntryCodec.h"
+#include "LedgerEvents.h"
+#include "ShardLog.h"
+#include <algorithm>
+
+namespace Ledger {
+
+// One call of submit. Its entries may be spread over several commits.
+struct ShardWriter::Submission {
+    std::vector<Entry> entries;
+    Core::Deadline deadline;
+    // Entries handed to a commit so far.
+    size_t taken { 0 };
+    std::vector<EntryResult> results;
+    std::optional<Core::Reason> failure;
+
+    bool isDone() const { return failure || results.size() == entries.size(); }
+};
+
+static bool isUrgent(const std::vector<Entry>& entries)
+{
+    return std::any_of(entries.begin(), entries.end(), [](const Entry& entry) { return !std::holds_alternative<Usage>(entry); });
+}
+
+ShardWriter::ShardWriter(const boost::asio::any_io_executor& executor, Platform::ObjectStore store, uint32_t shard, Holder self, WriterSettings settings)
+    : m_executor(executor)
+    , m_shard(shard)
+    , m_settings(settings)
+    , m_log(std::make_unique<ShardLog>(std::move(store), shard, std::move(self), std::move(settings)))
+    , m_finished(executor)
+    , m_urgentArrived(executor)
+    , m_lastUsed(Core::SteadyClock::now())
+{
+}
+
+ShardWriter::~ShardWriter() = default;
+
+Core::Task<std::optional<std::vector<EntryResult>>> ShardWriter::submit(std::vector<Entry> entries, Core::Deadline deadline, Core::Reason& reason)
+{
+    std::shared_ptr<ShardWriter> self = shared_from_this();
+    m_lastUsed = Core::SteadyClock::now();
+    if (entries.empty())
+        co_return std::vector<EntryResult>();
+    bool urgent = isUrgent(entries);
+    std::shared_ptr<Submission> submission = std::make_shared<Submission>(Submission { std::move(entries), deadline, 0, {}, std::nullopt });
+    m_queue.push_back(submission);
+    if (urgent)
+        m_urgentArrived.notifyAll();
+    start();
+    while (!submission->isDone()) {
+        if (!co_await m_finished.wait(deadline) && !submission->isDone())
+            break;
+    }
+    if (submission->isDone() && !submission->failure)
+        co_return std::move(submission->results);
+    if (submission->failure) {
+        reason = *submission->failure;
+        co_return std::nullopt;
+    }
+    std::erase(m_queue, submission);
+    Core::FailureKind kind = submission->taken == 0 ? Core::FailureKind::TimedOut : Core::FailureKind::OutcomeUnknown;
+    reason = { kind, "commit ledger entries", "shard " + std::to_string(m_shard), "the deadline passed before the commit was confirmed" };
+    co_return std::nullopt;
+}
+
+Core::Task<std::optional<LedgerAudit>> ShardWriter::audit(Core::Deadline deadline, Core::Reason& reason)
+{
+    std::shared_ptr<ShardWriter> self = shared_from_this();
+    while (m_isRunning) {
+        if (co_await m_finished.wait(deadline))
+            continue;
+        reason = { Core::FailureKind::TimedOut, "audit ledger", "shard " + std::to_string(m_shard), "the deadline passed while commits were written" };
+        co_return std::nullopt;
+    }
+    m_isRunning = true;
+    bool isLoaded = co_await m_log->load(deadline, reason);
+    m_isRunning = false;
+    m_finished.notifyAll();
+    start();
+    if (!isLoaded)
+        co_return std::nullopt;
+    co_return LedgerAudit { m_shard, m_log->sequence(), m_log->state().audit() };
+}
+
+void ShardWriter::start()
+{
+    if (m_isRunning || m_queue.empty())
+        return;
+    m_isRunning = true;
+    Core::spawn(m_executor, "ledger shard " + std::to_string(m_shard), [](std::shared_ptr<ShardWriter> self) -> Core::Task<void> {
+        co_await self->run();
+    }(shared_from_this()));
+}
+
+Core::Task<void> ShardWriter::run()
+{
+    while (!m_queue.empty()) {
+        co_await gather();
+        Batch batch = takeBatch();
+        if (batch.entries.empty())
+            continue;
+        Core::Reason reason;
+        std::optional<std::vector<EntryResult>> results = co_await m_log->append(batch.entries, batch.deadline, reason);
+        if (results) {
+            finish(batch, *results);
+            co_await checkpointIfDue();
+        } else {
+            fail(batch, reason);
+        }
+    }
+    m_isRunning = false;
+    m_finished.notifyAll();
+    // Entries may have arrived for an audit that was waiting for this task.
+    start();
+}
+
+Core::Task<void> ShardWriter::gather()
+{
+    bool urgent = std::any_of(m_queue.begin(), m_queue.end(), [](const std::shared_ptr<Submission>& submission) { return isUrgent(submission->entries); });
+    if (!urgent && m_settings.billGatherTime.count() > 0)
+        co_await m_urgentArrived.wait(Core::Deadline::after(m_settings.billGatherTime));
+    if (m_settings.gatherTime.count() > 0)
+        co_await Core::sleepUntil(Core::Deadline::after(m_settings.gatherTime));
+}
+
+ShardWriter::Batch ShardWriter::takeBatch()
+{
+    Batch batch;
+    batch.deadline = Core::Deadline::after(std::chrono::milliseconds(0));
+    size_t bytes = 0;
+    while (!m_queue.empty()) {
+        std::shared_ptr<Submission> submission = m_queue.front();
+        size_t first = submission->taken;
+        while (submission->taken < submission->entries.size()) {
+            const Entry& entry = submission->entries[submission->taken];
+            bytes += encodedSize(entry);
+            if (bytes > maximumCommitEntryBytes && !batch.entries.empty())
+                break;
+            batch.entries.push_back(entry);
+            ++submission->taken;
+        }
+        if (submission->taken > first) {
+            batch.parts.push_back({ submission, submission->taken - first });
+            batch.deadline = std::max(batch.deadline, submission->deadline);
+        }
+        if (submission->taken < submission->entries.size())
+            break;
+        m_queue.pop_front();
+    }
+    batch.deadline = std::min(batch.deadline, Core::Deadline::after(m_settings.commitTimeout));
+    return batch;
+}
+
+void ShardWriter::finish(const Batch& batch, const std::vector<EntryResult>& results)
+{
+    size_t next = 0;
+    for (const Part& part : batch.parts) {
+        for (size_t i = 0; i < part.count; ++i)
+            part.submission->results.push_back(results[next++]);
+    }
+    m_finished.notifyAll();
+    requestRecalls(batch, results);
+    for (size_t i = 0; i < results.size(); ++i) {
+        if (results[i].code == ResultCode::Rejected)
+            Core::logEvent(entryRejected, "shard " + std::to_string(m_shard) + ", budget " + budgetOf(batch.entries[i]).text() + ": " + nameOf(batch.entries[i]) + " entry refused");
+    }
+}
+
+void ShardWriter::requestRecalls(const Batch& batch, const std::vector<EntryResult>& results)
+{
+    if (!m_settings.recallNeeded)
+        return;
+    std::map<BudgetId, std::set<Holder>> recalls;
+    for (size_t i = 0; i < results.size(); ++i) {
+        const Grant* grant = std::get_if<Grant>(&batch.entries[i]);
+        std::map<BudgetId, BudgetState>::const_iterator budget = m_log->state().budgets().find(budgetOf(batch.entries[i]));
+        if (!grant || budget == m_log->state().budgets().end())
+            continue;
+        std::vector<Holder> holders = holdersToRecall(budget->second, *grant, results[i]);
+        if (!holders.empty())
+            recalls[grant->budget].insert(holders.begin(), holders.end());
+    }
+    for (const std::pair<const BudgetId, std::set<Holder>>& recall : recalls)
+        m_settings.recallNeeded(recall.first, std::vector<Holder>(recall.second.begin(), recall.second.end()));
+}
+
+void ShardWriter::fail(const Batch& batch, const Core::Reason& reason)
+{
+    for (const Part& part : batch.parts) {
+        Submission& submission = *part.submission;
+        submission.failure = reason;
+        // An earlier part of the same submission is committed.
+        if (!submission.results.empty())
+            submission.failure->kind = Core::FailureKind::OutcomeUnknown;
+        std::erase(m_queue, part.submission);
+    }
+    Core::logEvent(commitFailed, "shard " + std::to_string(m_shard) + ", " + std::to_string(batch.entries.size()) + " entries: " + reason.text());
+    m_finished.notifyAll();
+}
+
+Core::Task<void> ShardWriter::checkpointIfDue()
+{
+    if (!m_log->isCheckpointDue())
+        co_return;
+    Core::Reason reason;
+    if (co_await m_log->checkpoint(Core::Deadline::after(m_settings.commitTimeout), reason))
+        co_return;
+    Core::logEvent(checkpointFailed, "shard " + std::to_string(m_shard) + ", at commit " + std::to_string(m_log->sequence()) + ", last checkpoint at " + std::to_string(m_log->checkpointSequence()) + ": " + reason.text());
+}
+
+}
--- /dev/null
+++ b/Tests/LibLedger/FakeObjectStore.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "LibPlatform/ObjectStore.h"
+#include <map>
+#include <memory>
+#include <random>
+
+// An in-memory platform store with faults, for tests. Calls complete after a few turns of the event loop, so that
+// several writers interleave.
+class FakeObjectStore {
+public:
+    struct Faults {
+        // Chances in percent for each call.
+        int unavailable { 0 };
+        int rateLimited { 0 };
+        int replyLostAfterWrite { 0 };
+        int requestLostWithUnknownOutcome { 0 };
+    };
+
+    explicit FakeObjectStore(uint64_t seed)
+        : m_random(seed)
+    {
+    }
+
+    // The store as one client sees it. The store must outlive the hooks.
+    Platform::ObjectStore client(const std::string& name);
+
+    void setFaults(Faults faults) { m_faults = faults; }
+    void setOutage(bool isDown) { m_isDown = isDown; }
+    void setBlocked(const std::string& client, bool isBlocked) { m_blocked[client] = isBlocked; }
+    // The next write of an object whose name ends with the text takes effect and its reply is lost.
+    void loseNextReply(const std::string& nameEnd) { m_loseReplyOf = nameEnd; }
+    // After this many further writes, every call fails with an unknown outcome, as for a client that was killed.
+    void stopAfterWrites(int64_t count) { m_writesLeft = count; }
+
+    const std::map<std::string, Platform::Object>& objects() const { return m_objects; }
+    uint64_t writes() const { return m_writes; }
+    size_t largestValue() const { return m_largestValue; }
+
+private:
+    bool chance(int percent) { return percent > 0 && static_cast<int>(m_random() % 100) < percent; }
+    Core::Task<void> turns();
+    bool isReachable(const std::string& client, const std::string& step, Core::Reason&);
+    Core::Task<std::optional<Platform::Object>> get(std::string client, std::string name, Core::Reason&);
+    Core::Task<std::optional<Platform::Version>> put(std::string client, std::string name, std::string value, Platform::Version, Core::Reason&);
+    Core::Task<std::optional<Platform::Listing>> list(std::string client, std::string prefix, Core::Reason&);
+
+    std::mt19937_64 m_random;
+    Faults m_faults;
+    bool m_isDown { false };
+    std::map<std::string, bool> m_blocked;
+    std::string m_loseReplyOf;
+    int64_t m_writesLeft { -1 };
+    uint64_t m_writes { 0 };
+    size_t m_largestValue { 0 };
+    Platform::Version m_revision { 0 };
+    std::map<std::string, Platform::Object> m_objects;
+};
