--- a/Libraries/LibCaller/src/RequestIdentity.cpp
+++ b/Libraries/LibCaller/src/RequestIdentity.cpp
@@ -74,9 +74,11 @@
         return std::nullopt;
     }
     identity.hasIdempotencyKey = idempotencyKey.has_value();
-    // The length separates workspace and key, so that no two pairs share an identity.
+    // The budget is part of the identity, since claims are compared within one shard of the ledger. Its length
+    // separates it from the key, so that no two pairs share an identity.
+    std::string scope = identity.budget.text();
     identity.requestId = idempotencyKey
-        ? Core::hash128Hex(std::to_string(identity.workspace.size()) + ":" + identity.workspace + *idempotencyKey)
+        ? Core::hash128Hex(std::to_string(scope.size()) + ":" + scope + *idempotencyKey)
         : Core::randomIdentifier();
     return identity;
 }
