--- /dev/null
+++ b/Tests/LibEmulator/TestLoadGenerator.cpp
@@ -0,0 +1,171 @@
+#include "EngineFixture.h"
+#include "LatencyHistogram.h"
+#include "LibEmulator/LoadGenerator.h"
+#include "LibHTTP/Server.h"
+#include "ReceivedAnswer.h"
+
+using Emulator::AnswerText;
+using Emulator::LoadResult;
+using Emulator::LoadSettings;
+using Emulator::ReceivedAnswer;
+
+static LoadResult runLoad(boost::asio::io_context& context, const LoadSettings& settings)
+{
+    Emulator::LoadGenerator generator(context.get_executor(), settings);
+    return TestSupport::runTask(context, generator.run());
+}
+
+static LoadSettings loadOf(const EngineFixture& fixture)
+{
+    LoadSettings settings;
+    settings.targets = { fixture.address };
+    settings.areEngines = true;
+    settings.count = 60;
+    settings.wholePercent = 30;
+    return settings;
+}
+
+// Guards against a load that reports good answers as wrong or loses requests.
+Test(LoadGenerator, countsWholeAnswers)
+{
+    EngineFixture fixture;
+    LoadResult result = runLoad(fixture.context, loadOf(fixture));
+    cr_assert_eq(result.complete, 60, "%s", result.toTable().c_str());
+    cr_assert_eq(result.sent, 60);
+    nlohmann::json total = fixture.counters()["workspaces"]["load"];
+    cr_assert_eq(total["completion_tokens"].get<int64_t>(), result.completionTokens);
+    cr_assert_eq(total["prompt_tokens"].get<int64_t>(), result.promptTokens);
+    cr_assert_eq(nlohmann::json::parse(result.toJson())["complete"].get<int64_t>(), 60);
+}
+
+// Guards against a load that cannot tell a broken answer from a whole one.
+Test(LoadGenerator, countsBrokenAnswersWithoutRetry)
+{
+    EngineFixture fixture;
+    Emulator::EngineFaults faults;
+    faults.breakStreams = { 7 };
+    faults.breakAfterChunks = 2;
+    fixture.engine.setFaults(faults);
+    LoadResult result = runLoad(fixture.context, loadOf(fixture));
+    cr_assert_eq(result.broken, 7, "%s", result.toTable().c_str());
+    cr_assert_eq(result.complete, 53);
+    cr_assert_eq(result.wrong, 0);
+}
+
+// Guards against a retry under a new identity, which would run, and bill, a second time.
+Test(LoadGenerator, retryJoinsTheBrokenStream)
+{
+    EngineFixture fixture;
+    Emulator::EngineFaults faults;
+    faults.breakStreams = { 7 };
+    faults.breakAfterChunks = 2;
+    fixture.engine.setFaults(faults);
+    LoadSettings settings = loadOf(fixture);
+    settings.maxAttempts = 5;
+    LoadResult result = runLoad(fixture.context, settings);
+    cr_assert_eq(result.complete, 60, "%s", result.toTable().c_str());
+    cr_assert_eq(result.retries, 7);
+    cr_assert_gt(result.completeAfterRetry, 0);
+    cr_assert_eq(fixture.counters()["workspaces"]["load"]["runs"].get<int64_t>(), 60);
+}
+
+// Guards against refusals that are counted as broken, and against a target that is down.
+Test(LoadGenerator, countsRefusalsByCode)
+{
+    EngineFixture fixture;
+    Emulator::EngineFaults faults;
+    faults.refuse = { 5 };
+    fixture.engine.setFaults(faults);
+    LoadResult result = runLoad(fixture.context, loadOf(fixture));
+    cr_assert_eq(result.complete, 55);
+    cr_assert_eq((result.refused[{ "unavailable", "unstated" }]), 5);
+    fixture.engine.stop();
+    cr_assert_eq(runLoad(fixture.context, loadOf(fixture)).unreachable, 60);
+}
+
+// Guards against another caller's answer that passes as one's own.
+Test(LoadGenerator, anotherCallersAnswerIsWrong)
+{
+    boost::asio::io_context context;
+    AnswerText foreign("another prompt", 32);
+    HTTP::Server server(context.get_executor(), [&foreign](HTTP::Request, HTTP::ResponseWriter& writer) -> Core::Task<void> {
+        Core::Reason ignored;
+        nlohmann::json chunk = { { "id", "x" }, { "choices", { { { "delta", { { "content", foreign.token(0) } } } } } } };
+        co_await writer.startStream(200, {}, ignored);
+        std::string event = "data: " + chunk.dump() + "\n\n";
+        co_await writer.writeChunk(event, ignored);
+        writer.abort();
+    });
+    Core::Reason reason;
+    LoadSettings settings;
+    settings.targets = { server.listen({ "127.0.0.1", 0 }, reason).value() };
+    settings.count = 3;
+    LoadResult result = runLoad(context, settings);
+    cr_assert_eq(result.wrong, 3, "%s", result.toTable().c_str());
+    cr_assert_not(result.firstWrongAnswer.empty());
+}
+
+static std::string chunkOf(const std::string& id, const std::string& content)
+{
+    return R"(data: {"id":")" + id + R"(","choices":[{"delta":{"content":")" + content + "\"}}]}\n\n";
+}
+
+static std::string endOf(const AnswerText& answer, int64_t completionTokens)
+{
+    nlohmann::json end = { { "id", "a" }, { "choices", { { { "delta", nlohmann::json::object() }, { "finish_reason", answer.finishReason() } } } },
+        { "usage", { { "prompt_tokens", answer.promptTokens() }, { "completion_tokens", completionTokens } } } };
+    return "data: " + end.dump() + "\n\ndata: [DONE]\n\n";
+}
+
+// Guards against each way in which an answer can be wrong going unnoticed.
+Test(ReceivedAnswer, findsEachFault)
+{
+    AnswerText expected("p", 1);
+    std::string token = expected.token(0);
+    struct Case {
+        std::string bytes;
+        bool isGood;
+    };
+    const Case cases[] = {
+        { chunkOf("a", token) + endOf(expected, 1), true },
+        { chunkOf("a", token), true },
+        { "", true },
+        { chunkOf("a", "zzz"), false },
+        { endOf(expected, 1), false },
+        { chunkOf("a", token) + chunkOf("a", token) + endOf(expected, 1), false },
+        { chunkOf("b", token) + endOf(expected, 1), false },
+        { chunkOf("a", token) + endOf(expected, 2), false },
+        { chunkOf("a", token) + "data: [DONE]\n\n", false },
+        { chunkOf("a", token) + endOf(expected, 1) + chunkOf("a", token), false },
+        { "data: nothing\n\n", false },
+    };
+    for (const Case& example : cases) {
+        ReceivedAnswer answer;
+        for (char byte : example.bytes)
+            answer.takeBytes(std::string_view(&byte, 1));
+        std::string fault = answer.faultAgainst(expected);
+        cr_assert_eq(fault.empty(), example.isGood, "%s: %s", example.bytes.c_str(), fault.c_str());
+    }
+}
+
+// Guards against an error event that looks like the end of the answer.
+Test(ReceivedAnswer, errorEventIsNoEnd)
+{
+    ReceivedAnswer answer;
+    answer.takeBytes("event: error\ndata: {\"error\":{\"code\":\"endpoint_failed\",\"ran\":\"unknown\"}}\n\n");
+    cr_assert_eq(answer.errorCode(), "endpoint_failed");
+    cr_assert_not(answer.hasEnded());
+}
+
+// Guards against percentiles that are off by more than the histogram's step.
+Test(LatencyHistogram, percentilesAreWithinOneStep)
+{
+    Emulator::LatencyHistogram histogram;
+    for (int ms = 1; ms <= 1000; ++ms)
+        histogram.add(std::chrono::milliseconds(ms));
+    Emulator::LatencySummary summary = histogram.summary();
+    cr_assert(summary.medianMs >= 500 && summary.medianMs < 512);
+    cr_assert(summary.percentile95Ms >= 950 && summary.percentile95Ms < 972);
+    cr_assert(summary.percentile99Ms >= 990 && summary.percentile99Ms <= 1000);
+    cr_assert_eq(summary.maxMs, 1000);
+}
