--- a/Libraries/LibCaller/include/LibCaller/Hooks.h
+++ b/Libraries/LibCaller/include/LibCaller/Hooks.h
@@ -36,6 +36,8 @@
 struct Route {
     std::string endpoint;
     Core::Address address;
+    // Number of the request at this daemon, by which its end is counted.
+    uint64_t ticket { 0 };
     bool operator==(const Route&) const = default;
 };
 
@@ -75,7 +77,8 @@
 
     // Waits for an endpoint with room. Refused: none serves the query.
     std::function<Core::Task<std::optional<Route>>(RouteQuery, Core::Deadline, Core::Reason&)> choose;
-    std::function<void(const std::string& endpoint, RouteResult)> routeDone;
+    // Ends each chosen route exactly once.
+    std::function<void(const Route&, RouteResult)> routeDone;
 
     Ledger::Submit submit;
 };
--- a/Libraries/LibCaller/src/ChatHandler.cpp
+++ b/Libraries/LibCaller/src/ChatHandler.cpp
@@ -37,6 +37,8 @@
     size_t bytesRead { 0 };
     int reconnects { 0 };
     bool wasSent { false };
+    // Whether routeDone is still to be called.
+    bool isRouteOpen { false };
     bool callerGone { false };
     AnswerAssembler assembler;
 };
@@ -92,12 +94,12 @@
             co_return false;
         }
         if (!co_await session.attempt.open(*route, refusal)) {
-            m_hooks.routeDone(route->endpoint, { false, false });
+            m_hooks.routeDone(*route, { false, false });
             session.attempt.abandon();
             co_return false;
         }
         if (session.attempt.isJoined()) {
-            m_hooks.routeDone(route->endpoint, { false, false });
+            m_hooks.routeDone(*route, { false, false });
             co_return co_await join(session, refusal);
         }
         bool mayTryNext = false;
@@ -133,14 +135,15 @@
         session.route = route;
         session.stream = std::move(*stream);
         session.wasSent = true;
+        session.isRouteOpen = true;
         co_return true;
     }
     if (notAdmitted) {
-        m_hooks.routeDone(route.endpoint, { false, false });
+        m_hooks.routeDone(route, { false, false });
         refusal = *notAdmitted;
         co_return false;
     }
-    m_hooks.routeDone(route.endpoint, { false, true });
+    m_hooks.routeDone(route, { false, true });
     if (reason.kind == Core::FailureKind::OutcomeUnknown || reason.kind == Core::FailureKind::TimedOut) {
         session.route = route;
         session.wasSent = true;
@@ -159,7 +162,7 @@
     std::map<std::string, Intent::Endpoint>::const_iterator endpoint = state->endpoints.find(record.endpoint);
     Core::Reason reason { Core::FailureKind::NotFound, "resume stream", record.endpoint, "the endpoint was withdrawn" };
     if (endpoint != state->endpoints.end()) {
-        session.route = { record.endpoint, endpoint->second.address };
+        session.route = { record.endpoint, endpoint->second.address, 0 };
         std::optional<std::unique_ptr<Endpoint::EngineStream>> stream
             = co_await m_engines.resume(session.route.address, record.streamId, session.identity.deadline, reason);
         if (stream) {
@@ -246,8 +249,8 @@
     Ledger::Tokens used = session.stream->usage()->total();
     std::string finalEvent = session.stream->finalEvent();
     session.stream.reset();
-    if (!session.attempt.isJoined())
-        m_hooks.routeDone(session.route.endpoint, { true, false });
+    if (session.isRouteOpen)
+        m_hooks.routeDone(session.route, { true, false });
     Core::Reason reason;
     Core::Deadline deadline(std::max(session.identity.deadline.at(), Core::Deadline::after(durabilityGrace).at()));
     bool isDurable = co_await session.attempt.makeDurable(used, Ledger::UsageKind::Complete, deadline, reason);
@@ -296,7 +299,8 @@
         session->attempt.leaveToOwner();
         return;
     }
-    m_hooks.routeDone(session->route.endpoint, { false, !session->callerGone });
+    if (session->isRouteOpen)
+        m_hooks.routeDone(session->route, { false, !session->callerGone });
     ++m_unresolved;
     Core::spawn(m_executor, "resolve attempt", resolve(std::move(session)));
 }
--- a/Libraries/LibCaller/src/ServiceHandler.cpp
+++ b/Libraries/LibCaller/src/ServiceHandler.cpp
@@ -107,7 +107,7 @@
         HTTP::Client::SendGuard guard = [this, &call] { return !m_hooks.admission() && !call.identity.deadline.hasPassed(); };
         std::optional<HTTP::Response> response = co_await m_client.call(
             route->address, forwardedRequest(call.request, call.target, call.identity), call.identity.deadline, guard, reason);
-        m_hooks.routeDone(route->endpoint, { response.has_value(), !response && reason.kind != Core::FailureKind::Refused });
+        m_hooks.routeDone(*route, { response.has_value(), !response && reason.kind != Core::FailureKind::Refused });
         if (response) {
             mayHaveRun = true;
             co_return keepContentType(std::move(*response));
@@ -130,7 +130,7 @@
     if (!co_await attempt.hold(call.service.priceTokens, refusal))
         co_return std::nullopt;
     // Recorded under the service's name: a call may go to any of its endpoints, and there is no stream to resume.
-    if (!co_await attempt.open({ call.service.name, {} }, refusal)) {
+    if (!co_await attempt.open({ call.service.name, {}, 0 }, refusal)) {
         attempt.abandon();
         co_return std::nullopt;
     }
--- /dev/null
+++ b/Services/jujuberelayd/src/Daemon.cpp
@@ -0,0 +1,291 @@
+#include "Daemon.h"
+
+#include "LibCore/EventLog.h"
+
+using Core::SteadyClock;
+
+static constexpr Core::Event daemonStarted { 2001, Core::Severity::Info, "daemon_started" };
+static constexpr Core::Event intentAdopted { 2002, Core::Severity::Info, "intent_adopted" };
+static constexpr Core::Event drainStarted { 2003, Core::Severity::Info, "drain_started" };
+static constexpr Core::Event drainFinished { 2004, Core::Severity::Info, "drain_finished" };
+static constexpr Core::Event drainCutOff { 2005, Core::Severity::Warning, "drain_cut_off" };
+static constexpr Core::Event requestRefused { 2006, Core::Severity::Debug, "request_refused" };
+static constexpr Core::Event billRefused { 2007, Core::Severity::Error, "bill_refused" };
+
+static constexpr std::chrono::seconds startTimeout(20);
+static constexpr std::chrono::milliseconds drainPoll(20);
+static constexpr std::chrono::seconds leaveTimeout(2);
+static constexpr std::chrono::milliseconds ledgerOpenTimeout(3000);
+
+// Wall-clock microseconds, so that a later process on the same host has a higher number.
+static uint64_t chooseIncarnation()
+{
+    return static_cast<uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
+}
+
+static Peer::Settings peerSettings(const Settings& settings, uint64_t incarnation)
+{
+    Peer::Settings peer;
+    peer.self = { settings.host, incarnation, settings.failureDomain };
+    peer.listenAddress = settings.peerAddress;
+    peer.key = settings.peerKey;
+    peer.certificateFile = settings.certificateFile;
+    peer.privateKeyFile = settings.privateKeyFile;
+    peer.authorityFile = settings.authorityFile;
+    return peer;
+}
+
+static Membership::Member selfMember(const Settings& settings, uint64_t incarnation)
+{
+    Membership::Member self;
+    self.host = settings.host;
+    self.incarnation = incarnation;
+    self.failureDomain = settings.failureDomain;
+    self.region = settings.region;
+    return self;
+}
+
+static Ledger::WriterSettings writerSettings(const Settings& settings)
+{
+    Ledger::WriterSettings writer;
+    writer.gatherTime = std::chrono::milliseconds(settings.commitGatherMs);
+    return writer;
+}
+
+static Budget::AccountSettings accountSettings(const Settings& settings)
+{
+    Budget::AccountSettings accounts;
+    accounts.grantIdle = std::chrono::milliseconds(settings.grantIdleMs);
+    return accounts;
+}
+
+static Intent::FreshnessLimits freshnessLimits(const Settings& settings)
+{
+    Intent::FreshnessLimits limits;
+    limits.isolated = std::chrono::milliseconds(settings.isolatedLimitMs);
+    limits.outage = std::chrono::milliseconds(settings.outageLimitMs);
+    return limits;
+}
+
+Daemon::Daemon(const boost::asio::any_io_executor& executor, Settings settings)
+    : m_executor(executor)
+    , m_settings(std::move(settings))
+    , m_self { m_settings.host, chooseIncarnation() }
+    , m_client(std::make_shared<HTTP::Client>(executor))
+    , m_platform(m_client, m_settings.platformAddress, m_settings.host)
+    , m_freshness(m_settings.failureDomain, freshnessLimits(m_settings))
+    , m_network(executor, peerSettings(m_settings, m_self.incarnation))
+    , m_membership(executor, selfMember(m_settings, m_self.incarnation), m_network, m_platform.hooks(), m_freshness)
+    , m_intent(executor, m_network, m_platform.hooks(), m_freshness, makeIntentHooks())
+    , m_ledger(executor, m_platform.hooks(), m_settings.shardCount, m_self, writerSettings(m_settings))
+    , m_gateway(m_settings.host, m_network, m_ledger.submit(), [this] { return m_membership.live(); })
+    , m_accounts(executor, m_self, m_settings.shardCount, makeSubmit(), accountSettings(m_settings))
+    , m_bills(executor, m_settings.shardCount, makeSubmit(), makeBillSettings())
+    , m_topUps(executor, m_gateway, m_settings.shardCount, [this] { return m_intent.state(); })
+    , m_engines(*m_client)
+    , m_services(*m_client)
+    , m_routes(executor, m_settings.host, m_network, m_engines, makeRouteHooks())
+    , m_callerHooks(makeCallerHooks())
+    , m_chat(executor, m_callerHooks, m_engines)
+    , m_serviceCalls(executor, m_callerHooks, m_services)
+    , m_callerApi(
+          m_callerHooks, m_chat, m_serviceCalls,
+          [this] { return m_isReady; },
+          [] { return std::string(); },
+          [](const Caller::Refusal& refusal) { Core::logEvent(requestRefused, refusal.json()); })
+    , m_callerServer(executor, [this](HTTP::Request request, HTTP::ResponseWriter& writer) { return m_callerApi.handle(std::move(request), writer); })
+    , m_operatorServer(executor, [this](HTTP::Request request, HTTP::ResponseWriter& writer) { return m_callerApi.handle(std::move(request), writer); })
+{
+}
+
+Ledger::Submit Daemon::makeSubmit()
+{
+    return [this](uint32_t shard, std::vector<Ledger::Entry> entries, Core::Deadline deadline, Core::Reason& reason) {
+        return m_gateway.submit(shard, std::move(entries), deadline, reason);
+    };
+}
+
+Budget::BillSettings Daemon::makeBillSettings()
+{
+    Budget::BillSettings bills;
+    bills.onRefused = [](const Ledger::Usage& usage) {
+        Core::logEvent(billRefused, "attempt " + usage.attemptId + " of budget " + usage.budget.text() + " with " + std::to_string(usage.tokens) + " tokens");
+    };
+    return bills;
+}
+
+IntentService::Hooks Daemon::makeIntentHooks()
+{
+    IntentService::Hooks hooks;
+    hooks.peers = [this] { return m_membership.livePeers(); };
+    hooks.holdsWatch = [this] { return m_membership.holdsWatch(static_cast<size_t>(m_settings.watchersPerFailureDomain)); };
+    hooks.stateChanged = [this](std::shared_ptr<const Intent::FleetState> state) { intentChanged(std::move(state)); };
+    return hooks;
+}
+
+RouteService::Hooks Daemon::makeRouteHooks()
+{
+    RouteService::Hooks hooks;
+    hooks.state = [this] { return m_intent.state(); };
+    hooks.domainMembers = [this] { return m_membership.domainMembers(); };
+    return hooks;
+}
+
+Caller::Hooks Daemon::makeCallerHooks()
+{
+    Caller::Hooks hooks;
+    hooks.self = m_self;
+    hooks.shardCount = m_settings.shardCount;
+    hooks.state = [this] { return m_intent.state(); };
+    hooks.admission = [this] { return admission(); };
+    hooks.acquire = [this](Ledger::BudgetId budget, Ledger::Tokens tokens, Core::Deadline deadline, Core::Reason& reason) -> Core::Task<std::optional<Caller::Hold>> {
+        std::optional<Budget::Hold> hold = co_await m_accounts.acquire(std::move(budget), tokens, deadline, reason);
+        if (!hold)
+            co_return std::nullopt;
+        co_return Caller::Hold { hold->budget, hold->tokens };
+    };
+    hooks.settle = [this](const Caller::Hold& hold, Ledger::Tokens used) { m_accounts.settle({ hold.budget, hold.tokens }, used); };
+    hooks.release = [this](const Caller::Hold& hold) { m_accounts.release({ hold.budget, hold.tokens }); };
+    hooks.openAttempt = [this](Witness::Record record, bool mayBeRetry, Core::Deadline deadline, Core::Reason& reason) {
+        return openAttempt(std::move(record), mayBeRetry, deadline, reason);
+    };
+    hooks.closeAttempt = [this](Ledger::Usage usage, Core::Deadline deadline, Core::Reason& reason) { return closeAttempt(std::move(usage), deadline, reason); };
+    hooks.forgetAttempt = [](const std::string&) {};
+    hooks.bill = [this](Ledger::Usage usage) { m_bills.add(std::move(usage)); };
+    hooks.choose = [this](Caller::RouteQuery query, Core::Deadline deadline, Core::Reason& reason) { return m_routes.choose(std::move(query), deadline, reason); };
+    hooks.routeDone = [this](const Caller::Route& route, Caller::RouteResult result) { m_routes.done(route, result); };
+    hooks.submit = makeSubmit();
+    return hooks;
+}
+
+std::optional<Caller::Refusal> Daemon::admission() const
+{
+    if (m_isDraining)
+        return Caller::Refusal { "draining", 503, Caller::Ran::NotRun, "admit", m_settings.host, "this daemon is shutting down", 100 };
+    SteadyClock::time_point now = SteadyClock::now();
+    if (!m_intent.state() || !m_freshness.mayDispatch(now))
+        return Caller::Refusal { "stale_intent", 503, Caller::Ran::NotRun, "admit", m_settings.host, m_freshness.reason(now), 1000 };
+    return std::nullopt;
+}
+
+Core::Task<bool> Daemon::submitOne(Ledger::Entry entry, Core::Deadline deadline, Core::Reason& reason)
+{
+    uint32_t shard = Ledger::shardOf(Ledger::budgetOf(entry), m_settings.shardCount);
+    std::vector<Ledger::Entry> entries { std::move(entry) };
+    std::optional<std::vector<Ledger::EntryResult>> results = co_await m_gateway.submit(shard, std::move(entries), deadline, reason);
+    if (!results)
+        co_return false;
+    Ledger::ResultCode code = results->front().code;
+    if (code == Ledger::ResultCode::Applied || code == Ledger::ResultCode::Duplicate)
+        co_return true;
+    reason = { Core::FailureKind::Refused, "record attempt", "ledger", "the ledger rejected the entry" };
+    co_return false;
+}
+
+Core::Task<std::optional<Caller::Hooks::Opened>> Daemon::openAttempt(Witness::Record record, bool, Core::Deadline deadline, Core::Reason& reason)
+{
+    Ledger::OpenAttempt entry { record.attemptId, record.requestId, record.budget, record.owner, record.tokensHeld, record.endpoint };
+    Core::Deadline limit = std::min(deadline, Core::Deadline::after(ledgerOpenTimeout));
+    if (!co_await submitOne(std::move(entry), limit, reason))
+        co_return std::nullopt;
+    co_return Caller::Hooks::Opened {};
+}
+
+Core::Task<bool> Daemon::closeAttempt(Ledger::Usage usage, Core::Deadline deadline, Core::Reason& reason)
+{
+    co_return co_await submitOne(std::move(usage), deadline, reason);
+}
+
+void Daemon::intentChanged(std::shared_ptr<const Intent::FleetState> state)
+{
+    Core::logEvent(intentAdopted, "generation " + std::to_string(state->generation) + " is in force");
+    m_membership.setGeneration(state->generation);
+    m_routes.stateChanged(*state);
+    m_topUps.stateChanged();
+}
+
+Core::Task<bool> Daemon::start(Core::Reason& reason)
+{
+    m_membership.serve();
+    m_intent.serve();
+    m_gateway.serve();
+    m_routes.serve();
+    std::optional<Core::Address> peer = m_network.listen(reason);
+    if (!peer)
+        co_return false;
+    std::optional<Core::Address> caller = m_callerServer.listen(m_settings.callerAddress, reason);
+    if (!caller)
+        co_return false;
+    std::optional<Core::Address> controller = m_operatorServer.listen(m_settings.operatorAddress, reason);
+    if (!controller)
+        co_return false;
+    m_addresses = { *caller, *peer, *controller };
+    Core::Deadline deadline = Core::Deadline::after(startTimeout);
+    if (!co_await m_membership.join(*caller, *peer, deadline, reason))
+        co_return false;
+    if (!co_await m_intent.start(deadline, reason))
+        co_return false;
+    startTasks();
+    m_isReady = true;
+    Core::logEvent(daemonStarted, m_self.text() + " " + addressLine());
+    co_return true;
+}
+
+void Daemon::startTasks()
+{
+    Core::spawn(m_executor, "membership", m_membership.run());
+    Core::spawn(m_executor, "intent", m_intent.run());
+    Core::spawn(m_executor, "accounts", m_accounts.run());
+    Core::spawn(m_executor, "bills", m_bills.run());
+    Core::spawn(m_executor, "top-ups", m_topUps.run());
+    Core::spawn(m_executor, "routes", m_routes.run());
+}
+
+std::string Daemon::addressLine() const
+{
+    return "listening caller=" + m_addresses.caller.text() + " peer=" + m_addresses.peer.text() + " operator=" + m_addresses.controller.text();
+}
+
+Core::Task<bool> Daemon::waitUntilIdle(Core::Deadline deadline, const char* what, std::function<size_t()> remaining, Core::Reason& reason)
+{
+    while (remaining() > 0) {
+        if (m_isHurried || deadline.hasPassed()) {
+            reason = { Core::FailureKind::TimedOut, "drain", m_settings.host, std::to_string(remaining()) + " " + what };
+            Core::logEvent(drainCutOff, reason.text());
+            co_return false;
+        }
+        co_await Core::sleepUntil(Core::Deadline::after(drainPoll));
+    }
+    co_return true;
+}
+
+Core::Task<bool> Daemon::drain(Core::Reason& reason)
+{
+    Core::logEvent(drainStarted, m_self.text());
+    m_isReady = false;
+    m_membership.setState(Membership::MemberState::Draining);
+    Core::Deadline deadline = Core::Deadline::after(std::chrono::milliseconds(m_settings.drainLimitMs));
+    Core::Deadline noticed = std::min(deadline, Core::Deadline::after(std::chrono::milliseconds(m_settings.readinessDelayMs)));
+    while (!m_isHurried && !noticed.hasPassed())
+        co_await Core::sleepUntil(Core::Deadline::after(drainPoll));
+    m_isDraining = true;
+    bool isComplete = co_await waitUntilIdle(
+        deadline, "requests were cut off", [this] { return m_callerServer.activeRequests(); }, reason);
+    m_callerServer.stopAccepting();
+    isComplete &= co_await waitUntilIdle(
+        deadline, "attempts were left unresolved", [this] { return m_chat.unresolvedAttempts() + m_serviceCalls.pendingOutcomes(); }, reason);
+    isComplete &= co_await m_bills.flushAll(deadline, reason);
+    isComplete &= co_await m_accounts.returnAll(deadline, reason);
+    m_accounts.stop();
+    m_bills.stop();
+    m_topUps.stop();
+    m_routes.stop();
+    m_intent.stop();
+    m_membership.stop();
+    co_await m_membership.leave(Core::Deadline::after(leaveTimeout));
+    Core::logEvent(drainFinished, isComplete ? "everything was handed over" : reason.text());
+    m_operatorServer.closeAll();
+    m_network.close();
+    co_return isComplete;
+}
--- /dev/null
+++ b/Services/jujuberelayd/src/Daemon.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "IntentService.h"
+#include "LedgerGateway.h"
+#include "LibBudget/Accounts.h"
+#include "LibBudget/BillQueue.h"
+#include "LibCaller/CallerApi.h"
+#include "LibEndpoint/EngineClient.h"
+#include "LibEndpoint/ServiceClient.h"
+#include "LibHTTP/Client.h"
+#include "LibHTTP/Server.h"
+#include "LibIntent/Freshness.h"
+#include "LibLedger/LedgerService.h"
+#include "LibPeer/Network.h"
+#include "LibPlatform/HttpObjectStore.h"
+#include "MembershipService.h"
+#include "RouteService.h"
+#include "Settings.h"
+#include "TopUpTask.h"
+#include <memory>
+
+// One daemon: owns the parts and connects them.
+class Daemon {
+public:
+    Daemon(const boost::asio::any_io_executor&, Settings);
+
+    // Binds the addresses, joins the fleet and starts serving. Fails when an address is in use or no peer and no
+    // platform answered in time.
+    Core::Task<bool> start(Core::Reason&);
+
+    // Finishes requests in progress, hands back grants, flushes bills and leaves the fleet. False when the drain limit
+    // or a second request to stop cut something off, which the reason names.
+    Core::Task<bool> drain(Core::Reason&);
+    void hurry() { m_isHurried = true; }
+
+    // "listening caller=IP:PORT peer=IP:PORT operator=IP:PORT".
+    std::string addressLine() const;
+
+private:
+    struct Addresses {
+        Core::Address caller;
+        Core::Address peer;
+        Core::Address controller;
+    };
+
+    Caller::Hooks makeCallerHooks();
+    Ledger::Submit makeSubmit();
+    Budget::BillSettings makeBillSettings();
+    IntentService::Hooks makeIntentHooks();
+    RouteService::Hooks makeRouteHooks();
+    std::optional<Caller::Refusal> admission() const;
+    Core::Task<std::optional<Caller::Hooks::Opened>> openAttempt(Witness::Record, bool mayBeRetry, Core::Deadline, Core::Reason&);
+    Core::Task<bool> closeAttempt(Ledger::Usage, Core::Deadline, Core::Reason&);
+    Core::Task<bool> submitOne(Ledger::Entry, Core::Deadline, Core::Reason&);
+    void intentChanged(std::shared_ptr<const Intent::FleetState>);
+    void startTasks();
+    Core::Task<bool> waitUntilIdle(Core::Deadline, const char* what, std::function<size_t()> remaining, Core::Reason&);
+
+    boost::asio::any_io_executor m_executor;
+    Settings m_settings;
+    Ledger::Holder m_self;
+    Addresses m_addresses;
+    bool m_isReady { false };
+    bool m_isDraining { false };
+    bool m_isHurried { false };
+
+    std::shared_ptr<HTTP::Client> m_client;
+    Platform::HttpObjectStore m_platform;
+    Intent::Freshness m_freshness;
+    Peer::Network m_network;
+    MembershipService m_membership;
+    IntentService m_intent;
+    Ledger::LedgerService m_ledger;
+    LedgerGateway m_gateway;
+    Budget::Accounts m_accounts;
+    Budget::BillQueue m_bills;
+    TopUpTask m_topUps;
+    Endpoint::EngineClient m_engines;
+    Endpoint::ServiceClient m_services;
+    RouteService m_routes;
+    Caller::Hooks m_callerHooks;
+    Caller::ChatHandler m_chat;
+    Caller::ServiceHandler m_serviceCalls;
+    Caller::CallerApi m_callerApi;
+    HTTP::Server m_callerServer;
+    HTTP::Server m_operatorServer;
+};
--- /dev/null
+++ b/Services/jujuberelayd/src/RouteService.cpp
@@ -0,0 +1,218 @@
+#include "RouteService.h"
+
+#include "LibCore/Hash.h"
+#include "LibCore/Random.h"
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+using Json = nlohmann::json;
+using Core::SteadyClock;
+
+static const char* const loadsType = "loads";
+static constexpr std::chrono::milliseconds reportInterval(1000);
+static constexpr std::chrono::milliseconds reportTimeout(800);
+// An endpoint with this multiple of its slots in work gets no more; further requests wait here by priority.
+static constexpr double overcommit = 2;
+
+RouteService::RouteService(const boost::asio::any_io_executor& executor, std::string selfHost, Peer::Network& network,
+    Endpoint::EngineClient& engines, Hooks hooks)
+    : m_executor(executor)
+    , m_selfHost(std::move(selfHost))
+    , m_network(network)
+    , m_engines(engines)
+    , m_hooks(std::move(hooks))
+    , m_table(Routing::EjectionSettings {})
+    , m_queue(executor, Routing::WaitingListSettings {})
+    , m_retries(Routing::RetryBudgetSettings {})
+{
+}
+
+void RouteService::stateChanged(const Intent::FleetState& state)
+{
+    m_table.adopt(state.endpoints);
+    m_queue.capacityChanged();
+}
+
+// The endpoints that routing rules leave for the query. A rule for the workspace goes before a rule for all.
+std::set<std::string> RouteService::allowedEndpoints(const Caller::RouteQuery& query) const
+{
+    std::shared_ptr<const Intent::FleetState> state = m_hooks.state();
+    std::set<std::string> own;
+    std::set<std::string> general;
+    for (const std::pair<const std::string, Intent::RoutingRule>& item : state->routingRules) {
+        const Intent::RoutingRule& rule = item.second;
+        if (rule.model != query.model)
+            continue;
+        if (rule.workspace == query.workspace)
+            own.insert(rule.endpoints.begin(), rule.endpoints.end());
+        if (rule.workspace == "*")
+            general.insert(rule.endpoints.begin(), rule.endpoints.end());
+    }
+    return own.empty() ? general : own;
+}
+
+std::vector<Routing::Candidate> RouteService::serviceCandidates(const Intent::Service& service) const
+{
+    std::shared_ptr<const Intent::FleetState> state = m_hooks.state();
+    std::vector<Routing::Candidate> found;
+    SteadyClock::time_point now = SteadyClock::now();
+    for (const std::string& name : service.endpoints) {
+        std::map<std::string, Intent::Endpoint>::const_iterator endpoint = state->endpoints.find(name);
+        if (endpoint == state->endpoints.end() || m_table.isEjected(name, now))
+            continue;
+        Routing::Candidate candidate;
+        candidate.name = endpoint->first;
+        candidate.key = Core::hash64(name);
+        candidate.load = static_cast<double>(m_table.inFlight(name));
+        candidate.weight = endpoint->second.slots;
+        found.push_back(candidate);
+    }
+    return found;
+}
+
+std::vector<Routing::Candidate> RouteService::candidates(const Caller::RouteQuery& query) const
+{
+    std::vector<Routing::Candidate> found;
+    if (query.service.empty()) {
+        found = m_table.candidates(query.model, SteadyClock::now());
+        std::set<std::string> allowed = allowedEndpoints(query);
+        if (!allowed.empty())
+            std::erase_if(found, [&allowed](const Routing::Candidate& candidate) { return !allowed.contains(std::string(candidate.name)); });
+    } else {
+        std::shared_ptr<const Intent::FleetState> state = m_hooks.state();
+        std::map<std::string, Intent::Service>::const_iterator service = state->services.find(query.service);
+        if (service != state->services.end())
+            found = serviceCandidates(service->second);
+    }
+    std::erase_if(found, [&query](const Routing::Candidate& candidate) { return query.excluded.contains(std::string(candidate.name)); });
+    return found;
+}
+
+std::optional<Caller::Route> RouteService::takeEndpoint(const Caller::RouteQuery& query)
+{
+    std::vector<Routing::Candidate> open = candidates(query);
+    std::erase_if(open, [](const Routing::Candidate& candidate) { return candidate.load >= candidate.weight * overcommit; });
+    Routing::ChoiceQuery choice { Routing::prefixHashOf(query.prefix), Core::randomGenerator()() };
+    std::optional<Routing::Choice> chosen = Routing::chooseEndpoint(open, choice, {});
+    if (!chosen)
+        return std::nullopt;
+    std::string name(open[chosen->index].name);
+    std::shared_ptr<const Intent::FleetState> state = m_hooks.state();
+    std::map<std::string, Intent::Endpoint>::const_iterator endpoint = state->endpoints.find(name);
+    if (endpoint == state->endpoints.end())
+        return std::nullopt;
+    Routing::RequestTicket ticket = m_table.recordStart(name, SteadyClock::now());
+    m_tickets[ticket.number] = ticket;
+    return Caller::Route { name, endpoint->second.address, ticket.number };
+}
+
+Core::Task<std::optional<Caller::Route>> RouteService::choose(Caller::RouteQuery query, Core::Deadline deadline, Core::Reason& reason)
+{
+    const std::string& wanted = query.service.empty() ? query.model : query.service;
+    SteadyClock::time_point now = SteadyClock::now();
+    if (query.excluded.empty()) {
+        m_retries.recordRequest(now);
+    } else if (!m_retries.takeRetry(now)) {
+        reason = { Core::FailureKind::Refused, "choose endpoint", wanted, "the retry budget is used up" };
+        co_return std::nullopt;
+    }
+    if (candidates(query).empty()) {
+        reason = { Core::FailureKind::Refused, "choose endpoint", wanted, "no endpoint in service" };
+        co_return std::nullopt;
+    }
+    std::optional<Caller::Route> route;
+    bool isAdmitted = co_await m_queue.admit(
+        query.priority, deadline,
+        [this, &query, &route] {
+            route = takeEndpoint(query);
+            return route.has_value();
+        },
+        reason);
+    if (!isAdmitted) {
+        // The queue's refusal means overload, while Refused here means that nothing serves the query.
+        reason.kind = Core::FailureKind::TimedOut;
+        co_return std::nullopt;
+    }
+    co_return route;
+}
+
+void RouteService::done(const Caller::Route& route, Caller::RouteResult result)
+{
+    std::map<uint64_t, Routing::RequestTicket>::iterator ticket = m_tickets.find(route.ticket);
+    if (ticket == m_tickets.end())
+        return;
+    Routing::RequestEnd end = Routing::RequestEnd::Neutral;
+    if (result.succeeded)
+        end = Routing::RequestEnd::Success;
+    else if (result.isEndpointFault)
+        end = Routing::RequestEnd::Failure;
+    m_table.recordEnd(ticket->second, end, SteadyClock::now());
+    m_tickets.erase(ticket);
+    m_queue.capacityChanged();
+}
+
+bool RouteService::isReader(const std::string& endpoint, const std::vector<Membership::Member>& members) const
+{
+    std::vector<Membership::Member> order = Membership::rendezvousOrder("load-" + endpoint, members);
+    return order.empty() || order.front().host == m_selfHost;
+}
+
+Core::Task<void> RouteService::run()
+{
+    while (!m_isStopped) {
+        std::shared_ptr<const Intent::FleetState> state = m_hooks.state();
+        std::vector<Membership::Member> members = m_hooks.domainMembers();
+        if (state) {
+            for (const std::pair<const std::string, Intent::Endpoint>& item : state->endpoints) {
+                if (item.second.kind == Intent::EndpointKind::Engine && isReader(item.first, members))
+                    Core::spawn(m_executor, "read load", readLoad(item.second));
+            }
+        }
+        co_await Core::sleepUntil(Core::Deadline::after(reportInterval));
+        shareLoads();
+    }
+}
+
+Core::Task<void> RouteService::readLoad(Intent::Endpoint endpoint)
+{
+    Core::Reason ignored;
+    std::optional<Endpoint::LoadReport> report = co_await m_engines.load(endpoint.address, Core::Deadline::after(reportTimeout), ignored);
+    if (!report)
+        co_return;
+    SteadyClock::time_point at = SteadyClock::now() - std::chrono::milliseconds(report->ageMs);
+    m_table.recordReport(endpoint.name, report->running + report->queued, at);
+    m_unshared[endpoint.name] = *report;
+    m_queue.capacityChanged();
+}
+
+void RouteService::shareLoads()
+{
+    if (m_unshared.empty())
+        return;
+    Json reports = Json::array();
+    for (const std::pair<const std::string, Endpoint::LoadReport>& report : m_unshared)
+        reports.push_back({ report.first, report.second.running + report.second.queued, report.second.ageMs });
+    m_unshared.clear();
+    std::vector<uint8_t> bytes = Json::to_cbor(reports);
+    for (const Membership::Member& member : m_hooks.domainMembers()) {
+        if (member.host != m_selfHost)
+            m_network.notify(member.peerAddress, loadsType, std::string(bytes.begin(), bytes.end()));
+    }
+}
+
+void RouteService::serve()
+{
+    m_network.onNotice(loadsType, [this](const Peer::Identity&, std::string body) {
+        Json reports = Json::from_cbor(body, true, false);
+        if (!reports.is_array())
+            return;
+        for (const Json& report : reports) {
+            bool isValid = report.is_array() && report.size() == 3 && report[0].is_string() && report[1].is_number_integer() && report[2].is_number_integer();
+            if (!isValid)
+                continue;
+            SteadyClock::time_point at = SteadyClock::now() - std::chrono::milliseconds(report[2].get<int64_t>());
+            m_table.recordReport(report[0].get<std::string>(), report[1].get<int64_t>(), at);
+        }
+        m_queue.capacityChanged();
+    });
+}
--- a/Services/jujuberelayd/src/Settings.cpp
+++ b/Services/jujuberelayd/src/Settings.cpp
@@ -107,6 +107,7 @@
     fields["isolated_limit_ms"] = { Need::Optional, numberReader(settings.isolatedLimitMs, 1'000, dayMs) };
     fields["outage_limit_ms"] = { Need::Optional, numberReader(settings.outageLimitMs, 1'000, 30 * dayMs) };
     fields["drain_limit_ms"] = { Need::Optional, numberReader(settings.drainLimitMs, 0, dayMs) };
+    fields["readiness_delay_ms"] = { Need::Optional, numberReader(settings.readinessDelayMs, 0, dayMs) };
     fields["watchers_per_failure_domain"] = { Need::Optional, numberReader(settings.watchersPerFailureDomain, 1, 1000) };
     fields["log_level"] = { Need::Optional, choiceReader(settings.logLevel, { "debug", "info", "warning", "error" }) };
     fields["trace_file"] = { Need::Optional, textReader(settings.traceFile) };
--- a/Services/jujuberelayd/src/Settings.h
+++ b/Services/jujuberelayd/src/Settings.h
@@ -30,6 +30,8 @@
     int64_t isolatedLimitMs { 6'000 };
     int64_t outageLimitMs { 3'600'000 };
     int64_t drainLimitMs { 120'000 };
+    // How long a stopping daemon still takes requests after /readyz has turned to 503, so that the balancer notices.
+    int64_t readinessDelayMs { 1'000 };
     // Daemons of each failure domain that hold a watch at the platform.
     int64_t watchersPerFailureDomain { 2 };
 
--- /dev/null
+++ b/Services/jujuberelayd/src/main.cpp
@@ -0,0 +1,92 @@
+#include "Daemon.h"
+#include "LibCore/EventLog.h"
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <cstdio>
+#include <gflags/gflags.h>
+
+DEFINE_string(settings, "", "the settings file; see docs/operations.md");
+DEFINE_bool(check, false, "read and check the settings file, then exit");
+
+namespace {
+
+enum ExitCode {
+    Success = 0,
+    // The drain limit or a second signal cut something off.
+    CutOff = 1,
+    InvalidSettings = 2,
+    // An address is in use, or no peer and no platform answered.
+    StartFailed = 4,
+};
+
+Core::Severity severityOf(const std::string& level)
+{
+    if (level == "debug")
+        return Core::Severity::Debug;
+    if (level == "warning")
+        return Core::Severity::Warning;
+    return level == "error" ? Core::Severity::Error : Core::Severity::Info;
+}
+
+Core::Task<void> runDaemon(Daemon& daemon, boost::asio::io_context& context, int& exitCode)
+{
+    Core::Reason reason;
+    if (!co_await daemon.start(reason)) {
+        std::fprintf(stderr, "jujuberelayd: %s\n", reason.text().c_str());
+        exitCode = StartFailed;
+        context.stop();
+        co_return;
+    }
+    std::printf("%s\n", daemon.addressLine().c_str());
+    std::fflush(stdout);
+}
+
+Core::Task<void> drainDaemon(Daemon& daemon, boost::asio::io_context& context, int& exitCode)
+{
+    Core::Reason reason;
+    exitCode = co_await daemon.drain(reason) ? Success : CutOff;
+    context.stop();
+}
+
+// The first signal drains, the second ends the drain.
+void waitForSignal(boost::asio::signal_set& signals, boost::asio::io_context& context, Daemon& daemon, int& exitCode, bool isFirst)
+{
+    signals.async_wait([&signals, &context, &daemon, &exitCode, isFirst](const boost::system::error_code& error, int) {
+        if (error)
+            return;
+        if (isFirst)
+            Core::spawn(context.get_executor(), "drain", drainDaemon(daemon, context, exitCode));
+        else
+            daemon.hurry();
+        waitForSignal(signals, context, daemon, exitCode, false);
+    });
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("Daemon of jujuberelay, one for each entry host.\n\nusage: jujuberelayd --settings=FILE [--check]\n\n"
+                            "exit codes: 0 stopped gracefully, 1 something was cut off, 2 invalid settings, 4 start failed");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    Core::Reason reason;
+    std::optional<Settings> settings = loadSettings(FLAGS_settings, reason);
+    if (!settings) {
+        std::fprintf(stderr, "jujuberelayd: %s\n", reason.text().c_str());
+        return InvalidSettings;
+    }
+    if (FLAGS_check) {
+        std::printf("%s: the settings are valid\n", FLAGS_settings.c_str());
+        return Success;
+    }
+    Core::initialiseLog(settings->host, severityOf(settings->logLevel));
+    boost::asio::io_context context(1);
+    Daemon daemon(context.get_executor(), *settings);
+    int exitCode = Success;
+    boost::asio::signal_set signals(context, SIGTERM, SIGINT);
+    waitForSignal(signals, context, daemon, exitCode, true);
+    Core::spawn(context.get_executor(), "start", runDaemon(daemon, context, exitCode));
+    context.run();
+    return exitCode;
+}
