--- a/Libraries/LibLedger/include/LibLedger/ShardWriter.h
+++ b/Libraries/LibLedger/include/LibLedger/ShardWriter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibLedger/LedgerAudit.h"
+#include "LibLedger/WritePacer.h"
 #include "LibLedger/WriterSettings.h"
 #include "LibPlatform/ObjectStore.h"
 #include <deque>
@@ -55,6 +56,7 @@
     uint32_t m_shard;
     WriterSettings m_settings;
     std::unique_ptr<ShardLog> m_log;
+    WritePacer m_pacer;
     std::deque<std::shared_ptr<Submission>> m_queue;
     // True while one task owns the log.
     bool m_isRunning { false };
--- a/Libraries/LibLedger/include/LibLedger/WriterSettings.h
+++ b/Libraries/LibLedger/include/LibLedger/WriterSettings.h
@@ -13,6 +13,10 @@
     // The same for commits that contain only bills, for which nobody waits. Longer, since each commit is one of the
     // platform's few hundred writes a second.
     std::chrono::milliseconds billGatherTime { 400 };
+    // Average rate and burst of one shard's commits; 0 means no limit. 128 shards at 3 writes/s stay within the
+    // platform's several hundred.
+    double writesPerSecond { 3 };
+    int writeBurst { 10 };
     // Limits one call to the platform and one commit with all its repetitions.
     std::chrono::milliseconds callTimeout { 2000 };
     std::chrono::milliseconds commitTimeout { 6000 };
--- a/Libraries/LibLedger/src/ShardWriter.cpp
+++ b/Libraries/LibLedger/src/ShardWriter.cpp
@@ -29,6 +29,7 @@
     , m_shard(shard)
     , m_settings(settings)
     , m_log(std::make_unique<ShardLog>(std::move(store), shard, std::move(self), std::move(settings)))
+    , m_pacer(m_settings.writesPerSecond, m_settings.writeBurst)
     , m_finished(executor)
     , m_urgentArrived(executor)
     , m_lastUsed(Core::SteadyClock::now())
@@ -101,6 +102,7 @@
         Batch batch = takeBatch();
         if (batch.entries.empty())
             continue;
+        m_pacer.countWrite(Core::SteadyClock::now());
         Core::Reason reason;
         std::optional<std::vector<EntryResult>> results = co_await m_log->append(batch.entries, batch.deadline, reason);
         if (results) {
@@ -123,6 +125,8 @@
         co_await m_urgentArrived.wait(Core::Deadline::after(m_settings.billGatherTime));
     if (m_settings.gatherTime.count() > 0)
         co_await Core::sleepUntil(Core::Deadline::after(m_settings.gatherTime));
+    if (!m_pacer.nextWrite().hasPassed())
+        co_await Core::sleepUntil(m_pacer.nextWrite());
 }
 
 ShardWriter::Batch ShardWriter::takeBatch()
--- a/Tests/LibBudget/BudgetFixture.h
+++ b/Tests/LibBudget/BudgetFixture.h
@@ -37,6 +37,7 @@
         Ledger::WriterSettings settings;
         settings.gatherTime = std::chrono::milliseconds(0);
         settings.billGatherTime = std::chrono::milliseconds(0);
+        settings.writesPerSecond = 0;
         settings.backoff = std::chrono::milliseconds(1);
         settings.recallNeeded = [this](const Ledger::BudgetId& id, const std::vector<Ledger::Holder>& holders) {
             for (const std::unique_ptr<Daemon>& daemon : daemons) {
--- a/Tests/LibLedger/FakeObjectStore.cpp
+++ b/Tests/LibLedger/FakeObjectStore.cpp
@@ -59,6 +59,10 @@
     co_await turns();
     if (!isReachable(client, "put", reason))
         co_return std::nullopt;
+    if (!m_refuseWritesOf.empty() && name.ends_with(m_refuseWritesOf)) {
+        reason = { Core::FailureKind::Unavailable, "put", "store", "writes of this object are refused" };
+        co_return std::nullopt;
+    }
     Core::Reason unknown { Core::FailureKind::OutcomeUnknown, "put", "store", "no reply" };
     if (chance(m_faults.requestLostWithUnknownOutcome)) {
         reason = unknown;
@@ -79,6 +83,8 @@
         --m_writesLeft;
     Platform::Version version = ++m_revision;
     m_objects[name] = { name, version, std::move(value) };
+    if (onWrite)
+        onWrite(m_objects[name]);
     co_await turns();
     bool loses = !m_loseReplyOf.empty() && name.ends_with(m_loseReplyOf);
     if (loses)
--- a/Tests/LibLedger/FakeObjectStore.h
+++ b/Tests/LibLedger/FakeObjectStore.h
@@ -30,6 +30,10 @@
     void setBlocked(const std::string& client, bool isBlocked) { m_blocked[client] = isBlocked; }
     // The next write of an object whose name ends with the text takes effect and its reply is lost.
     void loseNextReply(const std::string& nameEnd) { m_loseReplyOf = nameEnd; }
+    // Writes of objects whose name ends with the text fail; empty for none.
+    void refuseWritesOf(const std::string& nameEnd) { m_refuseWritesOf = nameEnd; }
+    // Called within each write that takes effect.
+    std::function<void(const Platform::Object&)> onWrite;
     // After this many further writes, every call fails with an unknown outcome, as for a client that was killed.
     void stopAfterWrites(int64_t count) { m_writesLeft = count; }
 
@@ -50,6 +54,7 @@
     bool m_isDown { false };
     std::map<std::string, bool> m_blocked;
     std::string m_loseReplyOf;
+    std::string m_refuseWritesOf;
     int64_t m_writesLeft { -1 };
     uint64_t m_writes { 0 };
     size_t m_largestValue { 0 };
--- a/Tests/LibLedger/LedgerFixture.h
+++ b/Tests/LibLedger/LedgerFixture.h
@@ -21,6 +21,7 @@
         Ledger::WriterSettings settings;
         settings.gatherTime = std::chrono::milliseconds(0);
         settings.billGatherTime = std::chrono::milliseconds(0);
+        settings.writesPerSecond = 0;
         settings.backoff = std::chrono::milliseconds(1);
         settings.wallClockMs = [this] { return nowMs; };
         return settings;
