--- a/Libraries/LibCaller/include/LibCaller/Attempt.h
+++ b/Libraries/LibCaller/include/LibCaller/Attempt.h
@@ -43,6 +43,9 @@
 
     const Hooks& m_hooks;
     RequestIdentity m_identity;
+    // One identity for all endpoints that are tried in turn while nothing was sent. A later run of the same request has
+    // another one, since its tokens are charged as well.
+    std::string m_attemptId;
     std::optional<Hold> m_hold;
     Witness::Record m_record;
     bool m_isOpen { false };
--- a/Libraries/LibCaller/include/LibCaller/RequestIdentity.h
+++ b/Libraries/LibCaller/include/LibCaller/RequestIdentity.h
@@ -22,8 +22,8 @@
     Core::Deadline deadline { Core::Deadline::never() };
     bool operator==(const RequestIdentity&) const = default;
 
-    // One identity for all attempts at different endpoints that provably did not run.
-    std::string attemptId() const { return requestId + "." + fingerprint; }
+    // What the identities of all attempts of this request start with.
+    std::string attemptPrefix() const { return requestId + "." + fingerprint + "."; }
 };
 
 // Authenticates the request's bearer key and derives its identity, or fills in the refusal.
--- a/Libraries/LibCaller/src/Attempt.cpp
+++ b/Libraries/LibCaller/src/Attempt.cpp
@@ -1,5 +1,6 @@
 #include "LibCaller/Attempt.h"
 
+#include "LibCore/Random.h"
 #include <chrono>
 
 namespace Caller {
@@ -8,6 +9,8 @@
 // and the transfer of the record.
 static constexpr std::chrono::seconds recordMargin(5);
 
+static constexpr size_t nonceDigits = 16;
+
 static int64_t wallClockMs()
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
@@ -16,6 +19,7 @@
 Attempt::Attempt(const Hooks& hooks, const RequestIdentity& identity)
     : m_hooks(hooks)
     , m_identity(identity)
+    , m_attemptId(identity.attemptPrefix() + Core::randomIdentifier().substr(0, nonceDigits))
 {
 }
 
@@ -37,7 +41,7 @@
 Core::Task<bool> Attempt::open(const Route& route, Refusal& refusal)
 {
     Witness::Record record;
-    record.attemptId = m_identity.attemptId();
+    record.attemptId = m_attemptId;
     record.requestId = m_identity.requestId;
     record.budget = m_identity.budget;
     record.owner = m_hooks.self;
@@ -58,7 +62,7 @@
         m_isOpen = true;
         co_return true;
     }
-    if (opened->existing->attemptId != record.attemptId) {
+    if (!opened->existing->attemptId.starts_with(m_identity.attemptPrefix())) {
         refusal = { "idempotency_key_reused", 422, Ran::NotRun, "compare request", "caller",
             "the Idempotency-Key was used for a different request", 0 };
         co_return false;
--- a/Services/jujuberelayd/src/RouteService.cpp
+++ b/Services/jujuberelayd/src/RouteService.cpp
@@ -92,7 +92,9 @@
 {
     std::vector<Routing::Candidate> open = candidates(query);
     std::erase_if(open, [](const Routing::Candidate& candidate) { return candidate.load >= candidate.weight * overcommit; });
-    Routing::ChoiceQuery choice { Routing::prefixHashOf(query.prefix), Core::randomGenerator()() };
+    Routing::ChoiceQuery choice;
+    choice.prefixHash = Routing::prefixHashOf(query.prefix);
+    choice.seed = Core::randomGenerator()();
     std::optional<Routing::Choice> chosen = Routing::chooseEndpoint(open, choice, {});
     if (!chosen)
         return std::nullopt;
--- a/Tests/LibCaller/TestRequests.cpp
+++ b/Tests/LibCaller/TestRequests.cpp
@@ -38,7 +38,7 @@
     cr_assert_eq(one->requestId, again->requestId);
     std::optional<Caller::RequestIdentity> changed = Caller::identify(makeRequest("k1", "2x", "{ }"), state, refusal);
     cr_assert_eq(one->requestId, changed->requestId);
-    cr_assert_neq(one->attemptId(), changed->attemptId());
+    cr_assert_neq(one->attemptPrefix(), changed->attemptPrefix());
 }
 
 // Guards against access without a valid key.
