--- a/Libraries/LibCaller/include/LibCaller/Attempt.h
+++ b/Libraries/LibCaller/include/LibCaller/Attempt.h
@@ -21,6 +21,10 @@
     // An earlier attempt of the same request is taken over instead: see isJoined.
     Core::Task<bool> open(const Route&, Refusal&);
 
+    // Takes over an earlier attempt of the same request, if there is one. Asked before a refusal, which must not say
+    // "not run" of a request that has run.
+    Core::Task<bool> joinEarlier();
+
     // Whether this request joins an attempt that was recorded before, perhaps by another daemon.
     bool isJoined() const { return m_isJoined; }
     const Witness::Record& record() const { return m_record; }
--- a/Libraries/LibCaller/include/LibCaller/Hooks.h
+++ b/Libraries/LibCaller/include/LibCaller/Hooks.h
@@ -68,6 +68,8 @@
         std::optional<Witness::Record> existing;
     };
     std::function<Core::Task<std::optional<Opened>>(Witness::Record, bool mayBeRetry, Core::Deadline, Core::Reason&)> openAttempt;
+    // Looks for the record of an earlier attempt of the same request without recording a new one.
+    std::function<Core::Task<std::optional<Witness::Record>>(std::string requestId, Core::Deadline)> findAttempt;
     // Records the attempt's usage at a second host or in the ledger.
     std::function<Core::Task<bool>(Ledger::Usage, Core::Deadline, Core::Reason&)> closeAttempt;
     // Drops the record of an attempt that was never sent.
--- a/Libraries/LibCaller/src/Attempt.cpp
+++ b/Libraries/LibCaller/src/Attempt.cpp
@@ -1,6 +1,7 @@
 #include "LibCaller/Attempt.h"
 
 #include "LibCore/Random.h"
+#include <algorithm>
 #include <chrono>
 
 namespace Caller {
@@ -10,6 +11,7 @@
 static constexpr std::chrono::seconds recordMargin(5);
 
 static constexpr size_t nonceDigits = 16;
+static constexpr std::chrono::milliseconds lookupTimeout(1000);
 
 static int64_t wallClockMs()
 {
@@ -71,6 +73,18 @@
     co_return true;
 }
 
+Core::Task<bool> Attempt::joinEarlier()
+{
+    if (!m_identity.hasIdempotencyKey || m_isOpen || m_isJoined)
+        co_return false;
+    Core::Deadline deadline = std::min(m_identity.deadline, Core::Deadline::after(lookupTimeout));
+    std::optional<Witness::Record> existing = co_await m_hooks.findAttempt(m_identity.requestId, deadline);
+    if (!existing || !existing->attemptId.starts_with(m_identity.attemptPrefix()))
+        co_return false;
+    adopt(std::move(*existing));
+    co_return true;
+}
+
 void Attempt::adopt(Witness::Record existing)
 {
     if (m_hold)
--- a/Libraries/LibCaller/src/ChatHandler.cpp
+++ b/Libraries/LibCaller/src/ChatHandler.cpp
@@ -60,7 +60,11 @@
         co_return;
     }
     std::shared_ptr<Session> session = std::make_shared<Session>(m_hooks, identity, std::move(*chat));
-    if (!co_await start(*session, refusal)) {
+    bool isRunning = co_await start(*session, refusal);
+    // A refusal may say "not run" only if no earlier try with the same key ran.
+    if (!isRunning && refusal.ran == Ran::NotRun && co_await session->attempt.joinEarlier())
+        isRunning = co_await join(*session, refusal);
+    if (!isRunning) {
         if (session->wasSent)
             resolveLater(session);
         co_await writer.send(refusal.response(), ignored);
--- a/Services/jujuberelayd/src/Daemon.cpp
+++ b/Services/jujuberelayd/src/Daemon.cpp
@@ -150,6 +150,8 @@
     hooks.openAttempt = [this](Witness::Record record, bool mayBeRetry, Core::Deadline deadline, Core::Reason& reason) {
         return openAttempt(std::move(record), mayBeRetry, deadline, reason);
     };
+    // FIXME: Ask the witnesses, once they are connected.
+    hooks.findAttempt = [](std::string, Core::Deadline) -> Core::Task<std::optional<Witness::Record>> { co_return std::nullopt; };
     hooks.closeAttempt = [this](Ledger::Usage usage, Core::Deadline deadline, Core::Reason& reason) { return closeAttempt(std::move(usage), deadline, reason); };
     hooks.forgetAttempt = [](const std::string&) {};
     hooks.bill = [this](Ledger::Usage usage) { m_bills.add(std::move(usage)); };
