--- a/Meta/jujuberelay.sh
+++ b/Meta/jujuberelay.sh
@@ -82,7 +82,7 @@
 demo | run)
     install_packages
     configure_and_build
-    exec Meta/fleet.sh "$1" "$build/bin"
+    exec python3 Meta/demo.py "$1" "$build/bin"
     ;;
 measure)
     shift
--- a/Services/jujuberelayd/src/RouteService.cpp
+++ b/Services/jujuberelayd/src/RouteService.cpp
@@ -21,7 +21,7 @@
     , m_network(network)
     , m_engines(engines)
     , m_hooks(std::move(hooks))
-    , m_table(Routing::EjectionSettings {})
+    , m_table(Routing::EndpointTableSettings {})
     , m_queue(executor, Routing::WaitingListSettings {})
     , m_retries(Routing::RetryBudgetSettings {})
 {
