--- a/Meta/CMake/packages.cmake
+++ b/Meta/CMake/packages.cmake
@@ -1,8 +1,15 @@
-# Declares a library package: sources in src/, public headers in include/.
+# Declares a library package: sources in src/, public headers in include/. A package without sources is an interface
+# library, so that others can already use its headers.
 # Usage: jujube_library(LibName DEPENDS LibCore ...)
 function(jujube_library name)
     cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
     file(GLOB sources CONFIGURE_DEPENDS src/*.cpp)
+    if(NOT sources)
+        add_library(${name} INTERFACE)
+        target_include_directories(${name} INTERFACE include)
+        target_link_libraries(${name} INTERFACE ${ARG_DEPENDS} Threads::Threads)
+        return()
+    endif()
     add_library(${name} STATIC ${sources})
     target_include_directories(${name} PUBLIC include PRIVATE src)
     target_compile_options(${name} PRIVATE -Wall -Wextra -Werror)
--- /dev/null
+++ b/Tests/LibIntent/TestNoteLog.cpp
@@ -0,0 +1,141 @@
+#include "Examples.h"
+#include "LibIntent/NoteLog.h"
+#include "MemoryStore.h"
+#include "RunTask.h"
+
+using namespace Intent;
+
+namespace {
+
+struct Fixture {
+    boost::asio::io_context context;
+    MemoryStore store { context.get_executor() };
+    NoteLog log { store.hooks() };
+    std::shared_ptr<const FleetState> empty { std::make_shared<const FleetState>() };
+
+    AcceptResult accept(const std::string& identity, const std::string& text, std::shared_ptr<const FleetState> current, int limitMs = 5000)
+    {
+        return runTask(context, log.accept(std::move(current), { identity, text }, Core::Deadline::after(std::chrono::milliseconds(limitMs))));
+    }
+
+    std::optional<NotesRead> readAfter(uint64_t after)
+    {
+        Core::Reason reason;
+        return runTask(context, log.readAfter(after, Core::Deadline::after(std::chrono::seconds(5)), reason));
+    }
+};
+
+}
+
+// Guards against two operators whose notes both count as accepted, or a loser that is not told what changed.
+Test(NoteLog, loserOfARaceGetsTheDifference)
+{
+    Fixture fixture;
+    cr_assert(fixture.accept("first", foundingNote, fixture.empty).status == AcceptStatus::Accepted);
+    std::shared_ptr<const FleetState> state = std::make_shared<const FleetState>(foundingState());
+    std::string winner = noteText(1, "bea", "added: {workspaces: [{name: returns}]}\nwithdrawn: {workspaces: [trials]}\n");
+    // The other operator's note is written between this one's check and its write.
+    fixture.store.beforePut = [&] {
+        fixture.store.beforePut = nullptr;
+        fixture.store.set(objectNameOf(2), encodeNoteObject({ 2, "winner", "bea", 1, winner }));
+    };
+    AcceptResult result = fixture.accept("loser", noteText(1, "cy", "added: {workspaces: [{name: quotes}]}\n"), state);
+    cr_assert(result.status == AcceptStatus::Lost);
+    cr_assert_eq(result.generation, 2u);
+    cr_assert(result.difference);
+    cr_assert_eq(result.difference->added.workspaces.at(0).name, "returns");
+    cr_assert_eq(result.difference->withdrawn.workspaces.at(0), "trials");
+    cr_assert_eq(fixture.store.objects().size(), 2u);
+}
+
+// Guards against a note that is accepted twice, or reported as lost, because the reply to its write was lost.
+Test(NoteLog, lostReplyIsResolvedByReading)
+{
+    Fixture fixture;
+    fixture.store.faults.lostReplies = 1;
+    AcceptResult result = fixture.accept("one", foundingNote, fixture.empty);
+    cr_assert(result.status == AcceptStatus::Accepted);
+    cr_assert_eq(result.generation, 1u);
+    cr_assert_eq(fixture.store.objects().size(), 1u);
+}
+
+// Guards against a write that takes effect after it was read as absent and is then taken for another operator's.
+Test(NoteLog, lateWriteIsRecognised)
+{
+    Fixture fixture;
+    fixture.store.faults.lateWrites = 1;
+    AcceptResult result = fixture.accept("one", foundingNote, fixture.empty);
+    cr_assert(result.status == AcceptStatus::Accepted);
+    cr_assert_eq(fixture.store.objects().size(), 1u);
+}
+
+// Guards against a repeated submission that becomes a second note or is reported as a conflict, also after others.
+Test(NoteLog, sameIdentityIsAlreadyAccepted)
+{
+    Fixture fixture;
+    cr_assert(fixture.accept("one", foundingNote, fixture.empty).status == AcceptStatus::Accepted);
+    std::shared_ptr<const FleetState> state = std::make_shared<const FleetState>(foundingState());
+    cr_assert(fixture.accept("two", noteText(1, "bea", "withdrawn: {workspaces: [trials]}\n"), state).status == AcceptStatus::Accepted);
+    AcceptResult again = fixture.accept("one", foundingNote, fixture.empty);
+    cr_assert(again.status == AcceptStatus::AlreadyAccepted);
+    cr_assert_eq(again.generation, 1u);
+    cr_assert_eq(fixture.store.objects().size(), 2u);
+}
+
+// Guards against an outage that is reported as an acceptance, or as a certain failure when the write may have arrived.
+Test(NoteLog, outageSaysWhetherAnythingChanged)
+{
+    Fixture fixture;
+    fixture.store.faults.isDown = true;
+    AcceptResult down = fixture.accept("one", foundingNote, fixture.empty, 50);
+    cr_assert(down.status == AcceptStatus::Failed);
+    cr_assert(down.reason.kind == Core::FailureKind::Unavailable);
+    fixture.store.faults.isDown = false;
+    fixture.store.faults.lostReplies = 1;
+    fixture.store.beforePut = [&] { fixture.store.faults.isDown = true; };
+    AcceptResult unknown = fixture.accept("one", foundingNote, fixture.empty, 50);
+    cr_assert(unknown.status == AcceptStatus::Failed);
+    cr_assert(unknown.reason.kind == Core::FailureKind::OutcomeUnknown);
+    fixture.store.faults.isDown = false;
+    cr_assert(fixture.accept("one", foundingNote, fixture.empty).status == AcceptStatus::AlreadyAccepted);
+}
+
+// Guards against a note from a generation that does not exist yet, which would leave a gap in the sequence, and
+// against errors without the lines of the text.
+Test(NoteLog, invalidNotesAreNotWritten)
+{
+    Fixture fixture;
+    AcceptResult ahead = fixture.accept("one", noteText(7, "bea", "added: {workspaces: [{name: a}]}\n"), fixture.empty);
+    cr_assert(ahead.status == AcceptStatus::Invalid);
+    AcceptResult reference = fixture.accept("two", noteText(0, "bea", "added:\n  budgets:\n    - {workspace: none, name: b}\n"), fixture.empty);
+    cr_assert(reference.status == AcceptStatus::Invalid);
+    cr_assert_eq(reference.errors.at(0).line, 4);
+    cr_assert(fixture.store.objects().empty());
+}
+
+// Guards against a daemon that lags behind the platform and refuses a right note or checks it against an old state.
+Test(NoteLog, daemonBehindReadsTheMissingNotes)
+{
+    Fixture fixture;
+    cr_assert(fixture.accept("one", foundingNote, fixture.empty).status == AcceptStatus::Accepted);
+    cr_assert(fixture.accept("two", noteText(1, "bea", "added: {budgets: [{workspace: trials, name: b}]}\n"), fixture.empty).status == AcceptStatus::Accepted);
+    cr_assert(fixture.accept("three", noteText(2, "bea", "withdrawn: {workspaces: [trials]}\n"), fixture.empty).status == AcceptStatus::Invalid);
+}
+
+// Guards against notes that are skipped where one listing ends and the next begins, and against reading everything.
+Test(NoteLog, readAfterCrossesBlocks)
+{
+    Fixture fixture;
+    for (uint64_t generation = 1; generation <= 299; ++generation)
+        fixture.store.set(objectNameOf(generation), encodeNoteObject({ generation, "id", "ada", 0, "text" }));
+    std::optional<NotesRead> all = fixture.readAfter(0);
+    cr_assert(all);
+    cr_assert_eq(all->notes.size(), 299u);
+    cr_assert_eq(all->notes.back().generation, 299u);
+    fixture.store.counters = {};
+    std::optional<NotesRead> none = fixture.readAfter(299);
+    cr_assert(none && none->notes.empty());
+    cr_assert_eq(none->revision, 299u);
+    cr_assert_eq(fixture.store.counters.lists, 1);
+    cr_assert_eq(fixture.readAfter(250)->notes.front().generation, 251u);
+}
