--- a/Tests/LibPeer/RawPeer.h
+++ b/Tests/LibPeer/RawPeer.h
@@ -21,12 +21,14 @@
     Core::Task<void> connect(const Core::Address& address)
     {
         co_await m_stream.next_layer().async_connect(endpointOf(address), boost::asio::use_awaitable);
+        m_stream.next_layer().set_option(tcp::no_delay(true));
         co_await m_stream.async_handshake(address.text(), "/", boost::asio::use_awaitable);
     }
 
     Core::Task<void> accept(tcp::acceptor& acceptor)
     {
         m_stream.next_layer() = co_await acceptor.async_accept(boost::asio::use_awaitable);
+        m_stream.next_layer().set_option(tcp::no_delay(true));
         co_await m_stream.async_accept(boost::asio::use_awaitable);
     }
 
