jujuberelay measure budget: replay of grants, fixed split and central counter

The grant policy has to be judged by overspend and false refusals before its numbers are chosen. The command replays seeded traces as discrete events with the real ShardState, GrantAccount and GrantPolicy, and with two naive ways of sharing a budget. A judge with full knowledge then adds each refused request that all unspent tokens together would have covered.

--- a/Utilities/jujuberelay/src/Commands.h
+++ b/Utilities/jujuberelay/src/Commands.h
@@ -27,6 +27,12 @@
 int emulate(const Arguments&);
 int load(const Arguments&);
 int measure(const Arguments&);
+// The measurements of `measure`; the first argument is the measurement's name.
+int measureBudget(const Arguments&);
+int measureRouting(const Arguments&);
+int measureHop(const Arguments&);
+int measureIntent(const Arguments&);
+int measureCapacity(const Arguments&);
 int note(const Arguments&);
 int state(const Arguments&);
 int history(const Arguments&);
--- /dev/null
+++ b/Utilities/jujuberelay/src/EscrowReplay.cpp
@@ -0,0 +1,200 @@
+#include "EscrowReplay.h"
+
+#include <algorithm>
+
+// The daemon's side of the replay; it follows Budget::Accounts.
+namespace Measure {
+
+using Ledger::Entry;
+using Ledger::EntryResult;
+
+EscrowReplay::EscrowReplay(const BudgetTrace& trace, const ReplaySettings& settings, uint64_t seed)
+    : BudgetReplay(trace, settings)
+    , m_random(seed)
+    , m_policy(Budget::defaultGrantPolicy(settings.policy))
+    , m_pacer(m_writer.writesPerSecond, m_writer.writeBurst)
+{
+    for (uint32_t number = 0; number < trace.daemons; ++number) {
+        m_daemons.push_back(std::make_unique<Daemon>());
+        m_daemons.back()->number = number;
+        m_daemons.back()->holder = { "host-" + std::to_string(number), 1 };
+        m_daemons.back()->retry = settings.account.shortestRetry;
+    }
+}
+
+void EscrowReplay::prepare()
+{
+    constexpr std::chrono::milliseconds flushInterval { 1000 };
+    for (const std::unique_ptr<Daemon>& daemon : m_daemons) {
+        // Daemons start their timers at different times.
+        std::chrono::milliseconds offset(m_random() % 1000);
+        for (Time at = Time {} + offset; at < m_trace.end + std::chrono::minutes(1); at += m_settings.account.tick)
+            m_events.at(at, [this, &daemon] { maintain(*daemon); });
+        for (Time at = Time {} + offset; at < m_trace.end + std::chrono::minutes(1); at += flushInterval)
+            m_events.at(at, [this, &daemon] { flushBills(*daemon); });
+    }
+}
+
+void EscrowReplay::arrive(size_t request)
+{
+    Daemon& daemon = *m_daemons[m_trace.requests[request].daemon];
+    if (daemon.waiting.empty() && daemon.numbers.hold(m_trace.requests[request].bound, m_events.now()))
+        return serve(request);
+    if (isHopeless(daemon))
+        return refuse(request);
+    daemon.waiting.push_back(request);
+    startGrant(daemon);
+}
+
+void EscrowReplay::serveWaiting(Daemon& daemon)
+{
+    std::erase_if(daemon.waiting, [this, &daemon](size_t request) {
+        if (!daemon.numbers.hold(m_trace.requests[request].bound, m_events.now()))
+            return false;
+        serve(request);
+        return true;
+    });
+    if (daemon.waiting.empty())
+        daemon.retry = m_settings.account.shortestRetry;
+}
+
+void EscrowReplay::waitEnded(size_t request)
+{
+    Daemon& daemon = *m_daemons[m_trace.requests[request].daemon];
+    std::erase(daemon.waiting, request);
+    refuse(request);
+    tokensFreed(daemon);
+}
+
+void EscrowReplay::finish(size_t request)
+{
+    const TraceRequest& ended = m_trace.requests[request];
+    Daemon& daemon = *m_daemons[ended.daemon];
+    daemon.numbers.settle(ended.bound, ended.used, m_events.now());
+    std::string identity = std::to_string(request);
+    daemon.bills.push_back(Ledger::Usage { identity, identity, m_budget, daemon.holder, ended.used, Ledger::UsageKind::Complete, 0 });
+    tokensFreed(daemon);
+}
+
+void EscrowReplay::tokensFreed(Daemon& daemon)
+{
+    serveWaiting(daemon);
+    if (daemon.waiting.empty() && daemon.numbers.isScarce(m_events.now()))
+        startReturn(daemon);
+}
+
+void EscrowReplay::startGrant(Daemon& daemon)
+{
+    if (daemon.isGrantInFlight)
+        return;
+    daemon.isGrantInFlight = true;
+    Tokens wanted = 0;
+    for (size_t request : daemon.waiting)
+        wanted += m_trace.requests[request].bound;
+    Tokens missing = std::max<Tokens>(0, wanted - std::max<Tokens>(0, daemon.numbers.available()));
+    Tokens size = std::max(missing, m_policy(daemon.numbers.need(m_budget, missing, m_events.now())));
+    Tokens target = daemon.numbers.granted() + size;
+    send(
+        daemon.number, { Ledger::Grant { m_budget, daemon.holder, target } },
+        [this, &daemon, target](const EntryResult& result) { grantAnswered(daemon, target, result); },
+        [this, &daemon] {
+            daemon.isGrantInFlight = false;
+            scheduleRetry(daemon);
+        });
+}
+
+void EscrowReplay::grantAnswered(Daemon& daemon, Tokens target, const EntryResult& result)
+{
+    daemon.isGrantInFlight = false;
+    daemon.answeredAt = m_events.now();
+    daemon.isExhausted = result.cumulativeGranted < target;
+    daemon.numbers.applyGrantResult(result);
+    if (daemon.isExhausted)
+        daemon.numbers.markScarceUntil(m_events.now() + m_settings.account.scarceTime);
+    serveWaiting(daemon);
+    if (isHopeless(daemon)) {
+        for (size_t request : daemon.waiting)
+            refuse(request);
+        daemon.waiting.clear();
+    }
+    scheduleRetry(daemon);
+}
+
+bool EscrowReplay::isHopeless(const Daemon& daemon) const
+{
+    bool isRecent = m_events.now() < daemon.answeredAt + m_settings.account.exhaustedLifetime;
+    return daemon.isExhausted && isRecent && !daemon.numbers.othersHoldGrants() && daemon.numbers.held() == 0;
+}
+
+void EscrowReplay::scheduleRetry(Daemon& daemon)
+{
+    if (daemon.waiting.empty() || daemon.isRetryScheduled)
+        return;
+    daemon.isRetryScheduled = true;
+    std::chrono::milliseconds wait = daemon.retry / 2 + std::chrono::milliseconds(m_random() % static_cast<uint64_t>(daemon.retry.count() + 1));
+    daemon.retry = std::min(daemon.retry * 2, m_settings.account.longestRetry);
+    m_events.after(wait, [this, &daemon] {
+        daemon.isRetryScheduled = false;
+        if (!daemon.waiting.empty())
+            startGrant(daemon);
+    });
+}
+
+void EscrowReplay::startReturn(Daemon& daemon)
+{
+    daemon.numbers.giveUpAvailable();
+    sendReturn(daemon);
+}
+
+void EscrowReplay::sendReturn(Daemon& daemon)
+{
+    if (daemon.isReturnInFlight || daemon.confirmedReturned == daemon.numbers.returned())
+        return;
+    daemon.isReturnInFlight = true;
+    Tokens cumulative = daemon.numbers.returned();
+    send(
+        daemon.number, { Ledger::Return { m_budget, daemon.holder, cumulative } },
+        [this, &daemon, cumulative](const EntryResult&) {
+            daemon.isReturnInFlight = false;
+            daemon.confirmedReturned = cumulative;
+            sendReturn(daemon);
+        },
+        [&daemon] { daemon.isReturnInFlight = false; });
+}
+
+void EscrowReplay::recall(Daemon& daemon)
+{
+    daemon.numbers.markScarceUntil(m_events.now() + m_settings.account.scarceTime);
+    startReturn(daemon);
+}
+
+void EscrowReplay::maintain(Daemon& daemon)
+{
+    Budget::GrantAccount& numbers = daemon.numbers;
+    bool isIdle = m_events.now() >= numbers.lastUsed() + m_settings.account.grantIdle;
+    bool isScarce = numbers.isScarce(m_events.now());
+    if (daemon.waiting.empty() && (isIdle || isScarce))
+        return startReturn(daemon);
+    sendReturn(daemon);
+    bool wasExhausted = daemon.isExhausted && m_events.now() < daemon.answeredAt + m_settings.account.longestRetry;
+    bool runsLow = static_cast<double>(numbers.available()) < m_settings.account.prefetchSeconds * numbers.tokensPerSecond(m_events.now());
+    if (runsLow && !isScarce && !wasExhausted && m_policy(numbers.need(m_budget, 0, m_events.now())) > 0)
+        startGrant(daemon);
+}
+
+void EscrowReplay::flushBills(Daemon& daemon)
+{
+    if (daemon.bills.empty())
+        return;
+    std::vector<Entry> bills = std::move(daemon.bills);
+    daemon.bills.clear();
+    send(
+        daemon.number, bills,
+        [this](const EntryResult& result) {
+            if (result.code != Ledger::ResultCode::Applied && result.code != Ledger::ResultCode::Duplicate)
+                countViolation();
+        },
+        [&daemon, bills] { daemon.bills.insert(daemon.bills.end(), bills.begin(), bills.end()); });
+}
+
+}
--- /dev/null
+++ b/Utilities/jujuberelay/src/EscrowWriter.cpp
@@ -0,0 +1,95 @@
+#include "EscrowReplay.h"
+
+#include <algorithm>
+
+// The network and the shard writer's side of the replay; it follows Ledger::ShardWriter.
+namespace Measure {
+
+using Ledger::Entry;
+using Ledger::EntryResult;
+
+void EscrowReplay::send(uint32_t daemon, std::vector<Entry> entries, const Reply& reply, const std::function<void()>& lost)
+{
+    // A commit takes well under this time, so a lost message is noticed as late as Accounts would notice it.
+    if (isCutOff(daemon)) {
+        m_events.after(m_settings.account.grantTimeout, lost);
+        return;
+    }
+    m_events.after(delay(daemon), [this, daemon, entries = std::move(entries), reply, lost] {
+        std::shared_ptr<bool> isLost = std::make_shared<bool>(false);
+        for (const Entry& entry : entries) {
+            m_queue.push_back({ entry, daemon, [this, daemon, reply, lost, isLost](const EntryResult& result) {
+                                   if (!isCutOff(daemon)) {
+                                       m_events.after(delay(daemon), [reply, result] { reply(result); });
+                                       return;
+                                   }
+                                   if (!*isLost)
+                                       m_events.after(m_settings.account.grantTimeout, lost);
+                                   *isLost = true;
+                               } });
+        }
+        scheduleCommit();
+    });
+}
+
+void EscrowReplay::topUp(Tokens tokens)
+{
+    std::string identity = "top-up-" + std::to_string(m_events.now().time_since_epoch().count());
+    m_queue.push_back({ Ledger::TopUp { m_budget, identity, tokens }, 0, [](const EntryResult&) {} });
+    scheduleCommit();
+}
+
+void EscrowReplay::scheduleCommit()
+{
+    if (m_isCommitting || m_queue.empty())
+        return;
+    bool isUrgent = std::any_of(m_queue.begin(), m_queue.end(), [](const Message& message) { return !std::holds_alternative<Ledger::Usage>(message.entry); });
+    // A commit that is scheduled for bills only is brought forward by an urgent entry.
+    if (m_scheduledCommit != 0 && (m_isUrgentScheduled || !isUrgent))
+        return;
+    m_isUrgentScheduled = isUrgent;
+    Time start = m_events.now() + (isUrgent ? m_writer.gatherTime : m_writer.billGatherTime);
+    uint64_t number = m_scheduledCommit = ++m_scheduled;
+    m_events.at(std::max(start, m_pacer.nextWrite().at()), [this, number] {
+        if (number == m_scheduledCommit)
+            commit();
+    });
+}
+
+void EscrowReplay::commit()
+{
+    m_scheduledCommit = 0;
+    m_isUrgentScheduled = false;
+    m_isCommitting = true;
+    m_pacer.countWrite(m_events.now());
+    std::vector<Message> batch = std::move(m_queue);
+    m_queue.clear();
+    m_events.after(m_settings.platformWrite, [this, batch = std::move(batch)] {
+        m_isCommitting = false;
+        for (const Message& message : batch) {
+            EntryResult result = m_ledger.apply(message.entry);
+            if (!m_ledger.invariantHolds())
+                countViolation();
+            message.reply(result);
+            requestRecalls(message, result);
+        }
+        scheduleCommit();
+    });
+}
+
+void EscrowReplay::requestRecalls(const Message& message, const EntryResult& result)
+{
+    const Ledger::Grant* grant = std::get_if<Ledger::Grant>(&message.entry);
+    std::map<Ledger::BudgetId, Ledger::BudgetState>::const_iterator budget = m_ledger.budgets().find(m_budget);
+    if (!grant || budget == m_ledger.budgets().end())
+        return;
+    for (const Ledger::Holder& holder : Ledger::holdersToRecall(budget->second, *grant, result)) {
+        for (const std::unique_ptr<Daemon>& daemon : m_daemons) {
+            if (daemon->holder != holder || isCutOff(daemon->number))
+                continue;
+            m_events.after(delay(daemon->number), [this, &daemon] { recall(*daemon); });
+        }
+    }
+}
+
+}
--- /dev/null
+++ b/Utilities/jujuberelay/src/MeasureCommand.cpp
@@ -0,0 +1,35 @@
+#include "Commands.h"
+#include <cstdio>
+
+namespace Commands {
+
+namespace {
+
+struct Measurement {
+    const char* name;
+    int (*run)(const Arguments&);
+};
+
+const Measurement measurements[] = {
+    { "budget", measureBudget },
+    { "routing", measureRouting },
+    { "hop", measureHop },
+    { "intent", measureIntent },
+    { "capacity", measureCapacity },
+};
+
+}
+
+int measure(const Arguments& arguments)
+{
+    std::string names;
+    for (const Measurement& measurement : measurements) {
+        if (arguments.size() >= 2 && arguments[1] == measurement.name)
+            return measurement.run(Arguments(arguments.begin() + 1, arguments.end()));
+        names += std::string(names.empty() ? "" : "|") + measurement.name;
+    }
+    std::fprintf(stderr, "usage: jujuberelay measure %s\n", names.c_str());
+    return InvalidInput;
+}
+
+}
--- a/Utilities/jujuberelay/src/NotBuilt.cpp
+++ b/Utilities/jujuberelay/src/NotBuilt.cpp
@@ -12,7 +12,10 @@
 
 int emulate(const Arguments& arguments) { return notBuilt(arguments); }
 int load(const Arguments& arguments) { return notBuilt(arguments); }
-int measure(const Arguments& arguments) { return notBuilt(arguments); }
+int measureRouting(const Arguments& arguments) { return notBuilt(arguments); }
+int measureHop(const Arguments& arguments) { return notBuilt(arguments); }
+int measureIntent(const Arguments& arguments) { return notBuilt(arguments); }
+int measureCapacity(const Arguments& arguments) { return notBuilt(arguments); }
 int note(const Arguments& arguments) { return notBuilt(arguments); }
 int state(const Arguments& arguments) { return notBuilt(arguments); }
 int history(const Arguments& arguments) { return notBuilt(arguments); }
