jujuberelayd: witness records, settlement of dead owners' attempts; records are retained for late retries

A retry that came after the bill had been flushed found no record and ran the request again. Witnesses now keep a closed record for 5 minutes after its bill is in the ledger; the oldest make room when memory is short. A test of the record store failed before (second open answered Stored) and passes now. Two tests expected that flushed records vanish at once: one now checks that retained records make room, the other opens another attempt instead of an identity that was settled.

--- a/Libraries/LibCaller/include/LibCaller/Attempt.h
+++ b/Libraries/LibCaller/include/LibCaller/Attempt.h
@@ -42,13 +42,13 @@
     void leaveToOwner();
 
 private:
+    Core::Deadline recordDeadline() const;
     Ledger::Usage usageOf(Ledger::Tokens used, Ledger::UsageKind) const;
     void adopt(Witness::Record);
 
     const Hooks& m_hooks;
     RequestIdentity m_identity;
-    // One identity for all endpoints that are tried in turn while nothing was sent. A later run of the same request has
-    // another one, since its tokens are charged as well.
+    // Each dispatch has its own identity, since the tokens of each run are charged.
     std::string m_attemptId;
     std::optional<Hold> m_hold;
     Witness::Record m_record;
--- a/Libraries/LibCaller/include/LibCaller/Hooks.h
+++ b/Libraries/LibCaller/include/LibCaller/Hooks.h
@@ -69,11 +69,15 @@
     };
     std::function<Core::Task<std::optional<Opened>>(Witness::Record, bool mayBeRetry, Core::Deadline, Core::Reason&)> openAttempt;
     // Looks for the record of an earlier attempt of the same request without recording a new one.
-    std::function<Core::Task<std::optional<Witness::Record>>(std::string requestId, Core::Deadline)> findAttempt;
+    std::function<Core::Task<std::optional<Witness::Record>>(std::string requestId, Core::Deadline joinUntil, Core::Deadline)> findAttempt;
+    // Whether a retry of the same request reads the attempt's stream, which must then not be cancelled.
+    std::function<Core::Task<bool>(std::string attemptId, Core::Deadline)> isJoined;
     // Records the attempt's usage at a second host or in the ledger.
     std::function<Core::Task<bool>(Ledger::Usage, Core::Deadline, Core::Reason&)> closeAttempt;
     // Drops the record of an attempt that was never sent.
     std::function<void(const std::string& attemptId)> forgetAttempt;
+    // Leaves the record of a joined attempt to its owner.
+    std::function<void(const std::string& attemptId)> leaveAttempt;
     // Queues the usage for the ledger.
     std::function<void(Ledger::Usage)> bill;
 
--- a/Libraries/LibCaller/src/Attempt.cpp
+++ b/Libraries/LibCaller/src/Attempt.cpp
@@ -18,10 +18,15 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
 }
 
+static std::string newAttemptId(const RequestIdentity& identity)
+{
+    return identity.attemptPrefix() + Core::randomIdentifier().substr(0, nonceDigits);
+}
+
 Attempt::Attempt(const Hooks& hooks, const RequestIdentity& identity)
     : m_hooks(hooks)
     , m_identity(identity)
-    , m_attemptId(identity.attemptPrefix() + Core::randomIdentifier().substr(0, nonceDigits))
+    , m_attemptId(newAttemptId(identity))
 {
 }
 
@@ -40,8 +45,20 @@
     co_return false;
 }
 
+Core::Deadline Attempt::recordDeadline() const
+{
+    return Core::Deadline(m_identity.deadline.at() + recordMargin);
+}
+
 Core::Task<bool> Attempt::open(const Route& route, Refusal& refusal)
 {
+    bool mayBeRetry = m_identity.hasIdempotencyKey && !m_isOpen;
+    if (m_isOpen) {
+        // The record names the endpoint, and the witness keeps the first record of an attempt.
+        m_hooks.forgetAttempt(m_attemptId);
+        m_attemptId = newAttemptId(m_identity);
+        m_isOpen = false;
+    }
     Witness::Record record;
     record.attemptId = m_attemptId;
     record.requestId = m_identity.requestId;
@@ -50,9 +67,7 @@
     record.tokensHeld = m_hold->tokens;
     record.endpoint = route.endpoint;
     record.streamId = record.attemptId;
-    record.deadline = Core::Deadline(m_identity.deadline.at() + recordMargin);
-    // A second open of this attempt only names another endpoint; it must not find itself.
-    bool mayBeRetry = m_identity.hasIdempotencyKey && !m_isOpen;
+    record.deadline = recordDeadline();
     Core::Reason reason;
     std::optional<Hooks::Opened> opened = co_await m_hooks.openAttempt(record, mayBeRetry, m_identity.deadline, reason);
     if (!opened) {
@@ -78,7 +93,7 @@
     if (!m_identity.hasIdempotencyKey || m_isOpen || m_isJoined)
         co_return false;
     Core::Deadline deadline = std::min(m_identity.deadline, Core::Deadline::after(lookupTimeout));
-    std::optional<Witness::Record> existing = co_await m_hooks.findAttempt(m_identity.requestId, deadline);
+    std::optional<Witness::Record> existing = co_await m_hooks.findAttempt(m_identity.requestId, recordDeadline(), deadline);
     if (!existing || !existing->attemptId.starts_with(m_identity.attemptPrefix()))
         co_return false;
     adopt(std::move(*existing));
@@ -132,6 +147,7 @@
 
 void Attempt::leaveToOwner()
 {
+    m_hooks.leaveAttempt(m_record.attemptId);
     if (m_hold)
         m_hooks.release(*m_hold);
     m_hold.reset();
--- a/Libraries/LibCaller/src/ChatHandler.cpp
+++ b/Libraries/LibCaller/src/ChatHandler.cpp
@@ -319,6 +319,12 @@
     std::optional<Ledger::Tokens> used;
     while (!used) {
         Core::Reason reason;
+        bool isJoined = session->identity.hasIdempotencyKey && !record.deadline.hasPassed()
+            && co_await m_hooks.isJoined(record.attemptId, Core::Deadline::after(cancelTimeout));
+        if (isJoined) {
+            co_await Core::sleepUntil(Core::Deadline::after(maxResolveDelay));
+            continue;
+        }
         std::optional<Endpoint::UsageCount> count
             = co_await m_engines.cancel(session->route.address, record.streamId, Core::Deadline::after(cancelTimeout), reason);
         if (count)
--- a/Libraries/LibWitness/include/LibWitness/RecordStore.h
+++ b/Libraries/LibWitness/include/LibWitness/RecordStore.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "LibWitness/Record.h"
+#include <chrono>
+#include <deque>
 #include <functional>
 #include <map>
 
@@ -18,6 +20,8 @@
     std::vector<Joiner> joiners;
     // When the usage became known here.
     Core::Deadline closedAt { Core::Deadline::never() };
+    // Set once the usage is in the ledger: the record only tells retries that the request ran, until then.
+    std::optional<Core::Deadline> dropAt;
     bool operator==(const KeptRecord&) const = default;
 };
 
@@ -50,8 +54,14 @@
     // not known.
     std::optional<Ledger::Usage> close(const std::string& attemptId, const Ledger::Usage&);
 
-    // Drops records whose usage is in the ledger, or whose attempt was never dispatched.
+    // Drops records whose attempt was never dispatched. Records whose usage is in the ledger are kept for `retention`
+    // more, so that a late retry of the request joins the attempt instead of running again; the oldest of them make room
+    // for new records.
     void flushed(const std::vector<std::string>& attemptIds);
+    static constexpr std::chrono::minutes retention { 5 };
+
+    // Drops the records whose retention has passed.
+    void dropExpired();
 
     std::optional<KeptRecord> findAttempt(const std::string& attemptId) const;
     // The oldest attempt of the request that is kept.
@@ -61,22 +71,30 @@
 
     // The records owned by a holder.
     std::vector<Record> recordsOf(const Ledger::Holder&) const;
-    // Calls the hook for each record; the hook must not change the store.
+    // Calls the hook for each record whose usage is not in the ledger; the hook must not change the store.
     void forEach(const std::function<void(const KeptRecord&)>&) const;
 
     // Refuses new records from now on.
     void startDraining() { m_isDraining = true; }
 
-    size_t recordCount() const { return m_records.size(); }
+    // Records whose usage is not in the ledger.
+    size_t recordCount() const { return m_records.size() - m_retained.size(); }
+    // Records that are kept for late retries only.
+    size_t retainedCount() const { return m_retained.size(); }
     size_t byteCount() const { return m_bytes; }
 
 private:
+    void erase(const std::string& attemptId);
+    void dropOldestRetained();
+
     size_t m_maxBytes;
     size_t m_bytes { 0 };
     bool m_isDraining { false };
     std::map<std::string, KeptRecord> m_records;
     // Attempt identities by request identity, oldest first.
     std::map<std::string, std::vector<std::string>> m_attempts;
+    // Records with a dropAt, in the order of that time, which is the order in which they were flushed.
+    std::deque<std::string> m_retained;
 };
 
 }
--- a/Libraries/LibWitness/include/LibWitness/WitnessClient.h
+++ b/Libraries/LibWitness/include/LibWitness/WitnessClient.h
@@ -52,6 +52,12 @@
     // Drops attempts whose usage is in the ledger, or that were never dispatched, here and at their witnesses.
     void flushed(const std::vector<std::string>& attemptIds);
 
+    // Looks for an earlier attempt of the request at both candidate witnesses, and joins it until the deadline.
+    Core::Task<std::optional<Record>> find(std::string requestId, Core::Deadline joinUntil, Core::Deadline);
+
+    // Forgets a joined attempt here, and leaves its records at the witnesses to its owner.
+    void leave(const std::string& attemptId) { m_owned.erase(attemptId); }
+
     // Whether a retry reads the stream of this attempt. Its owner must not cancel the stream then.
     Core::Task<bool> isJoined(std::string attemptId, Core::Deadline);
 
--- a/Libraries/LibWitness/src/RecordStore.cpp
+++ b/Libraries/LibWitness/src/RecordStore.cpp
@@ -36,10 +36,12 @@
     if (m_isDraining)
         return { OpenStatus::Draining, std::nullopt };
     size_t bytes = bytesOf(record);
+    while (m_bytes + bytes > m_maxBytes && !m_retained.empty())
+        dropOldestRetained();
     if (m_bytes + bytes > m_maxBytes)
         return { OpenStatus::Full, std::nullopt };
     m_bytes += bytes;
-    KeptRecord kept { record, {}, record.usage ? Core::Deadline(Core::SteadyClock::now()) : Core::Deadline::never() };
+    KeptRecord kept { record, {}, record.usage ? Core::Deadline(Core::SteadyClock::now()) : Core::Deadline::never(), std::nullopt };
     m_records.emplace(record.attemptId, std::move(kept));
     m_attempts[record.requestId].push_back(record.attemptId);
     if (from != record.owner)
@@ -64,15 +66,39 @@
 {
     for (const std::string& attemptId : attemptIds) {
         auto position = m_records.find(attemptId);
-        if (position == m_records.end())
+        if (position == m_records.end() || position->second.dropAt)
             continue;
-        m_bytes -= bytesOf(position->second.record);
-        auto attempts = m_attempts.find(position->second.record.requestId);
-        std::erase(attempts->second, attemptId);
-        if (attempts->second.empty())
-            m_attempts.erase(attempts);
-        m_records.erase(position);
+        if (!position->second.record.usage) {
+            erase(attemptId);
+            continue;
+        }
+        position->second.dropAt = Core::Deadline::after(retention);
+        m_retained.push_back(attemptId);
     }
+    dropExpired();
+}
+
+void RecordStore::dropExpired()
+{
+    while (!m_retained.empty() && m_records.at(m_retained.front()).dropAt->hasPassed())
+        dropOldestRetained();
+}
+
+void RecordStore::dropOldestRetained()
+{
+    erase(m_retained.front());
+    m_retained.pop_front();
+}
+
+void RecordStore::erase(const std::string& attemptId)
+{
+    auto position = m_records.find(attemptId);
+    m_bytes -= bytesOf(position->second.record);
+    auto attempts = m_attempts.find(position->second.record.requestId);
+    std::erase(attempts->second, attemptId);
+    if (attempts->second.empty())
+        m_attempts.erase(attempts);
+    m_records.erase(position);
 }
 
 std::optional<KeptRecord> RecordStore::findAttempt(const std::string& attemptId) const
@@ -109,7 +135,7 @@
 {
     std::vector<Record> records;
     for (const auto& [attemptId, kept] : m_records) {
-        if (kept.record.owner == holder)
+        if (kept.record.owner == holder && !kept.dropAt)
             records.push_back(kept.record);
     }
     return records;
@@ -117,8 +143,10 @@
 
 void RecordStore::forEach(const std::function<void(const KeptRecord&)>& visit) const
 {
-    for (const auto& [attemptId, kept] : m_records)
-        visit(kept);
+    for (const auto& [attemptId, kept] : m_records) {
+        if (!kept.dropAt)
+            visit(kept);
+    }
 }
 
 }
--- a/Libraries/LibWitness/src/Settler.cpp
+++ b/Libraries/LibWitness/src/Settler.cpp
@@ -173,6 +173,7 @@
 {
     while (!m_isStopped) {
         co_await Core::sleepUntil(Core::Deadline::after(m_limits.interval));
+        m_store.dropExpired();
         if (!m_isStopped)
             co_await runOnce();
     }
--- a/Libraries/LibWitness/src/WitnessClient.cpp
+++ b/Libraries/LibWitness/src/WitnessClient.cpp
@@ -126,6 +126,26 @@
     co_return reply->record;
 }
 
+Core::Task<std::optional<Record>> WitnessClient::find(std::string requestId, Core::Deadline joinUntil, Core::Deadline deadline)
+{
+    std::vector<Member> members = candidates(requestId);
+    std::optional<Record> found;
+    std::string askedDomain;
+    for (const Member& member : members) {
+        // The first daemon in the order, and the first outside its failure domain.
+        if (member.failureDomain == askedDomain)
+            continue;
+        Core::Reason ignored;
+        std::optional<LookupReply> reply = co_await m_calls->lookup(member, requestId, joinUntil, limited(deadline), ignored);
+        if (reply && reply->record)
+            found = reply->record;
+        if (found || !askedDomain.empty())
+            break;
+        askedDomain = member.failureDomain;
+    }
+    co_return found;
+}
+
 // Takes part in an attempt that was opened before, and gives up the own one.
 OpenResult WitnessClient::adopt(Owned& own, const Record& existing, const Member& witness)
 {
--- a/Services/jujuberelayd/src/Daemon.cpp
+++ b/Services/jujuberelayd/src/Daemon.cpp
@@ -16,6 +16,7 @@
 static constexpr std::chrono::milliseconds drainPoll(20);
 static constexpr std::chrono::seconds leaveTimeout(2);
 static constexpr std::chrono::milliseconds ledgerOpenTimeout(3000);
+static constexpr std::chrono::milliseconds witnessCloseTimeout(2000);
 
 // Wall-clock microseconds, so that a later process on the same host has a higher number.
 static uint64_t chooseIncarnation()
@@ -78,6 +79,8 @@
     , m_network(executor, peerSettings(m_settings, m_self.incarnation))
     , m_membership(executor, selfMember(m_settings, m_self.incarnation), m_network, m_platform.hooks(), m_freshness)
     , m_intent(executor, m_network, m_platform.hooks(), m_freshness, makeIntentHooks())
+    , m_witnessService(m_network, m_records)
+    , m_witness(executor, m_network, m_records, { m_settings.host, m_self.incarnation, m_settings.failureDomain }, makeWitnessHooks())
     , m_ledger(executor, m_platform.hooks(), m_settings.shardCount, m_self, writerSettings(m_settings))
     , m_gateway(m_settings.host, m_network, m_ledger.submit(), [this] { return m_membership.live(); })
     , m_accounts(executor, m_self, m_settings.shardCount, makeSubmit(), accountSettings(m_settings))
@@ -85,6 +88,7 @@
     , m_topUps(executor, m_gateway, m_settings.shardCount, [this] { return m_intent.state(); })
     , m_engines(*m_client)
     , m_services(*m_client)
+    , m_settler(m_records, makeSettlerHooks())
     , m_routes(executor, m_settings.host, m_network, m_engines, makeRouteHooks())
     , m_callerHooks(makeCallerHooks())
     , m_chat(executor, m_callerHooks, m_engines)
@@ -109,6 +113,7 @@
 Budget::BillSettings Daemon::makeBillSettings()
 {
     Budget::BillSettings bills;
+    bills.onFlushed = [this](std::vector<std::string> attemptIds) { m_witness.flushed(attemptIds); };
     bills.onRefused = [](const Ledger::Usage& usage) {
         Core::logEvent(billRefused, "attempt " + usage.attemptId + " of budget " + usage.budget.text() + " with " + std::to_string(usage.tokens) + " tokens");
     };
@@ -150,10 +155,13 @@
     hooks.openAttempt = [this](Witness::Record record, bool mayBeRetry, Core::Deadline deadline, Core::Reason& reason) {
         return openAttempt(std::move(record), mayBeRetry, deadline, reason);
     };
-    // FIXME: Ask the witnesses, once they are connected.
-    hooks.findAttempt = [](std::string, Core::Deadline) -> Core::Task<std::optional<Witness::Record>> { co_return std::nullopt; };
+    hooks.findAttempt = [this](std::string requestId, Core::Deadline joinUntil, Core::Deadline deadline) {
+        return m_witness.find(std::move(requestId), joinUntil, deadline);
+    };
     hooks.closeAttempt = [this](Ledger::Usage usage, Core::Deadline deadline, Core::Reason& reason) { return closeAttempt(std::move(usage), deadline, reason); };
-    hooks.forgetAttempt = [](const std::string&) {};
+    hooks.forgetAttempt = [this](const std::string& attemptId) { m_witness.flushed({ attemptId }); };
+    hooks.leaveAttempt = [this](const std::string& attemptId) { m_witness.leave(attemptId); };
+    hooks.isJoined = [this](std::string attemptId, Core::Deadline deadline) { return m_witness.isJoined(std::move(attemptId), deadline); };
     hooks.bill = [this](Ledger::Usage usage) { m_bills.add(std::move(usage)); };
     hooks.choose = [this](Caller::RouteQuery query, Core::Deadline deadline, Core::Reason& reason) { return m_routes.choose(std::move(query), deadline, reason); };
     hooks.routeDone = [this](const Caller::Route& route, Caller::RouteResult result) { m_routes.done(route, result); };
@@ -185,8 +193,13 @@
     co_return false;
 }
 
-Core::Task<std::optional<Caller::Hooks::Opened>> Daemon::openAttempt(Witness::Record record, bool, Core::Deadline deadline, Core::Reason& reason)
+Core::Task<std::optional<Caller::Hooks::Opened>> Daemon::openAttempt(Witness::Record record, bool mayBeRetry, Core::Deadline deadline, Core::Reason& reason)
 {
+    Witness::IdentityKind kind = mayBeRetry ? Witness::IdentityKind::IdempotencyKey : Witness::IdentityKind::Random;
+    std::optional<Witness::OpenResult> opened = co_await m_witness.open(record, deadline, reason, kind);
+    if (opened)
+        co_return Caller::Hooks::Opened { std::move(opened->existing) };
+    // Without a witness the record goes to the ledger.
     Ledger::OpenAttempt entry { record.attemptId, record.requestId, record.budget, record.owner, record.tokensHeld, record.endpoint };
     Core::Deadline limit = std::min(deadline, Core::Deadline::after(ledgerOpenTimeout));
     if (!co_await submitOne(std::move(entry), limit, reason))
@@ -196,13 +209,75 @@
 
 Core::Task<bool> Daemon::closeAttempt(Ledger::Usage usage, Core::Deadline deadline, Core::Reason& reason)
 {
+    Core::Deadline witnessLimit = std::min(deadline, Core::Deadline::after(witnessCloseTimeout));
+    if (co_await m_witness.close(usage.attemptId, usage, witnessLimit, reason))
+        co_return true;
     co_return co_await submitOne(std::move(usage), deadline, reason);
 }
 
+Witness::WitnessClient::Hooks Daemon::makeWitnessHooks()
+{
+    Witness::WitnessClient::Hooks hooks;
+    hooks.members = [this] { return m_membership.all(); };
+    hooks.order = [](std::string_view key, std::vector<Membership::Member> members) { return Membership::rendezvousOrder(key, std::move(members)); };
+    return hooks;
+}
+
+Witness::Settler::Hooks Daemon::makeSettlerHooks()
+{
+    Witness::Settler::Hooks hooks;
+    hooks.ownerState = [this](const Ledger::Holder& holder) { return ownerState(holder); };
+    hooks.cancelStream = [this](std::string endpoint, std::string streamId, Core::Deadline deadline, Core::Reason& reason) {
+        return cancelStream(std::move(endpoint), std::move(streamId), deadline, reason);
+    };
+    hooks.shardOf = [this](const Ledger::BudgetId& budget) { return Ledger::shardOf(budget, m_settings.shardCount); };
+    hooks.submit = makeSubmit();
+    hooks.now = [] {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+    };
+    return hooks;
+}
+
+Witness::OwnerState Daemon::ownerState(const Ledger::Holder& holder) const
+{
+    std::shared_ptr<const Intent::FleetState> state = m_intent.state();
+    if (state && state->withdrawnHosts.contains(holder.host))
+        return Witness::OwnerState::ProvedDead;
+    for (const Membership::Member& member : m_membership.all()) {
+        if (member.host != holder.host)
+            continue;
+        if (member.incarnation > holder.incarnation)
+            return Witness::OwnerState::ProvedDead;
+        bool isHeard = member.state == Membership::MemberState::Alive || member.state == Membership::MemberState::Draining;
+        return isHeard ? Witness::OwnerState::Present : Witness::OwnerState::Disappeared;
+    }
+    return Witness::OwnerState::Disappeared;
+}
+
+Core::Task<std::optional<Ledger::Tokens>> Daemon::cancelStream(std::string endpoint, std::string streamId, Core::Deadline deadline, Core::Reason& reason)
+{
+    std::shared_ptr<const Intent::FleetState> state = m_intent.state();
+    std::map<std::string, Intent::Service>::const_iterator service = state->services.find(endpoint);
+    // A repeatable call that broke off: its price is charged, since it may have run.
+    if (service != state->services.end())
+        co_return service->second.priceTokens;
+    std::map<std::string, Core::Address>::const_iterator address = m_endpointAddresses.find(endpoint);
+    if (address == m_endpointAddresses.end()) {
+        reason = { Core::FailureKind::Unavailable, "cancel stream", endpoint, "the endpoint's address is not known" };
+        co_return std::nullopt;
+    }
+    std::optional<Endpoint::UsageCount> count = co_await m_engines.cancel(address->second, std::move(streamId), deadline, reason);
+    if (!count)
+        co_return std::nullopt;
+    co_return count->total();
+}
+
 void Daemon::intentChanged(std::shared_ptr<const Intent::FleetState> state)
 {
     Core::logEvent(intentAdopted, "generation " + std::to_string(state->generation) + " is in force");
     m_membership.setGeneration(state->generation);
+    for (const std::pair<const std::string, Intent::Endpoint>& endpoint : state->endpoints)
+        m_endpointAddresses.insert_or_assign(endpoint.first, endpoint.second.address);
     m_routes.stateChanged(*state);
     m_topUps.stateChanged();
 }
@@ -242,6 +317,8 @@
     Core::spawn(m_executor, "bills", m_bills.run());
     Core::spawn(m_executor, "top-ups", m_topUps.run());
     Core::spawn(m_executor, "routes", m_routes.run());
+    Core::spawn(m_executor, "witness", m_witness.run());
+    Core::spawn(m_executor, "settler", m_settler.run());
 }
 
 std::string Daemon::addressLine() const
@@ -279,6 +356,10 @@
         deadline, "attempts were left unresolved", [this] { return m_chat.unresolvedAttempts() + m_serviceCalls.pendingOutcomes(); }, reason);
     isComplete &= co_await m_bills.flushAll(deadline, reason);
     isComplete &= co_await m_accounts.returnAll(deadline, reason);
+    m_records.startDraining();
+    isComplete &= co_await m_settler.submitAll();
+    m_settler.stop();
+    m_witness.stop();
     m_accounts.stop();
     m_bills.stop();
     m_topUps.stop();
--- a/Services/jujuberelayd/src/Daemon.h
+++ b/Services/jujuberelayd/src/Daemon.h
@@ -13,10 +13,14 @@
 #include "LibLedger/LedgerService.h"
 #include "LibPeer/Network.h"
 #include "LibPlatform/HttpObjectStore.h"
+#include "LibWitness/Settler.h"
+#include "LibWitness/WitnessClient.h"
+#include "LibWitness/WitnessService.h"
 #include "MembershipService.h"
 #include "RouteService.h"
 #include "Settings.h"
 #include "TopUpTask.h"
+#include <map>
 #include <memory>
 
 // One daemon: owns the parts and connects them.
@@ -48,6 +52,10 @@
     Budget::BillSettings makeBillSettings();
     IntentService::Hooks makeIntentHooks();
     RouteService::Hooks makeRouteHooks();
+    Witness::WitnessClient::Hooks makeWitnessHooks();
+    Witness::Settler::Hooks makeSettlerHooks();
+    Witness::OwnerState ownerState(const Ledger::Holder&) const;
+    Core::Task<std::optional<Ledger::Tokens>> cancelStream(std::string endpoint, std::string streamId, Core::Deadline, Core::Reason&);
     std::optional<Caller::Refusal> admission() const;
     Core::Task<std::optional<Caller::Hooks::Opened>> openAttempt(Witness::Record, bool mayBeRetry, Core::Deadline, Core::Reason&);
     Core::Task<bool> closeAttempt(Ledger::Usage, Core::Deadline, Core::Reason&);
@@ -60,6 +68,8 @@
     Settings m_settings;
     Ledger::Holder m_self;
     Addresses m_addresses;
+    // Addresses of all endpoints ever seen in the intent: a withdrawn endpoint still has streams to settle.
+    std::map<std::string, Core::Address> m_endpointAddresses;
     bool m_isReady { false };
     bool m_isDraining { false };
     bool m_isHurried { false };
@@ -70,6 +80,9 @@
     Peer::Network m_network;
     MembershipService m_membership;
     IntentService m_intent;
+    Witness::RecordStore m_records;
+    Witness::WitnessService m_witnessService;
+    Witness::WitnessClient m_witness;
     Ledger::LedgerService m_ledger;
     LedgerGateway m_gateway;
     Budget::Accounts m_accounts;
@@ -77,6 +90,7 @@
     TopUpTask m_topUps;
     Endpoint::EngineClient m_engines;
     Endpoint::ServiceClient m_services;
+    Witness::Settler m_settler;
     RouteService m_routes;
     Caller::Hooks m_callerHooks;
     Caller::ChatHandler m_chat;
--- a/Tests/LibCaller/CallerFixture.h
+++ b/Tests/LibCaller/CallerFixture.h
@@ -88,7 +88,9 @@
             available += hold.tokens;
         };
         made.openAttempt = [this](Witness::Record record, bool mayBeRetry, Core::Deadline, Core::Reason& reason) { return open(std::move(record), mayBeRetry, reason); };
-        made.findAttempt = [this](std::string requestId, Core::Deadline) -> Core::Task<std::optional<Witness::Record>> { co_return find(requestId); };
+        made.findAttempt = [this](std::string requestId, Core::Deadline, Core::Deadline) -> Core::Task<std::optional<Witness::Record>> { co_return find(requestId); };
+        made.isJoined = [](std::string, Core::Deadline) -> Core::Task<bool> { co_return false; };
+        made.leaveAttempt = [](const std::string&) {};
         made.closeAttempt = [this](Ledger::Usage usage, Core::Deadline, Core::Reason& reason) -> Core::Task<bool> {
             reason = { Core::FailureKind::Unavailable, "close", "witness", "no witness" };
             if (hasWitness)
--- a/Tests/LibWitness/TestRecordStore.cpp
+++ b/Tests/LibWitness/TestRecordStore.cpp
@@ -76,9 +76,26 @@
     for (size_t i = 0; i < stored; ++i)
         attemptIds.push_back("a" + std::to_string(i));
     store.flushed(attemptIds);
-    cr_assert_eq(store.byteCount(), 0u);
     cr_assert_eq(store.recordCount(), 0u);
-    cr_assert_eq(store.open(recordOf("b", "r", owner), false, owner).status, OpenStatus::Stored);
+    cr_assert_eq(store.retainedCount(), 1u);
+    // The one record that is retained for retries makes room when the memory is needed.
+    for (size_t i = 0; i < stored; ++i)
+        cr_assert_eq(store.open(recordOf("b" + std::to_string(i), "r", owner), false, owner).status, OpenStatus::Stored);
+    cr_assert_eq(store.retainedCount(), 0u);
+    cr_assert(store.byteCount() <= 100 * 1024u);
+}
+
+// Guards against a second run of a request whose answer was lost, after its bill has reached the ledger.
+Test(RecordStore, lateRetryFindsTheFlushedAttempt)
+{
+    RecordStore store;
+    store.open(recordOf("a1", "r1", owner), true, owner);
+    store.close("a1", usageOf(recordOf("a1", "r1", owner), 5));
+    store.flushed({ "a1" });
+    OpenAnswer answer = store.open(recordOf("a2", "r1", owner), true, owner);
+    cr_assert_eq(answer.status, OpenStatus::Existing);
+    cr_assert_eq(answer.existing->attemptId, "a1");
+    cr_assert_eq(answer.existing->usage->tokens, 5);
 }
 
 // Guards against a second usage of an attempt that replaces the first.
--- a/Tests/LibWitness/TestSettler.cpp
+++ b/Tests/LibWitness/TestSettler.cpp
@@ -201,12 +201,12 @@
     cr_assert(setup.settlement.bills.empty());
     setup.settle();
     cr_assert_eq(setup.settlement.bills.at("a1").tokens, 0);
-    setup.store.open(setup.record, false, owner);
+    // Another attempt, since an identity is not opened again while its record is retained.
+    setup.store.open(recordOf("a2", "r2", owner), false, owner);
     setup.settle();
-    setup.settlement.streams["stream-a1"] = 33;
-    setup.settlement.bills.clear();
+    setup.settlement.streams["stream-a2"] = 33;
     setup.settle();
-    cr_assert_eq(setup.settlement.bills.at("a1").tokens, 33);
+    cr_assert_eq(setup.settlement.bills.at("a2").tokens, 33);
 }
 
 // Guards against a flushed notice that was lost and leaves its record in memory for ever.
