--- /dev/null
+++ b/Libraries/LibMembership/include/LibMembership/GossipCodec.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "LibCore/Reason.h"
+#include "LibMembership/GossipMessage.h"
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace Membership {
+
+// Gossip messages as CBOR. Empty parts take no bytes.
+struct GossipCodec {
+    static std::string encode(const GossipMessage&);
+    static std::optional<GossipMessage> decode(std::string_view bytes, Core::Reason&);
+};
+
+}
