--- a/Libraries/LibBudget/include/LibBudget/AccountSettings.h
+++ b/Libraries/LibBudget/include/LibBudget/AccountSettings.h
@@ -25,8 +25,8 @@
     std::chrono::milliseconds scarceTime { 5000 };
     // Interval of the maintenance task.
     std::chrono::milliseconds tick { 100 };
-    // Seconds of recent consumption below which more is asked for ahead; 0 turns this off.
-    double prefetchSeconds { 1 };
+    // Smallest amount that is asked for ahead, in seconds of recent consumption.
+    double prefetchSeconds { 0.5 };
 };
 
 }
--- a/Libraries/LibBudget/include/LibBudget/GrantAccount.h
+++ b/Libraries/LibBudget/include/LibBudget/GrantAccount.h
@@ -37,7 +37,10 @@
 
     double tokensPerSecond(Time now) const;
     Time lastUsed() const { return m_lastUsed; }
-    GrantNeed need(const Ledger::BudgetId&, Ledger::Tokens missing, Time now) const;
+    // `wanted` are the tokens of waiting requests.
+    GrantNeed need(const Ledger::BudgetId&, Ledger::Tokens wanted, Time now) const;
+    // Spare tokens have fallen below half of what the policy keeps ahead.
+    bool runsLow(const Ledger::BudgetId&, const GrantPolicy&, double prefetchSeconds, Time now) const;
     // Other holders had unspent grants at the last answer.
     bool othersHoldGrants() const;
 
--- a/Libraries/LibBudget/src/AccountTransfers.cpp
+++ b/Libraries/LibBudget/src/AccountTransfers.cpp
@@ -33,8 +33,8 @@
 {
     Core::SteadyClock::time_point now = Core::SteadyClock::now();
     GrantAccount& numbers = account->numbers;
-    Tokens missing = std::max<Tokens>(0, account->wanted - std::max<Tokens>(0, numbers.available()));
-    Tokens size = std::max(missing, m_settings.policy(numbers.need(account->budget, missing, now)));
+    GrantNeed need = numbers.need(account->budget, account->wanted, now);
+    Tokens size = std::max(need.missing, m_settings.policy(need));
     Tokens target = numbers.granted() + size;
     Core::Reason reason;
     std::optional<Ledger::EntryResult> result = co_await submitOne(Ledger::Grant { account->budget, m_self, target }, Core::Deadline::after(m_settings.grantTimeout), reason);
@@ -99,9 +99,8 @@
         Core::spawn(m_executor, "return of " + account->budget.text(), sendReturns(account));
     }
     bool wasExhausted = account->isExhausted && now < account->answeredAt + m_settings.longestRetry;
-    bool runsLow = static_cast<double>(numbers.available()) < m_settings.prefetchSeconds * numbers.tokensPerSecond(now);
-    bool mayPrefetch = runsLow && !isScarce && !wasExhausted && !numbers.isClosed() && !m_isReturningAll;
-    if (mayPrefetch && m_settings.policy(numbers.need(account->budget, 0, now)) > 0)
+    bool mayPrefetch = !isScarce && !wasExhausted && !numbers.isClosed() && !m_isReturningAll;
+    if (mayPrefetch && numbers.runsLow(account->budget, m_settings.policy, m_settings.prefetchSeconds, now))
         startGrant(account);
 }
 
--- a/Libraries/LibBudget/src/GrantAccount.cpp
+++ b/Libraries/LibBudget/src/GrantAccount.cpp
@@ -68,9 +68,19 @@
     m_lastUsed = now;
 }
 
-GrantNeed GrantAccount::need(const Ledger::BudgetId& budget, Tokens missing, Time now) const
+GrantNeed GrantAccount::need(const Ledger::BudgetId& budget, Tokens wanted, Time now) const
 {
-    return { budget, missing, tokensPerSecond(now), m_ungranted, m_activeHolders, isScarce(now) };
+    Tokens usable = std::max<Tokens>(0, available());
+    Tokens missing = std::max<Tokens>(0, wanted - usable);
+    Tokens spare = std::max<Tokens>(0, usable - wanted);
+    return { budget, missing, spare, tokensPerSecond(now), m_ungranted, m_activeHolders, isScarce(now) };
+}
+
+bool GrantAccount::runsLow(const Ledger::BudgetId& budget, const GrantPolicy& policy, double prefetchSeconds, Time now) const
+{
+    Tokens size = policy(need(budget, 0, now));
+    // Very small amounts are not worth a commit.
+    return size > available() && static_cast<double>(size) >= prefetchSeconds * tokensPerSecond(now);
 }
 
 bool GrantAccount::othersHoldGrants() const
--- a/Libraries/LibBudget/src/GrantPolicy.cpp
+++ b/Libraries/LibBudget/src/GrantPolicy.cpp
@@ -12,7 +12,7 @@
         double remainder = static_cast<double>(std::max<Ledger::Tokens>(0, *need.ungranted - need.missing));
         double limit = settings.share * remainder / std::max<uint32_t>(1, need.activeHolders);
         double ahead = std::min(settings.demandSeconds * need.tokensPerSecond, limit);
-        return need.missing + static_cast<Ledger::Tokens>(ahead);
+        return need.missing + std::max<Ledger::Tokens>(0, static_cast<Ledger::Tokens>(ahead) - need.spare);
     };
 }
 
--- a/Tests/LibBudget/TestGrantAccount.cpp
+++ b/Tests/LibBudget/TestGrantAccount.cpp
@@ -70,8 +70,8 @@
 // Guards against a grant ahead that takes more than the holder's part of the remainder.
 Test(GrantPolicy, aheadIsLimitedToTheShare)
 {
-    GrantPolicy policy = defaultGrantPolicy({});
-    GrantNeed need { { "w", "b" }, 100, 1000, 8100, 4, false };
+    GrantPolicy policy = defaultGrantPolicy({ 2, 0.25 });
+    GrantNeed need { { "w", "b" }, 100, 0, 1000, 8100, 4, false };
     cr_assert_eq(policy(need), 100 + 500);
     need.ungranted = 1'000'000;
     cr_assert_eq(policy(need), 100 + 2000);
@@ -83,3 +83,11 @@
     need.ungranted = 50;
     cr_assert_eq(policy(need), 100);
 }
+
+// Guards against a stock that grows with each request: spare tokens count as part of what is kept ahead.
+Test(GrantPolicy, spareTokensAreNotAskedForAgain)
+{
+    GrantPolicy policy = defaultGrantPolicy({ 2, 0.25 });
+    cr_assert_eq(policy({ { "w", "b" }, 0, 1500, 1000, 1'000'000, 4, false }), 500);
+    cr_assert_eq(policy({ { "w", "b" }, 0, 2500, 1000, 1'000'000, 4, false }), 0);
+}
--- a/Utilities/jujuberelay/src/EscrowReplay.cpp
+++ b/Utilities/jujuberelay/src/EscrowReplay.cpp
@@ -91,8 +91,8 @@
     Tokens wanted = 0;
     for (size_t request : daemon.waiting)
         wanted += m_trace.requests[request].bound;
-    Tokens missing = std::max<Tokens>(0, wanted - std::max<Tokens>(0, daemon.numbers.available()));
-    Tokens size = std::max(missing, m_policy(daemon.numbers.need(m_budget, missing, m_events.now())));
+    Budget::GrantNeed need = daemon.numbers.need(m_budget, wanted, m_events.now());
+    Tokens size = std::max(need.missing, m_policy(need));
     Tokens target = daemon.numbers.granted() + size;
     send(
         daemon.number, { Ledger::Grant { m_budget, daemon.holder, target } },
@@ -177,8 +177,7 @@
         return startReturn(daemon);
     sendReturn(daemon);
     bool wasExhausted = daemon.isExhausted && m_events.now() < daemon.answeredAt + m_settings.account.longestRetry;
-    bool runsLow = static_cast<double>(numbers.available()) < m_settings.account.prefetchSeconds * numbers.tokensPerSecond(m_events.now());
-    if (runsLow && !isScarce && !wasExhausted && m_policy(numbers.need(m_budget, 0, m_events.now())) > 0)
+    if (!isScarce && !wasExhausted && numbers.runsLow(m_budget, m_policy, m_settings.account.prefetchSeconds, m_events.now()))
         startGrant(daemon);
 }
 
