--- a/Services/jujuberelayd/src/Daemon.cpp
+++ b/Services/jujuberelayd/src/Daemon.cpp
@@ -1,6 +1,7 @@
 #include "Daemon.h"
 
 #include "LibCore/EventLog.h"
+#include "LibMembership/Registry.h"
 
 using Core::SteadyClock;
 
@@ -13,18 +14,12 @@
 static constexpr Core::Event billRefused { 2007, Core::Severity::Error, "bill_refused" };
 
 static constexpr std::chrono::seconds startTimeout(20);
+static constexpr std::chrono::milliseconds incarnationTimeout(1000);
 static constexpr std::chrono::milliseconds drainPoll(20);
 static constexpr std::chrono::seconds leaveTimeout(2);
 static constexpr std::chrono::milliseconds ledgerOpenTimeout(3000);
 static constexpr std::chrono::milliseconds witnessCloseTimeout(2000);
 
-// Wall-clock microseconds, so that a later process on the same host has a higher number.
-static uint64_t chooseIncarnation()
-{
-    return static_cast<uint64_t>(
-        std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::system_clock::now().time_since_epoch()).count());
-}
-
 static Peer::Settings peerSettings(const Settings& settings, uint64_t incarnation)
 {
     Peer::Settings peer;
@@ -69,15 +64,15 @@
     return limits;
 }
 
-Daemon::Daemon(const boost::asio::any_io_executor& executor, Settings settings)
+Daemon::Daemon(const boost::asio::any_io_executor& executor, Settings settings, uint64_t incarnation)
     : m_executor(executor)
     , m_settings(std::move(settings))
-    , m_self { m_settings.host, chooseIncarnation() }
+    , m_self { m_settings.host, incarnation }
     , m_client(std::make_shared<HTTP::Client>(executor))
     , m_platform(m_client, m_settings.platformAddress, m_settings.host)
     , m_freshness(m_settings.failureDomain, freshnessLimits(m_settings))
     , m_network(executor, peerSettings(m_settings, m_self.incarnation))
-    , m_membership(executor, selfMember(m_settings, m_self.incarnation), m_network, m_platform.hooks(), m_freshness)
+    , m_membership(executor, selfMember(m_settings, m_self.incarnation), m_settings.seedPeers, m_network, m_platform.hooks(), m_freshness, makeMembershipHooks())
     , m_intent(executor, m_network, m_platform.hooks(), m_freshness, makeIntentHooks())
     , m_witnessService(m_network, m_records)
     , m_witness(executor, m_network, m_records, { m_settings.host, m_self.incarnation, m_settings.failureDomain }, makeWitnessHooks())
@@ -120,10 +115,32 @@
     return bills;
 }
 
+Core::Task<uint64_t> Daemon::chooseIncarnation(const boost::asio::any_io_executor& executor, const Settings& settings)
+{
+    Platform::HttpObjectStore platform(std::make_shared<HTTP::Client>(executor), settings.platformAddress, settings.host);
+    Membership::Registry registry(platform.hooks());
+    uint64_t incarnation = Membership::Registry::systemMicroseconds();
+    Core::Reason ignored;
+    // Without an answer the clock decides; registration checks again once the platform is back.
+    std::optional<std::vector<Membership::Member>> members = co_await registry.list(Core::Deadline::after(incarnationTimeout), ignored);
+    for (size_t i = 0; members && i < members->size(); ++i) {
+        if ((*members)[i].host == settings.host)
+            incarnation = std::max(incarnation, (*members)[i].incarnation + 1);
+    }
+    co_return incarnation;
+}
+
+MembershipService::Hooks Daemon::makeMembershipHooks()
+{
+    MembershipService::Hooks hooks;
+    hooks.generationHeard = [this](uint64_t generation) { m_intent.follower().generationHeard(generation); };
+    return hooks;
+}
+
 IntentService::Hooks Daemon::makeIntentHooks()
 {
     IntentService::Hooks hooks;
-    hooks.peers = [this] { return m_membership.livePeers(); };
+    hooks.peers = [this] { return m_membership.linkedPeers(); };
     hooks.holdsWatch = [this] { return m_membership.holdsWatch(static_cast<size_t>(m_settings.watchersPerFailureDomain)); };
     hooks.stateChanged = [this](std::shared_ptr<const Intent::FleetState> state) { intentChanged(std::move(state)); };
     return hooks;
--- a/Services/jujuberelayd/src/Daemon.h
+++ b/Services/jujuberelayd/src/Daemon.h
@@ -26,7 +26,11 @@
 // One daemon: owns the parts and connects them.
 class Daemon {
 public:
-    Daemon(const boost::asio::any_io_executor&, Settings);
+    // The incarnation must be above that of every earlier process on this host.
+    Daemon(const boost::asio::any_io_executor&, Settings, uint64_t incarnation);
+
+    // Wall-clock microseconds or, where the clock was set back, one above the incarnation that the platform knows.
+    static Core::Task<uint64_t> chooseIncarnation(const boost::asio::any_io_executor&, const Settings&);
 
     // Binds the addresses, joins the fleet and starts serving. Fails when an address is in use or no peer and no
     // platform answered in time.
@@ -50,6 +54,7 @@
     Caller::Hooks makeCallerHooks();
     Ledger::Submit makeSubmit();
     Budget::BillSettings makeBillSettings();
+    MembershipService::Hooks makeMembershipHooks();
     IntentService::Hooks makeIntentHooks();
     RouteService::Hooks makeRouteHooks();
     Witness::WitnessClient::Hooks makeWitnessHooks();
--- a/Services/jujuberelayd/src/MembershipService.cpp
+++ b/Services/jujuberelayd/src/MembershipService.cpp
@@ -1,119 +1,140 @@
 #include "MembershipService.h"
 
-#include <nlohmann/json.hpp>
+#include "LibCore/EventLog.h"
+#include "LibMembership/ChooseLinks.h"
+#include "LibMembership/GossipCodec.h"
+#include <algorithm>
 
-using Json = nlohmann::json;
 using Core::SteadyClock;
 using Membership::Member;
 using Membership::MemberState;
 
-static const char* const heartbeatType = "heartbeat";
-static const std::string recordPrefix = "daemon/";
-static constexpr std::chrono::milliseconds heartbeatInterval(1000);
-static constexpr std::chrono::milliseconds heartbeatTimeout(900);
-static constexpr std::chrono::milliseconds suspicionTime(3500);
-static constexpr std::chrono::milliseconds platformTimeout(2000);
+static constexpr Core::Event memberChanged { 2101, Core::Severity::Info, "member_changed" };
+static constexpr Core::Event incarnationSuperseded { 2102, Core::Severity::Info, "incarnation_superseded" };
+static constexpr Core::Event registrationFailed { 2103, Core::Severity::Warning, "registration_failed" };
 
-static Json toJson(const Member& member)
-{
-    return { { "host", member.host }, { "incarnation", member.incarnation }, { "failure_domain", member.failureDomain },
-        { "region", member.region }, { "peer", member.peerAddress.text() }, { "caller", member.callerAddress.text() },
-        { "state", static_cast<int>(member.state) }, { "generation", member.generation } };
-}
+static const char* const gossipType = "gossip";
+static constexpr std::chrono::milliseconds gossipInterval(1000);
+static constexpr std::chrono::milliseconds gossipTimeout(900);
+static constexpr std::chrono::milliseconds registryTimeout(2000);
+// A partition that heals is noticed by this read; new daemons make themselves known by gossip at once.
+static constexpr std::chrono::milliseconds registryInterval(10'000);
+static constexpr std::chrono::milliseconds joinRetryDelay(200);
 
-static std::optional<Member> memberFromJson(const Json& json)
+static const char* stateName(MemberState state)
 {
-    try {
-        Core::Reason ignored;
-        std::optional<Core::Address> peer = Core::Address::parse(json.at("peer").get<std::string>(), ignored);
-        std::optional<Core::Address> caller = Core::Address::parse(json.at("caller").get<std::string>(), ignored);
-        int state = json.at("state").get<int>();
-        if (!peer || !caller || state < 0 || state > static_cast<int>(MemberState::Left))
-            return std::nullopt;
-        return Member { json.at("host").get<std::string>(), json.at("incarnation").get<uint64_t>(), json.at("failure_domain").get<std::string>(),
-            json.at("region").get<std::string>(), *peer, *caller, static_cast<MemberState>(state), json.at("generation").get<uint64_t>() };
-    } catch (const Json::exception&) {
-        return std::nullopt;
-    }
+    static const char* const names[] = { "alive", "draining", "suspect", "left" };
+    return names[static_cast<int>(state)];
 }
 
-static std::string toCbor(const Json& json)
+static Membership::ViewHooks viewHooks(const MembershipService::Hooks& hooks)
 {
-    std::vector<uint8_t> bytes = Json::to_cbor(json);
-    return std::string(bytes.begin(), bytes.end());
+    Membership::ViewHooks view;
+    view.memberChanged = [](const Member& member) {
+        Core::logEvent(memberChanged, member.host + "#" + std::to_string(member.incarnation) + " is " + stateName(member.state));
+    };
+    view.incarnationSuperseded = [superseded = hooks.incarnationSuperseded](const std::string& host, uint64_t older, uint64_t newer) {
+        Core::logEvent(incarnationSuperseded, host + "#" + std::to_string(older) + " was replaced by #" + std::to_string(newer));
+        if (superseded)
+            superseded(host, older, newer);
+    };
+    return view;
 }
 
-MembershipService::MembershipService(const boost::asio::any_io_executor& executor, Member self, Peer::Network& network,
-    Platform::ObjectStore store, Intent::Freshness& freshness)
+MembershipService::MembershipService(const boost::asio::any_io_executor& executor, Member self, std::vector<Core::Address> seeds,
+    Peer::Network& network, Platform::ObjectStore store, Intent::Freshness& freshness, Hooks hooks)
     : m_executor(executor)
     , m_self(std::move(self))
+    , m_seeds(std::move(seeds))
     , m_network(network)
-    , m_store(std::move(store))
+    , m_registry(std::move(store), [incarnation = m_self.incarnation] { return incarnation; })
     , m_freshness(freshness)
+    , m_hooks(std::move(hooks))
+    , m_view(m_self, {}, viewHooks(m_hooks))
+    , m_gossip(m_view, {})
+{
+}
+
+std::optional<Membership::ConfirmedIntent> MembershipService::confirmedIntent() const
 {
+    std::optional<std::chrono::milliseconds> age = m_freshness.confirmationAge(SteadyClock::now());
+    if (!age)
+        return std::nullopt;
+    return Membership::ConfirmedIntent { *m_freshness.confirmedGeneration(), *age };
 }
 
 void MembershipService::serve()
 {
-    m_network.onCall(heartbeatType, [this](Peer::Identity from, std::string body, Core::Reason& reason) -> Core::Task<std::optional<std::string>> {
-        std::optional<Member> member = memberFromJson(Json::from_cbor(body, true, false));
-        if (!member || member->host != from.host) {
-            reason = { Core::FailureKind::Invalid, "decode heartbeat", from.host, "the message is malformed" };
+    m_network.onCall(gossipType, [this](Peer::Identity from, std::string body, Core::Reason& reason) -> Core::Task<std::optional<std::string>> {
+        std::optional<Membership::GossipMessage> message = Membership::GossipCodec::decode(body, reason);
+        if (!message)
             co_return std::nullopt;
-        }
-        heardFrom(*member);
-        co_return encodeBeat();
+        SteadyClock::time_point now = SteadyClock::now();
+        // A call says when it was received, not when it was sent; only answers to own questions confirm intent.
+        message->confirmed.reset();
+        m_gossip.receive(from.host, *message, now);
+        m_view.heardDirectly(from.host, now);
+        co_return Membership::GossipCodec::encode(m_gossip.compose(from.host, confirmedIntent(), now));
     });
 }
 
-std::string MembershipService::encodeBeat() const
+void MembershipService::receive(
+    const std::string& host, const std::string& failureDomain, const Membership::GossipMessage& message, SteadyClock::time_point askedAt)
 {
-    Json beat = toJson(m_self);
-    std::optional<std::chrono::milliseconds> age = m_freshness.confirmationAge(SteadyClock::now());
-    if (age) {
-        beat["confirmed"] = *m_freshness.confirmedGeneration();
-        beat["age_ms"] = age->count();
-    }
-    return toCbor(beat);
+    SteadyClock::time_point now = SteadyClock::now();
+    m_gossip.receive(host, message, now);
+    m_view.heardDirectly(host, now);
+    if (message.confirmed)
+        m_freshness.peerConfirmed(failureDomain, message.confirmed->generation, message.confirmed->age, askedAt);
+    else
+        m_freshness.peerHeard(failureDomain, askedAt);
+    uint64_t highest = 0;
+    for (const Member& member : m_view.members())
+        highest = std::max(highest, member.generation);
+    m_freshness.generationHeard(highest);
+    m_hooks.generationHeard(highest);
 }
 
-void MembershipService::heardFrom(const Member& member)
+// One question to a peer and its answer. The host and failure domain are empty for a seed that is not known yet.
+Core::Task<bool> MembershipService::exchange(Core::Address address, std::string host, std::string failureDomain)
 {
-    if (member.host == m_self.host)
-        return;
-    Known& known = m_known[member.host];
-    if (member.incarnation < known.member.incarnation)
-        return;
-    known.member = member;
-    known.suspectAt = Core::Deadline::after(suspicionTime);
+    SteadyClock::time_point askedAt = SteadyClock::now();
+    Core::Reason reason;
+    std::string body = Membership::GossipCodec::encode(m_gossip.compose(host, confirmedIntent(), askedAt));
+    std::optional<std::string> reply = co_await m_network.call(std::move(address), gossipType, std::move(body), Core::Deadline::after(gossipTimeout), reason);
+    std::optional<Membership::GossipMessage> message;
+    if (reply)
+        message = Membership::GossipCodec::decode(*reply, reason);
+    if (!message) {
+        m_gossip.forget(host);
+        co_return false;
+    }
+    receive(host, failureDomain, *message, askedAt);
+    co_return true;
 }
 
-Core::Task<bool> MembershipService::writeRecord(Core::Deadline deadline, Core::Reason& reason)
+Core::Task<bool> MembershipService::registerSelf(Core::Deadline deadline, Core::Reason& reason)
 {
-    std::string name = recordPrefix + m_self.host;
-    std::optional<Platform::Object> present = co_await m_store.get(name, deadline, reason);
-    if (!present && reason.kind != Core::FailureKind::NotFound)
+    std::optional<Member> registered = co_await m_registry.registerDaemon(m_self, deadline, reason);
+    if (!registered)
+        co_return false;
+    if (registered->incarnation != m_self.incarnation) {
+        reason = { Core::FailureKind::Conflict, "register daemon", m_self.host,
+            "the clock of this host is behind incarnation " + std::to_string(registered->incarnation - 1) };
         co_return false;
-    Platform::Version version = present ? present->version : 0;
-    std::optional<Platform::Version> written = co_await m_store.put(name, toJson(m_self).dump(), version, deadline, reason);
-    co_return written.has_value();
+    }
+    m_isRegistered = true;
+    co_return true;
 }
 
-Core::Task<bool> MembershipService::readRecords(Core::Deadline deadline, Core::Reason& reason)
+Core::Task<bool> MembershipService::readRegistry(Core::Deadline deadline, Core::Reason& reason)
 {
-    std::optional<Platform::Listing> listing = co_await m_store.list(recordPrefix, deadline, reason);
-    if (!listing)
+    std::optional<std::vector<Member>> members = co_await m_registry.list(deadline, reason);
+    if (!members)
         co_return false;
-    for (const Platform::Object& object : listing->objects) {
-        std::optional<Member> member = memberFromJson(Json::parse(object.value, nullptr, false));
-        if (!member || member->host == m_self.host)
-            continue;
-        Known& known = m_known[member->host];
-        if (member->incarnation <= known.member.incarnation)
-            continue;
-        known.member = *member;
-        // Not heard yet; it gets one suspicion time to answer.
-        known.suspectAt = Core::Deadline::after(suspicionTime);
+    for (const Member& member : *members) {
+        if (member.host != m_self.host)
+            m_view.merge(Membership::GossipRecord { member, 0 }, SteadyClock::now());
     }
     co_return true;
 }
@@ -122,67 +143,67 @@
 {
     m_self.callerAddress = std::move(callerAddress);
     m_self.peerAddress = std::move(peerAddress);
-    while (!co_await writeRecord(deadline, reason) || !co_await readRecords(deadline, reason)) {
-        if (deadline.hasPassed())
+    m_view.merge(Membership::GossipRecord { m_self, 0 }, SteadyClock::now());
+    while (!deadline.hasPassed()) {
+        Core::Deadline limit = std::min(deadline, Core::Deadline::after(registryTimeout));
+        if (co_await registerSelf(limit, reason) && co_await readRegistry(limit, reason)) {
+            startExchanges();
+            co_return true;
+        }
+        if (reason.kind == Core::FailureKind::Conflict || reason.kind == Core::FailureKind::Refused)
             co_return false;
-        co_await Core::sleepUntil(Core::Deadline::after(std::chrono::milliseconds(200)));
+        Core::logEvent(registrationFailed, reason.text());
+        for (const Core::Address& seed : m_seeds) {
+            if (seed != m_self.peerAddress && co_await exchange(seed, "", ""))
+                co_return true;
+        }
+        co_await Core::sleepUntil(Core::Deadline::after(joinRetryDelay));
     }
-    co_return true;
+    co_return false;
 }
 
-Core::Task<void> MembershipService::beat(Member member)
+void MembershipService::startExchanges()
 {
-    SteadyClock::time_point askedAt = SteadyClock::now();
-    Core::Reason reason;
-    std::optional<std::string> reply
-        = co_await m_network.call(member.peerAddress, heartbeatType, encodeBeat(), Core::Deadline::after(heartbeatTimeout), reason);
-    if (!reply)
-        co_return;
-    Json json = Json::from_cbor(*reply, true, false);
-    std::optional<Member> answered = memberFromJson(json);
-    if (!answered)
-        co_return;
-    heardFrom(*answered);
-    m_freshness.generationHeard(answered->generation);
-    if (json.contains("confirmed") && json["confirmed"].is_number_unsigned() && json["age_ms"].is_number_integer())
-        m_freshness.peerConfirmed(answered->failureDomain, json["confirmed"].get<uint64_t>(), std::chrono::milliseconds(json["age_ms"].get<int64_t>()), askedAt);
-    else
-        m_freshness.peerHeard(answered->failureDomain, askedAt);
+    std::vector<Member> linked = linkedPeers();
+    std::set<std::string> hosts;
+    for (const Member& member : linked)
+        hosts.insert(member.host);
+    m_view.setLinked(hosts, SteadyClock::now());
+    for (const Member& member : linked) {
+        Core::spawn(m_executor, "gossip", [](MembershipService& service, Member peer) -> Core::Task<void> {
+            co_await service.exchange(peer.peerAddress, peer.host, peer.failureDomain);
+        }(*this, member));
+    }
 }
 
 Core::Task<void> MembershipService::run()
 {
+    Core::Deadline nextRead = Core::Deadline::after(registryInterval);
     while (!m_isStopped) {
-        for (const Member& member : all()) {
-            if (member.host != m_self.host && member.state != MemberState::Left)
-                Core::spawn(m_executor, "heartbeat", beat(member));
+        Core::Deadline next = Core::Deadline::after(gossipInterval);
+        m_gossip.tick(SteadyClock::now());
+        startExchanges();
+        if (nextRead.hasPassed()) {
+            Core::Reason reason;
+            if (!m_isRegistered && !co_await registerSelf(Core::Deadline::after(registryTimeout), reason))
+                Core::logEvent(registrationFailed, reason.text());
+            if (holdsWatch(1))
+                co_await readRegistry(Core::Deadline::after(registryTimeout), reason);
+            nextRead = Core::Deadline::after(registryInterval);
         }
-        Core::Reason ignored;
-        Core::Deadline next = Core::Deadline::after(heartbeatInterval);
-        co_await readRecords(Core::Deadline::after(platformTimeout), ignored);
         co_await Core::sleepUntil(next);
     }
 }
 
 Core::Task<void> MembershipService::leave(Core::Deadline deadline)
 {
-    m_self.state = MemberState::Left;
-    for (const Member& member : livePeers())
-        Core::spawn(m_executor, "heartbeat", beat(member));
-    Core::Reason ignored;
-    co_await writeRecord(deadline, ignored);
-}
-
-std::vector<Member> MembershipService::all() const
-{
-    std::vector<Member> members { m_self };
-    for (const std::pair<const std::string, Known>& item : m_known) {
-        Member member = item.second.member;
-        if (member.state != MemberState::Left && item.second.suspectAt.hasPassed())
-            member.state = MemberState::Suspect;
-        members.push_back(std::move(member));
-    }
-    return members;
+    setState(MemberState::Left);
+    startExchanges();
+    Member self = m_self;
+    self.state = MemberState::Left;
+    Core::Reason reason;
+    if (!co_await m_registry.update(std::move(self), deadline, reason))
+        Core::logEvent(registrationFailed, reason.text());
 }
 
 std::vector<Member> MembershipService::live() const
@@ -192,11 +213,12 @@
     return members;
 }
 
-std::vector<Member> MembershipService::livePeers() const
+std::vector<Member> MembershipService::linkedPeers() const
 {
-    std::vector<Member> members = live();
-    std::erase_if(members, [this](const Member& member) { return member.host == m_self.host; });
-    return members;
+    // Suspects stay linked, so that a daemon that was paused or cut off is heard again when it returns.
+    std::vector<Member> members = all();
+    std::erase_if(members, [this](const Member& member) { return member.state == MemberState::Left || member.host == m_self.host; });
+    return Membership::chooseLinks(m_view.self(), members);
 }
 
 std::vector<Member> MembershipService::domainMembers() const
--- a/Services/jujuberelayd/src/Settings.cpp
+++ b/Services/jujuberelayd/src/Settings.cpp
@@ -49,6 +49,22 @@
     };
 }
 
+Reader addressListReader(std::vector<Core::Address>& target)
+{
+    return [&target](const YAML::Node& node) -> std::optional<std::string> {
+        static const char* const expected = "a list of addresses such as [127.0.0.1:8081]";
+        if (!node.IsSequence())
+            return expected;
+        for (const YAML::Node& item : node) {
+            Core::Address address;
+            if (addressReader(address)(item))
+                return expected;
+            target.push_back(address);
+        }
+        return std::nullopt;
+    };
+}
+
 template <typename Number>
 Reader numberReader(Number& target, int64_t lowest, int64_t highest)
 {
@@ -96,6 +112,7 @@
     fields["peer_address"] = { Need::Required, addressReader(settings.peerAddress) };
     fields["operator_address"] = { Need::Required, addressReader(settings.operatorAddress) };
     fields["platform_address"] = { Need::Required, addressReader(settings.platformAddress) };
+    fields["seed_peers"] = { Need::Optional, addressListReader(settings.seedPeers) };
     fields["peer_key"] = { Need::Required, textReader(settings.peerKey) };
     fields["operator_key_sha256"] = { Need::Required, hexDigestReader(settings.operatorKeySha256) };
     fields["certificate_file"] = { Need::Optional, textReader(settings.certificateFile) };
--- a/Services/jujuberelayd/src/Settings.h
+++ b/Services/jujuberelayd/src/Settings.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 // The daemon's settings file. The keys are the members' names in snake case; docs/operations.md is the reference.
 struct Settings {
@@ -15,6 +16,8 @@
     Core::Address peerAddress;
     Core::Address operatorAddress;
     Core::Address platformAddress;
+    // Peer addresses of other daemons, asked when the platform does not answer at the start.
+    std::vector<Core::Address> seedPeers;
 
     // Shared by all daemons of the fleet; authenticates links between them.
     std::string peerKey;
--- a/Services/jujuberelayd/src/main.cpp
+++ b/Services/jujuberelayd/src/main.cpp
@@ -29,36 +29,38 @@
     return level == "error" ? Core::Severity::Error : Core::Severity::Info;
 }
 
-Core::Task<void> runDaemon(Daemon& daemon, boost::asio::io_context& context, int& exitCode)
+Core::Task<void> runDaemon(std::unique_ptr<Daemon>& daemon, const Settings& settings, boost::asio::io_context& context, int& exitCode)
 {
+    uint64_t incarnation = co_await Daemon::chooseIncarnation(context.get_executor(), settings);
+    daemon = std::make_unique<Daemon>(context.get_executor(), settings, incarnation);
     Core::Reason reason;
-    if (!co_await daemon.start(reason)) {
+    if (!co_await daemon->start(reason)) {
         std::fprintf(stderr, "jujuberelayd: %s\n", reason.text().c_str());
         exitCode = StartFailed;
         context.stop();
         co_return;
     }
-    std::printf("%s\n", daemon.addressLine().c_str());
+    std::printf("%s\n", daemon->addressLine().c_str());
     std::fflush(stdout);
 }
 
-Core::Task<void> drainDaemon(Daemon& daemon, boost::asio::io_context& context, int& exitCode)
+Core::Task<void> drainDaemon(std::unique_ptr<Daemon>& daemon, boost::asio::io_context& context, int& exitCode)
 {
     Core::Reason reason;
-    exitCode = co_await daemon.drain(reason) ? Success : CutOff;
+    exitCode = !daemon || co_await daemon->drain(reason) ? Success : CutOff;
     context.stop();
 }
 
 // The first signal drains, the second ends the drain.
-void waitForSignal(boost::asio::signal_set& signals, boost::asio::io_context& context, Daemon& daemon, int& exitCode, bool isFirst)
+void waitForSignal(boost::asio::signal_set& signals, boost::asio::io_context& context, std::unique_ptr<Daemon>& daemon, int& exitCode, bool isFirst)
 {
     signals.async_wait([&signals, &context, &daemon, &exitCode, isFirst](const boost::system::error_code& error, int) {
         if (error)
             return;
         if (isFirst)
             Core::spawn(context.get_executor(), "drain", drainDaemon(daemon, context, exitCode));
-        else
-            daemon.hurry();
+        else if (daemon)
+            daemon->hurry();
         waitForSignal(signals, context, daemon, exitCode, false);
     });
 }
@@ -82,11 +84,11 @@
     }
     Core::initialiseLog(settings->host, severityOf(settings->logLevel));
     boost::asio::io_context context(1);
-    Daemon daemon(context.get_executor(), *settings);
+    std::unique_ptr<Daemon> daemon;
     int exitCode = Success;
     boost::asio::signal_set signals(context, SIGTERM, SIGINT);
     waitForSignal(signals, context, daemon, exitCode, true);
-    Core::spawn(context.get_executor(), "start", runDaemon(daemon, context, exitCode));
+    Core::spawn(context.get_executor(), "start", runDaemon(daemon, *settings, context, exitCode));
     context.run();
     return exitCode;
 }
