Membership: announce the own addresses; log when a witness is missing

Cause: the view kept the own record as it was before the addresses were bound, and gossip spread it, so that half of the requests found a witness at port 0 and fell back to the ledger with its 400 ms gathering time. Ruled out: slow engines (9 to 13 ms directly).

--- a/Libraries/LibMembership/include/LibMembership/View.h
+++ b/Libraries/LibMembership/include/LibMembership/View.h
@@ -58,6 +58,8 @@
     // Suspects the members whose deadline has passed.
     void expire(Core::SteadyClock::time_point now);
 
+    // The addresses in use, once they are bound and before the first exchange.
+    void setOwnAddresses(Core::Address peer, Core::Address caller);
     // Raises the own heartbeat.
     void beat();
     void setOwnState(MemberState);
--- a/Libraries/LibMembership/src/View.cpp
+++ b/Libraries/LibMembership/src/View.cpp
@@ -215,6 +215,14 @@
     markChanged(self);
 }
 
+void View::setOwnAddresses(Core::Address peer, Core::Address caller)
+{
+    Known& self = m_known.at(m_self);
+    self.member.peerAddress = std::move(peer);
+    self.member.callerAddress = std::move(caller);
+    markChanged(self);
+}
+
 void View::setOwnState(MemberState state)
 {
     Known& self = m_known.at(m_self);
--- a/Services/jujuberelayd/src/Daemon.cpp
+++ b/Services/jujuberelayd/src/Daemon.cpp
@@ -13,6 +13,8 @@
 static constexpr Core::Event requestRefused { 2006, Core::Severity::Debug, "request_refused" };
 static constexpr Core::Event billRefused { 2007, Core::Severity::Error, "bill_refused" };
 
+static constexpr Core::Event witnessMissing { 2008, Core::Severity::Warning, "witness_missing" };
+
 static constexpr std::chrono::seconds startTimeout(20);
 static constexpr std::chrono::milliseconds incarnationTimeout(1000);
 static constexpr std::chrono::milliseconds drainPoll(20);
@@ -217,6 +219,7 @@
     if (opened)
         co_return Caller::Hooks::Opened { std::move(opened->existing) };
     // Without a witness the record goes to the ledger.
+    Core::logEvent(witnessMissing, "open " + record.attemptId + ": " + reason.text());
     Ledger::OpenAttempt entry { record.attemptId, record.requestId, record.budget, record.owner, record.tokensHeld, record.endpoint };
     Core::Deadline limit = std::min(deadline, Core::Deadline::after(ledgerOpenTimeout));
     if (!co_await submitOne(std::move(entry), limit, reason))
@@ -229,6 +232,7 @@
     Core::Deadline witnessLimit = std::min(deadline, Core::Deadline::after(witnessCloseTimeout));
     if (co_await m_witness.close(usage.attemptId, usage, witnessLimit, reason))
         co_return true;
+    Core::logEvent(witnessMissing, "close " + usage.attemptId + ": " + reason.text());
     co_return co_await submitOne(std::move(usage), deadline, reason);
 }
 
--- a/Services/jujuberelayd/src/MembershipService.cpp
+++ b/Services/jujuberelayd/src/MembershipService.cpp
@@ -143,7 +143,7 @@
 {
     m_self.callerAddress = std::move(callerAddress);
     m_self.peerAddress = std::move(peerAddress);
-    m_view.merge(Membership::GossipRecord { m_self, 0 }, SteadyClock::now());
+    m_view.setOwnAddresses(m_self.peerAddress, m_self.callerAddress);
     while (!deadline.hasPassed()) {
         Core::Deadline limit = std::min(deadline, Core::Deadline::after(registryTimeout));
         if (co_await registerSelf(limit, reason) && co_await readRegistry(limit, reason)) {
