--- a/Libraries/LibCaller/src/CallerApi.cpp
+++ b/Libraries/LibCaller/src/CallerApi.cpp
@@ -1,5 +1,6 @@
 #include "LibCaller/CallerApi.h"
 
+#include "IdentifiedWriter.h"
 #include <nlohmann/json.hpp>
 
 namespace Caller {
@@ -36,10 +37,11 @@
     std::optional<RequestIdentity> identity = identify(request, *m_hooks.state(), refusal);
     if (!identity)
         co_return co_await refuse(refusal, writer);
+    IdentifiedWriter identified(writer, identity->requestId);
     if (isChat)
-        co_await m_chat.handle(request, *identity, writer);
+        co_await m_chat.handle(request, *identity, identified);
     else
-        co_await m_services.handle(request, *identity, writer);
+        co_await m_services.handle(request, *identity, identified);
 }
 
 Core::Task<bool> CallerApi::answerPlainPath(const std::string& path, HTTP::ResponseWriter& writer)
--- a/Libraries/LibLedger/include/LibLedger/LedgerAudit.h
+++ b/Libraries/LibLedger/include/LibLedger/LedgerAudit.h
@@ -3,6 +3,7 @@
 #include "LibLedger/Entry.h"
 #include <cstdint>
 #include <map>
+#include <vector>
 
 namespace Ledger {
 
@@ -28,6 +29,8 @@
     uint32_t shard { 0 };
     uint64_t sequence { 0 };
     std::map<BudgetId, BudgetAudit> budgets;
+    // Attempts that were recorded here for want of a witness and have no bill yet.
+    std::vector<OpenAttempt> openAttempts;
     bool operator==(const LedgerAudit&) const = default;
 };
 
--- a/Libraries/LibLedger/src/ShardWriter.cpp
+++ b/Libraries/LibLedger/src/ShardWriter.cpp
@@ -82,7 +82,10 @@
     start();
     if (!isLoaded)
         co_return std::nullopt;
-    co_return LedgerAudit { m_shard, m_log->sequence(), m_log->state().audit() };
+    LedgerAudit result { m_shard, m_log->sequence(), m_log->state().audit(), {} };
+    for (const std::pair<const std::string, OpenAttemptState>& open : m_log->state().openAttempts())
+        result.openAttempts.push_back(open.second.attempt);
+    co_return result;
 }
 
 void ShardWriter::start()
--- a/Meta/fleet.py
+++ b/Meta/fleet.py
@@ -183,6 +183,7 @@
             "operator_key_sha256": sha256(OPERATOR_KEY),
             "shard_count": 4,
             "readiness_delay_ms": 200,
+            "fault_switches": "true",
             **self.settings,
         }
         path = os.path.join(self.folder, name + ".yaml")
--- a/Services/jujuberelayd/src/Daemon.cpp
+++ b/Services/jujuberelayd/src/Daemon.cpp
@@ -1,10 +1,14 @@
 #include "Daemon.h"
 
 #include "LibCore/EventLog.h"
+#include "LibCore/Hash.h"
 #include "LibMembership/Registry.h"
+#include <nlohmann/json.hpp>
 
 using Core::SteadyClock;
 
+static const char* const recallType = "recall";
+
 static constexpr Core::Event daemonStarted { 2001, Core::Severity::Info, "daemon_started" };
 static constexpr Core::Event intentAdopted { 2002, Core::Severity::Info, "intent_adopted" };
 static constexpr Core::Event drainStarted { 2003, Core::Severity::Info, "drain_started" };
@@ -44,20 +48,6 @@
     return self;
 }
 
-static Ledger::WriterSettings writerSettings(const Settings& settings)
-{
-    Ledger::WriterSettings writer;
-    writer.gatherTime = std::chrono::milliseconds(settings.commitGatherMs);
-    return writer;
-}
-
-static Budget::AccountSettings accountSettings(const Settings& settings)
-{
-    Budget::AccountSettings accounts;
-    accounts.grantIdle = std::chrono::milliseconds(settings.grantIdleMs);
-    return accounts;
-}
-
 static Intent::FreshnessLimits freshnessLimits(const Settings& settings)
 {
     Intent::FreshnessLimits limits;
@@ -78,14 +68,15 @@
     , m_intent(executor, m_network, m_platform.hooks(), m_freshness, makeIntentHooks())
     , m_witnessService(m_network, m_records)
     , m_witness(executor, m_network, m_records, { m_settings.host, m_self.incarnation, m_settings.failureDomain }, makeWitnessHooks())
-    , m_ledger(executor, m_platform.hooks(), m_settings.shardCount, m_self, writerSettings(m_settings))
+    , m_ledger(executor, m_platform.hooks(), m_settings.shardCount, m_self, makeWriterSettings())
     , m_gateway(m_settings.host, m_network, m_ledger.submit(), [this] { return m_membership.live(); })
-    , m_accounts(executor, m_self, m_settings.shardCount, makeSubmit(), accountSettings(m_settings))
+    , m_accounts(executor, m_self, m_settings.shardCount, makeSubmit(), makeAccountSettings())
     , m_bills(executor, m_settings.shardCount, makeSubmit(), makeBillSettings())
     , m_topUps(executor, m_gateway, m_settings.shardCount, [this] { return m_intent.state(); })
     , m_engines(*m_client)
     , m_services(*m_client)
     , m_settler(m_records, makeSettlerHooks())
+    , m_recovery(m_settings.host, m_settings.shardCount, m_network, makeRecoveryHooks())
     , m_routes(executor, m_settings.host, m_network, m_engines, makeRouteHooks())
     , m_callerHooks(makeCallerHooks())
     , m_chat(executor, m_callerHooks, m_engines)
@@ -96,7 +87,7 @@
           [] { return std::string(); },
           [](const Caller::Refusal& refusal) { Core::logEvent(requestRefused, refusal.json()); })
     , m_callerServer(executor, [this](HTTP::Request request, HTTP::ResponseWriter& writer) { return m_callerApi.handle(std::move(request), writer); })
-    , m_operatorServer(executor, [this](HTTP::Request request, HTTP::ResponseWriter& writer) { return m_callerApi.handle(std::move(request), writer); })
+    , m_operatorServer(executor, [this](HTTP::Request request, HTTP::ResponseWriter& writer) { return handleOperator(std::move(request), writer); })
 {
 }
 
@@ -135,6 +126,8 @@
 MembershipService::Hooks Daemon::makeMembershipHooks()
 {
     MembershipService::Hooks hooks;
+    hooks.memberChanged = [this](const Membership::Member& member) { m_recovery.memberChanged(member); };
+    hooks.incarnationSuperseded = [this](const std::string& host, uint64_t older, uint64_t) { m_recovery.superseded(host, older); };
     hooks.generationHeard = [this](uint64_t generation) { m_intent.follower().generationHeard(generation); };
     return hooks;
 }
@@ -156,6 +149,98 @@
     return hooks;
 }
 
+Ledger::WriterSettings Daemon::makeWriterSettings()
+{
+    Ledger::WriterSettings writer;
+    writer.gatherTime = std::chrono::milliseconds(m_settings.commitGatherMs);
+    writer.recallNeeded = [this](const Ledger::BudgetId& budget, const std::vector<Ledger::Holder>& holders) { recallGrants(budget, holders); };
+    return writer;
+}
+
+Budget::AccountSettings Daemon::makeAccountSettings()
+{
+    Budget::AccountSettings accounts;
+    accounts.grantIdle = std::chrono::milliseconds(m_settings.grantIdleMs);
+    accounts.policy = [this](const Budget::GrantNeed& need) {
+        Budget::GrantPolicySettings policy;
+        std::shared_ptr<const Intent::FleetState> state = m_intent.state();
+        std::map<std::string, Intent::Workspace>::const_iterator workspace = state->workspaces.find(need.budget.workspace);
+        if (workspace != state->workspaces.end())
+            policy.share = workspace->second.grantSharePercent / 100.0;
+        return Budget::defaultGrantPolicy(policy)(need);
+    };
+    return accounts;
+}
+
+// The body of a recall is the workspace, a line break, and the budget's name.
+void Daemon::serveRecalls()
+{
+    m_network.onNotice(recallType, [this](const Peer::Identity&, std::string body) {
+        size_t separator = body.find('\n');
+        if (separator != std::string::npos)
+            m_accounts.recall({ body.substr(0, separator), body.substr(separator + 1) });
+    });
+}
+
+void Daemon::recallGrants(const Ledger::BudgetId& budget, const std::vector<Ledger::Holder>& holders)
+{
+    std::shared_ptr<const Intent::FleetState> state = m_intent.state();
+    std::map<std::string, Intent::Workspace>::const_iterator workspace = state->workspaces.find(budget.workspace);
+    if (workspace != state->workspaces.end() && !workspace->second.recallGrants)
+        return;
+    for (const Ledger::Holder& holder : holders) {
+        if (holder == m_self)
+            m_accounts.recall(budget);
+        for (const Membership::Member& member : m_membership.live()) {
+            if (member.host == holder.host && member.incarnation == holder.incarnation && holder != m_self)
+                m_network.notify(member.peerAddress, recallType, budget.workspace + "\n" + budget.budget);
+        }
+    }
+}
+
+HolderRecovery::Hooks Daemon::makeRecoveryHooks()
+{
+    HolderRecovery::Hooks hooks;
+    hooks.live = [this] { return m_membership.live(); };
+    hooks.ownerState = [this](const Ledger::Holder& holder) { return ownerState(holder); };
+    hooks.ownRecords = [this](const Ledger::Holder& holder) { return m_records.recordsOf(holder).size(); };
+    hooks.audit = [this](uint32_t shard, Core::Deadline deadline, Core::Reason& reason) { return m_ledger.audit(shard, deadline, reason); };
+    hooks.submit = makeSubmit();
+    hooks.cancelStream = [this](std::string endpoint, std::string streamId, Core::Deadline deadline, Core::Reason& reason) {
+        return cancelStream(std::move(endpoint), std::move(streamId), deadline, reason);
+    };
+    return hooks;
+}
+
+Core::Task<void> Daemon::handleOperator(HTTP::Request request, HTTP::ResponseWriter& writer)
+{
+    Core::Reason ignored;
+    if (HTTP::pathOf(request.target) == "/operator/faults") {
+        co_await writer.send(replaceFaults(request), ignored);
+        co_return;
+    }
+    co_await writer.send({ 404, { { "Content-Type", "application/json" } }, R"({"error":{"code":"not_found"}})" }, ignored);
+}
+
+// A switch for tests of partitions; refused unless the settings allow it.
+HTTP::Response Daemon::replaceFaults(const HTTP::Request& request)
+{
+    std::string key = HTTP::findHeader(request.headers, "Authorization").value_or("");
+    bool isOperator = key.starts_with("Bearer ") && Core::constantTimeEqual(Core::sha256Hex(key.substr(7)), m_settings.operatorKeySha256);
+    if (!isOperator || !m_settings.faultSwitches)
+        return { 403, { { "Content-Type", "application/json" } }, R"({"error":{"code":"forbidden"}})" };
+    nlohmann::json body = nlohmann::json::parse(request.body, nullptr, false);
+    std::vector<std::string> hosts;
+    if (!body.is_object() || !body.contains("blocked_hosts") || !body["blocked_hosts"].is_array())
+        return { 400, { { "Content-Type", "application/json" } }, R"({"error":{"code":"bad_request"}})" };
+    for (const nlohmann::json& host : body["blocked_hosts"]) {
+        if (host.is_string())
+            hosts.push_back(host.get<std::string>());
+    }
+    m_network.setBlockedHosts(std::move(hosts));
+    return { 200, { { "Content-Type", "application/json" } }, "{}" };
+}
+
 Caller::Hooks Daemon::makeCallerHooks()
 {
     Caller::Hooks hooks;
@@ -309,6 +394,7 @@
     m_intent.serve();
     m_gateway.serve();
     m_routes.serve();
+    serveRecalls();
     std::optional<Core::Address> peer = m_network.listen(reason);
     if (!peer)
         co_return false;
@@ -340,6 +426,7 @@
     Core::spawn(m_executor, "routes", m_routes.run());
     Core::spawn(m_executor, "witness", m_witness.run());
     Core::spawn(m_executor, "settler", m_settler.run());
+    Core::spawn(m_executor, "recovery", m_recovery.run());
 }
 
 std::string Daemon::addressLine() const
@@ -380,6 +467,7 @@
     m_records.startDraining();
     isComplete &= co_await m_settler.submitAll();
     m_settler.stop();
+    m_recovery.stop();
     m_witness.stop();
     m_accounts.stop();
     m_bills.stop();
--- a/Services/jujuberelayd/src/Daemon.h
+++ b/Services/jujuberelayd/src/Daemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "HolderRecovery.h"
 #include "IntentService.h"
 #include "LedgerGateway.h"
 #include "LibBudget/Accounts.h"
@@ -59,6 +60,13 @@
     RouteService::Hooks makeRouteHooks();
     Witness::WitnessClient::Hooks makeWitnessHooks();
     Witness::Settler::Hooks makeSettlerHooks();
+    HolderRecovery::Hooks makeRecoveryHooks();
+    Ledger::WriterSettings makeWriterSettings();
+    Budget::AccountSettings makeAccountSettings();
+    void serveRecalls();
+    void recallGrants(const Ledger::BudgetId&, const std::vector<Ledger::Holder>&);
+    Core::Task<void> handleOperator(HTTP::Request, HTTP::ResponseWriter&);
+    HTTP::Response replaceFaults(const HTTP::Request&);
     Witness::OwnerState ownerState(const Ledger::Holder&) const;
     Core::Task<std::optional<Ledger::Tokens>> cancelStream(std::string endpoint, std::string streamId, Core::Deadline, Core::Reason&);
     std::optional<Caller::Refusal> admission() const;
@@ -96,6 +104,7 @@
     Endpoint::EngineClient m_engines;
     Endpoint::ServiceClient m_services;
     Witness::Settler m_settler;
+    HolderRecovery m_recovery;
     RouteService m_routes;
     Caller::Hooks m_callerHooks;
     Caller::ChatHandler m_chat;
--- a/Services/jujuberelayd/src/MembershipService.cpp
+++ b/Services/jujuberelayd/src/MembershipService.cpp
@@ -30,8 +30,10 @@
 static Membership::ViewHooks viewHooks(const MembershipService::Hooks& hooks)
 {
     Membership::ViewHooks view;
-    view.memberChanged = [](const Member& member) {
+    view.memberChanged = [changed = hooks.memberChanged](const Member& member) {
         Core::logEvent(memberChanged, member.host + "#" + std::to_string(member.incarnation) + " is " + stateName(member.state));
+        if (changed)
+            changed(member);
     };
     view.incarnationSuperseded = [superseded = hooks.incarnationSuperseded](const std::string& host, uint64_t older, uint64_t newer) {
         Core::logEvent(incarnationSuperseded, host + "#" + std::to_string(older) + " was replaced by #" + std::to_string(newer));
--- a/Services/jujuberelayd/src/MembershipService.h
+++ b/Services/jujuberelayd/src/MembershipService.h
@@ -18,6 +18,8 @@
     struct Hooks {
         // A newer incarnation of the host has bound the host's address, so the older process is gone.
         std::function<void(const std::string& host, uint64_t older, uint64_t newer)> incarnationSuperseded;
+        // A daemon was added or its state, address or incarnation changed.
+        std::function<void(const Membership::Member&)> memberChanged;
         // A peer has this generation in force.
         std::function<void(uint64_t generation)> generationHeard;
     };
--- a/Services/jujuberelayd/src/Settings.cpp
+++ b/Services/jujuberelayd/src/Settings.cpp
@@ -77,6 +77,15 @@
     };
 }
 
+Reader switchReader(bool& target)
+{
+    return [&target](const YAML::Node& node) -> std::optional<std::string> {
+        if (node.IsScalar() && YAML::convert<bool>::decode(node, target))
+            return std::nullopt;
+        return "true or false";
+    };
+}
+
 Reader hexDigestReader(std::string& target)
 {
     return [&target](const YAML::Node& node) -> std::optional<std::string> {
@@ -126,6 +135,7 @@
     fields["drain_limit_ms"] = { Need::Optional, numberReader(settings.drainLimitMs, 0, dayMs) };
     fields["readiness_delay_ms"] = { Need::Optional, numberReader(settings.readinessDelayMs, 0, dayMs) };
     fields["watchers_per_failure_domain"] = { Need::Optional, numberReader(settings.watchersPerFailureDomain, 1, 1000) };
+    fields["fault_switches"] = { Need::Optional, switchReader(settings.faultSwitches) };
     fields["log_level"] = { Need::Optional, choiceReader(settings.logLevel, { "debug", "info", "warning", "error" }) };
     fields["trace_file"] = { Need::Optional, textReader(settings.traceFile) };
     return fields;
--- a/Services/jujuberelayd/src/Settings.h
+++ b/Services/jujuberelayd/src/Settings.h
@@ -38,6 +38,8 @@
     // Daemons of each failure domain that hold a watch at the platform.
     int64_t watchersPerFailureDomain { 2 };
 
+    // Allows operators to cut links between daemons, for tests of partitions.
+    bool faultSwitches { false };
     // One of debug, info, warning, error.
     std::string logLevel { "info" };
     // Spans are appended here as OTLP JSON lines; empty: no tracing.
