--- /dev/null
+++ b/Tests/LibOperator/TestOperatorApi.cpp
@@ -0,0 +1,202 @@
+#include "Examples.h"
+#include "LibCore/Hash.h"
+#include "LibIntent/NoteLog.h"
+#include "LibOperator/OperatorApi.h"
+#include "MemoryStore.h"
+#include "RunTask.h"
+#include <nlohmann/json.hpp>
+
+using namespace Operator;
+using nlohmann::json;
+
+namespace {
+
+class RecordingWriter : public HTTP::ResponseWriter {
+public:
+    HTTP::Response response;
+
+    Core::Task<bool> send(HTTP::Response sent, Core::Reason&) override
+    {
+        response = std::move(sent);
+        co_return true;
+    }
+    Core::Task<bool> startStream(unsigned, HTTP::Headers, Core::Reason&) override { co_return false; }
+    Core::Task<bool> writeChunk(std::string_view, Core::Reason&) override { co_return false; }
+    Core::Task<bool> finishStream(Core::Reason&) override { co_return false; }
+    void abort() override { }
+    bool hasStarted() const override { return false; }
+};
+
+Membership::Member memberWith(const std::string& host, Membership::MemberState state, uint64_t generation)
+{
+    Membership::Member member;
+    member.host = host;
+    member.incarnation = 7;
+    member.state = state;
+    member.generation = generation;
+    return member;
+}
+
+struct Fixture {
+    boost::asio::io_context context;
+    MemoryStore store { context.get_executor() };
+    Intent::NoteLog log { store.hooks() };
+    std::shared_ptr<const Intent::FleetState> state { std::make_shared<const Intent::FleetState>() };
+    std::vector<Membership::Member> members;
+    int looksAtMembers { 0 };
+    std::function<void()> onLook;
+    OperatorApi api { { Core::sha256Hex("secret"), std::chrono::milliseconds(60), std::chrono::milliseconds(2) }, hooks() };
+
+    OperatorHooks hooks()
+    {
+        OperatorHooks hooks;
+        hooks.acceptNote = [this](Intent::Submission submission) { return accept(std::move(submission)); };
+        hooks.state = [this] { return state; };
+        hooks.changesSince = [](uint64_t) { return Intent::Note {}; };
+        hooks.history = [this](uint64_t after, size_t limit, Core::Reason& reason) { return history(after, limit, reason); };
+        hooks.members = [this] {
+            ++looksAtMembers;
+            if (onLook)
+                onLook();
+            return members;
+        };
+        hooks.freshness = [] { return std::string("fresh"); };
+        hooks.audit = [](Core::Reason& reason) { return audit(reason); };
+        return hooks;
+    }
+
+    Core::Task<Intent::AcceptResult> accept(Intent::Submission submission)
+    {
+        Intent::AcceptResult result = co_await log.accept(state, submission, Core::Deadline::after(std::chrono::milliseconds(200)));
+        if (result.status == Intent::AcceptStatus::Accepted) {
+            std::vector<Intent::NoteError> errors;
+            state = std::make_shared<const Intent::FleetState>(Intent::applyNote(*state, parsed(result.note->text), errors).value());
+        }
+        co_return result;
+    }
+
+    Core::Task<std::optional<std::vector<Intent::AcceptedNote>>> history(uint64_t after, size_t limit, Core::Reason& reason)
+    {
+        std::optional<Intent::NotesRead> read = co_await log.readAfter(after, Core::Deadline::after(std::chrono::seconds(1)), reason);
+        if (!read)
+            co_return std::nullopt;
+        read->notes.resize(std::min(limit, read->notes.size()));
+        co_return read->notes;
+    }
+
+    static Core::Task<std::optional<std::string>> audit(Core::Reason&)
+    {
+        co_return R"({"violations": []})";
+    }
+
+    static Core::Task<bool> run(OperatorApi& api, HTTP::Request request, HTTP::ResponseWriter& writer)
+    {
+        co_await api.handle(std::move(request), writer);
+        co_return true;
+    }
+
+    json call(const std::string& method, const std::string& target, const json& body, unsigned expectedStatus, const std::string& key = "secret")
+    {
+        RecordingWriter writer;
+        HTTP::Request request { method, target, { { "authorization", "Bearer " + key } }, body.is_null() ? "" : body.dump() };
+        runTask(context, run(api, std::move(request), writer));
+        cr_assert_eq(writer.response.status, expectedStatus, "%s", writer.response.body.c_str());
+        return json::parse(writer.response.body);
+    }
+
+    json submit(const std::string& identity, const std::string& note, unsigned expectedStatus)
+    {
+        return call("POST", "/operator/notes", { { "identity", identity }, { "note", note } }, expectedStatus);
+    }
+};
+
+}
+
+// Guards against an operator API that answers without the key, and against settings without a key that let all pass.
+Test(OperatorApi, everyPathNeedsTheKey)
+{
+    Fixture fixture;
+    for (const char* path : { "/operator/notes", "/operator/check", "/operator/state", "/operator/history", "/operator/status", "/operator/audit", "/operator/none" })
+        fixture.call("GET", path, nullptr, 401, "wrong");
+    fixture.api = OperatorApi({ "", std::chrono::milliseconds(1), std::chrono::milliseconds(1) }, fixture.hooks());
+    fixture.call("GET", "/operator/state", nullptr, 401, "");
+    cr_assert_eq(fixture.store.counters.lists, 0);
+}
+
+// Guards against "in force" being reported while a daemon still has an older generation.
+Test(OperatorApi, waitsForEveryDaemon)
+{
+    Fixture fixture;
+    fixture.members = { memberWith("h1", Membership::MemberState::Alive, 0), memberWith("h2", Membership::MemberState::Alive, 0) };
+    fixture.onLook = [&] {
+        if (fixture.looksAtMembers == 2)
+            fixture.members[0].generation = 1;
+        if (fixture.looksAtMembers == 4)
+            fixture.members[1].generation = 1;
+    };
+    json reply = fixture.submit("one", foundingNote, 200);
+    cr_assert_eq(reply["result"], "in_force");
+    cr_assert_eq(reply["generation"], 1);
+    cr_assert_eq(fixture.looksAtMembers, 4);
+    cr_assert_eq(fixture.submit("one", foundingNote, 200)["already_accepted"], true);
+}
+
+// Guards against a silent daemon that blocks the operator without end, is left out of the list, or is listed although
+// it is gone.
+Test(OperatorApi, namesTheMissingDaemons)
+{
+    Fixture fixture;
+    fixture.members = { memberWith("current", Membership::MemberState::Alive, 1), memberWith("behind", Membership::MemberState::Alive, 0),
+        memberWith("silent", Membership::MemberState::Suspect, 0), memberWith("draining", Membership::MemberState::Draining, 0),
+        memberWith("left", Membership::MemberState::Left, 0), memberWith("destroyed", Membership::MemberState::Suspect, 0) };
+    json reply = fixture.submit("one", foundingNote + "withdrawn: {hosts: [destroyed]}\n", 202);
+    cr_assert_eq(reply["result"], "pending");
+    cr_assert_eq(reply["missing"].size(), 3u);
+    cr_assert_eq(reply["missing"][0]["host"], "behind");
+    cr_assert_eq(reply["missing"][1]["host"], "silent");
+    cr_assert_neq(reply["missing"][1]["reason"].get<std::string>().find("paused or cut off"), std::string::npos);
+    cr_assert_eq(reply["missing"][2]["host"], "draining");
+    cr_assert_eq(fixture.call("GET", "/operator/status", nullptr, 200)["missing"].size(), 3u);
+}
+
+// Guards against refusals whose status or body hides whether anything was changed.
+Test(OperatorApi, refusalsSayWhy)
+{
+    Fixture fixture;
+    fixture.submit("one", foundingNote, 200);
+    json conflict = fixture.submit("two", noteText(0, "bea", "added: {workspaces: [{name: x}]}\n"), 409);
+    cr_assert_eq(conflict["generation"], 1);
+    cr_assert_eq(parsed(conflict["difference"]).added.workspaces.size(), 2u);
+    json invalid = fixture.submit("three", noteText(1, "bea", "added:\n  workspaces:\n    - {name: orders}\n"), 422);
+    cr_assert_eq(invalid["errors"][0]["line"], 4);
+    fixture.call("POST", "/operator/notes", { { "note", "x" } }, 400);
+    fixture.call("POST", "/operator/notes", nullptr, 400);
+    fixture.call("GET", "/operator/notes", nullptr, 405);
+    fixture.call("GET", "/operator/none", nullptr, 404);
+    fixture.call("GET", "/operator/history?limit=x", nullptr, 400);
+    fixture.store.faults.isDown = true;
+    cr_assert_eq(fixture.submit("four", noteText(1, "bea", "added: {workspaces: [{name: x}]}\n"), 503)["error"]["code"], "platform_unavailable");
+    fixture.call("GET", "/operator/history", nullptr, 503);
+    cr_assert_eq(fixture.store.objects().size(), 1u);
+}
+
+// Guards against a check that writes, and against a state or history that does not show what was accepted.
+Test(OperatorApi, checkStateAndHistory)
+{
+    Fixture fixture;
+    json valid = fixture.call("POST", "/operator/check", { { "note", foundingNote } }, 200);
+    cr_assert_eq(parsed(valid["changes"]).added.endpoints.size(), 2u);
+    cr_assert(fixture.store.objects().empty());
+    fixture.submit("one", foundingNote, 200);
+    fixture.call("POST", "/operator/check", { { "note", foundingNote } }, 409);
+    fixture.call("POST", "/operator/check", { { "note", "x" } }, 422);
+    json state = fixture.call("GET", "/operator/state", nullptr, 200);
+    cr_assert(Intent::stateFromNote(parsed(state["note"])) == foundingState());
+    json history = fixture.call("GET", "/operator/history?after=0&limit=5", nullptr, 200);
+    cr_assert_eq(history["notes"].at(0)["text"], foundingNote);
+    cr_assert_eq(history["notes"].at(0)["identity"], "one");
+    fixture.call("GET", "/operator/audit", nullptr, 200);
+    fixture.state = nullptr;
+    fixture.call("GET", "/operator/state", nullptr, 503);
+    fixture.submit("two", foundingNote, 503);
+}
--- a/Utilities/jujuberelay/src/NotBuilt.cpp
+++ b/Utilities/jujuberelay/src/NotBuilt.cpp
@@ -13,11 +13,6 @@
 int emulate(const Arguments& arguments) { return notBuilt(arguments); }
 int load(const Arguments& arguments) { return notBuilt(arguments); }
 int measure(const Arguments& arguments) { return notBuilt(arguments); }
-int note(const Arguments& arguments) { return notBuilt(arguments); }
-int state(const Arguments& arguments) { return notBuilt(arguments); }
-int history(const Arguments& arguments) { return notBuilt(arguments); }
-int status(const Arguments& arguments) { return notBuilt(arguments); }
-int audit(const Arguments& arguments) { return notBuilt(arguments); }
 int trace(const Arguments& arguments) { return notBuilt(arguments); }
 
 }
