--- a/Tests/LibOperator/TestOperatorApi.cpp
+++ b/Tests/LibOperator/TestOperatorApi.cpp
@@ -1,9 +1,5 @@
-#include "Examples.h"
-#include "LibCore/Hash.h"
-#include "LibIntent/NoteLog.h"
-#include "LibOperator/OperatorApi.h"
-#include "MemoryStore.h"
-#include "RunTask.h"
+#include "OperatorFixture.h"
+
 #include <nlohmann/json.hpp>
 
 using namespace Operator;
@@ -27,68 +23,7 @@
     bool hasStarted() const override { return false; }
 };
 
-Membership::Member memberWith(const std::string& host, Membership::MemberState state, uint64_t generation)
-{
-    Membership::Member member;
-    member.host = host;
-    member.incarnation = 7;
-    member.state = state;
-    member.generation = generation;
-    return member;
-}
-
-struct Fixture {
-    boost::asio::io_context context;
-    MemoryStore store { context.get_executor() };
-    Intent::NoteLog log { store.hooks() };
-    std::shared_ptr<const Intent::FleetState> state { std::make_shared<const Intent::FleetState>() };
-    std::vector<Membership::Member> members;
-    int looksAtMembers { 0 };
-    std::function<void()> onLook;
-    OperatorApi api { { Core::sha256Hex("secret"), std::chrono::milliseconds(60), std::chrono::milliseconds(2) }, hooks() };
-
-    OperatorHooks hooks()
-    {
-        OperatorHooks hooks;
-        hooks.acceptNote = [this](Intent::Submission submission) { return accept(std::move(submission)); };
-        hooks.state = [this] { return state; };
-        hooks.changesSince = [](uint64_t) { return Intent::Note {}; };
-        hooks.history = [this](uint64_t after, size_t limit, Core::Reason& reason) { return history(after, limit, reason); };
-        hooks.members = [this] {
-            ++looksAtMembers;
-            if (onLook)
-                onLook();
-            return members;
-        };
-        hooks.freshness = [] { return std::string("fresh"); };
-        hooks.audit = [](Core::Reason& reason) { return audit(reason); };
-        return hooks;
-    }
-
-    Core::Task<Intent::AcceptResult> accept(Intent::Submission submission)
-    {
-        Intent::AcceptResult result = co_await log.accept(state, submission, Core::Deadline::after(std::chrono::milliseconds(200)));
-        if (result.status == Intent::AcceptStatus::Accepted) {
-            std::vector<Intent::NoteError> errors;
-            state = std::make_shared<const Intent::FleetState>(Intent::applyNote(*state, parsed(result.note->text), errors).value());
-        }
-        co_return result;
-    }
-
-    Core::Task<std::optional<std::vector<Intent::AcceptedNote>>> history(uint64_t after, size_t limit, Core::Reason& reason)
-    {
-        std::optional<Intent::NotesRead> read = co_await log.readAfter(after, Core::Deadline::after(std::chrono::seconds(1)), reason);
-        if (!read)
-            co_return std::nullopt;
-        read->notes.resize(std::min(limit, read->notes.size()));
-        co_return read->notes;
-    }
-
-    static Core::Task<std::optional<std::string>> audit(Core::Reason&)
-    {
-        co_return R"({"violations": []})";
-    }
-
+struct Fixture : OperatorFixture {
     static Core::Task<bool> run(OperatorApi& api, HTTP::Request request, HTTP::ResponseWriter& writer)
     {
         co_await api.handle(std::move(request), writer);
