--- a/Utilities/jujuberelay/src/NotBuilt.cpp
+++ b/Utilities/jujuberelay/src/NotBuilt.cpp
@@ -14,11 +14,6 @@
 int measureHop(const Arguments& arguments) { return notBuilt(arguments); }
 int measureIntent(const Arguments& arguments) { return notBuilt(arguments); }
 int measureCapacity(const Arguments& arguments) { return notBuilt(arguments); }
-int note(const Arguments& arguments) { return notBuilt(arguments); }
-int state(const Arguments& arguments) { return notBuilt(arguments); }
-int history(const Arguments& arguments) { return notBuilt(arguments); }
-int status(const Arguments& arguments) { return notBuilt(arguments); }
-int audit(const Arguments& arguments) { return notBuilt(arguments); }
 int trace(const Arguments& arguments) { return notBuilt(arguments); }
 
 }
