--- /dev/null
+++ b/Libraries/LibTelemetry/src/Metrics.cpp
@@ -0,0 +1,148 @@
+#include "LibTelemetry/Metrics.h"
+
+#include <array>
+#include <charconv>
+#include <cmath>
+#include <stdexcept>
+
+namespace Telemetry {
+
+static bool isNameStart(char character)
+{
+    return (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z') || character == '_';
+}
+
+static bool isName(const std::string& name, bool allowsColon)
+{
+    for (size_t i = 0; i < name.size(); ++i) {
+        bool isDigit = name[i] >= '0' && name[i] <= '9';
+        bool isAllowed = isNameStart(name[i]) || (allowsColon && name[i] == ':') || (i > 0 && isDigit);
+        if (!isAllowed)
+            return false;
+    }
+    return !name.empty();
+}
+
+static std::string escaped(const std::string& text, bool escapesQuotes)
+{
+    std::string result;
+    for (char character : text) {
+        if (character == '\n') {
+            result += "\\n";
+            continue;
+        }
+        if (character == '\\' || (escapesQuotes && character == '"'))
+            result += '\\';
+        result += character;
+    }
+    return result;
+}
+
+static std::string numberText(double value)
+{
+    if (std::isnan(value))
+        return "NaN";
+    if (std::isinf(value))
+        return value > 0 ? "+Inf" : "-Inf";
+    std::array<char, 32> buffer;
+    std::to_chars_result result = std::to_chars(buffer.data(), buffer.data() + buffer.size(), value);
+    return std::string(buffer.data(), result.ptr);
+}
+
+static void addSample(std::string& text, const std::string& name, const Labels& labels, const std::string& value)
+{
+    text += name;
+    for (size_t i = 0; i < labels.size(); ++i)
+        text += (i == 0 ? "{" : ",") + labels[i].name + "=\"" + escaped(labels[i].value, true) + "\"";
+    if (!labels.empty())
+        text += "}";
+    text += " " + value + "\n";
+}
+
+static void addHistogram(std::string& text, const std::string& name, const Labels& labels, const Histogram& histogram)
+{
+    std::vector<uint64_t> counts = histogram.cumulativeCounts();
+    const std::vector<double>& bounds = histogram.axis().upperBounds;
+    for (size_t i = 0; i < counts.size(); ++i) {
+        Labels bucketLabels = labels;
+        bucketLabels.push_back({ "le", i < bounds.size() ? numberText(bounds[i]) : "+Inf" });
+        addSample(text, name + "_bucket", bucketLabels, std::to_string(counts[i]));
+    }
+    addSample(text, name + "_sum", labels, numberText(histogram.sum()));
+    addSample(text, name + "_count", labels, std::to_string(counts.back()));
+}
+
+Metrics::Family& Metrics::family(const std::string& name, const std::string& help, Type type, const Labels& labels)
+{
+    if (!isName(name, true))
+        throw std::invalid_argument("\"" + name + "\" is not a name of a metric");
+    for (const Label& label : labels) {
+        bool isReserved = label.name.starts_with("__") || (type == Type::Histogram && label.name == "le");
+        if (!isName(label.name, false) || isReserved)
+            throw std::invalid_argument("\"" + label.name + "\" is not a name of a label");
+    }
+    auto [position, isNew] = m_families.try_emplace(name, Family { type, help, {}, {}, {}, {} });
+    if (position->second.type != type)
+        throw std::invalid_argument("the metric " + name + " exists with another type");
+    return position->second;
+}
+
+template <typename Map, typename... Arguments>
+static auto& findOrMake(Map& metrics, const Labels& labels, const Arguments&... arguments)
+{
+    auto position = metrics.find(labels);
+    if (position == metrics.end()) {
+        using Metric = typename Map::mapped_type::element_type;
+        position = metrics.emplace(labels, std::make_unique<Metric>(arguments...)).first;
+    }
+    return *position->second;
+}
+
+Counter& Metrics::counter(const std::string& name, const std::string& help, const Labels& labels)
+{
+    return findOrMake(family(name, help, Type::Counter, labels).counters, labels);
+}
+
+Gauge& Metrics::gauge(const std::string& name, const std::string& help, const Labels& labels)
+{
+    return findOrMake(family(name, help, Type::Gauge, labels).gauges, labels);
+}
+
+Histogram& Metrics::histogram(const std::string& name, const std::string& help, const HistogramAxis& axis, const Labels& labels)
+{
+    return findOrMake(family(name, help, Type::Histogram, labels).histograms, labels, axis);
+}
+
+void Metrics::observe(const std::string& name, const std::string& help, std::function<double()> read, const Labels& labels)
+{
+    family(name, help, Type::Gauge, labels).observed[labels] = std::move(read);
+}
+
+void Metrics::addSamples(std::string& text, const std::string& name, const Family& family)
+{
+    for (const auto& [labels, counter] : family.counters)
+        addSample(text, name, labels, std::to_string(counter->value()));
+    for (const auto& [labels, gauge] : family.gauges) {
+        // An observed gauge replaces a set one of the same labels.
+        if (!family.observed.contains(labels))
+            addSample(text, name, labels, numberText(gauge->value()));
+    }
+    for (const auto& [labels, read] : family.observed)
+        addSample(text, name, labels, numberText(read()));
+    for (const auto& [labels, histogram] : family.histograms)
+        addHistogram(text, name, labels, *histogram);
+}
+
+std::string Metrics::text() const
+{
+    static constexpr const char* typeNames[] = { "counter", "gauge", "histogram" };
+    std::string text;
+    for (const auto& [name, family] : m_families) {
+        text += "# HELP " + name + " " + escaped(family.help, false) + "\n";
+        text += "# TYPE " + name + " " + typeNames[static_cast<int>(family.type)] + "\n";
+        addSamples(text, name, family);
+    }
+    return text;
+}
+
+}
