--- a/Services/jujuberelayd/src/Daemon.h
+++ b/Services/jujuberelayd/src/Daemon.h
@@ -12,6 +12,7 @@
 #include "LibHTTP/Server.h"
 #include "LibIntent/Freshness.h"
 #include "LibLedger/LedgerService.h"
+#include "LibOperator/OperatorApi.h"
 #include "LibPeer/Network.h"
 #include "LibPlatform/HttpObjectStore.h"
 #include "LibWitness/Settler.h"
@@ -65,6 +66,12 @@
     Budget::AccountSettings makeAccountSettings();
     void serveRecalls();
     void recallGrants(const Ledger::BudgetId&, const std::vector<Ledger::Holder>&);
+    Operator::OperatorSettings makeOperatorSettings() const;
+    Operator::OperatorHooks makeOperatorHooks();
+    Core::Task<Intent::AcceptResult> acceptNote(Intent::Submission);
+    std::optional<Intent::Note> changesSince(uint64_t from) const;
+    Core::Task<std::optional<std::vector<Intent::AcceptedNote>>> history(uint64_t after, size_t limit, Core::Reason&);
+    Core::Task<std::optional<std::string>> auditJson(Core::Reason&);
     Core::Task<void> handleOperator(HTTP::Request, HTTP::ResponseWriter&);
     HTTP::Response replaceFaults(const HTTP::Request&);
     Witness::OwnerState ownerState(const Ledger::Holder&) const;
@@ -110,6 +117,7 @@
     Caller::ChatHandler m_chat;
     Caller::ServiceHandler m_serviceCalls;
     Caller::CallerApi m_callerApi;
+    Operator::OperatorApi m_operatorApi;
     HTTP::Server m_callerServer;
     HTTP::Server m_operatorServer;
 };
--- a/Services/jujuberelayd/src/IntentService.h
+++ b/Services/jujuberelayd/src/IntentService.h
@@ -34,6 +34,7 @@
     std::shared_ptr<const Intent::FleetState> state() const { return m_follower->state(); }
     Intent::NoteLog& log() { return m_log; }
     Intent::Follower& follower() { return *m_follower; }
+    const Intent::Follower& follower() const { return *m_follower; }
 
 private:
     Intent::FollowerHooks followerHooks();
