--- a/Tests/Support/RunTask.h
+++ b/Tests/Support/RunTask.h
@@ -25,6 +25,8 @@
         isDone = true;
     });
     Core::Deadline limit = Core::Deadline::after(watchdog);
+    // A context that ran out of work in an earlier call is stopped.
+    context.restart();
     while (!isDone && !limit.hasPassed())
         context.run_one_until(limit.at());
     cr_assert(isDone, "the task did not end within the watchdog's limit");
@@ -45,6 +47,7 @@
 void runUntil(boost::asio::io_context& context, Condition condition)
 {
     Core::Deadline limit = Core::Deadline::after(watchdog);
+    context.restart();
     while (!condition() && !limit.hasPassed())
         context.run_one_until(limit.at());
     cr_assert(condition(), "the condition did not hold within the watchdog's limit");
