--- /dev/null
+++ b/Utilities/jujuberelay/src/EventQueue.cpp
@@ -0,0 +1,21 @@
+#include "EventQueue.h"
+
+namespace Commands {
+
+void EventQueue::schedule(TimePoint at, std::function<void()> run)
+{
+    m_events.push({ at, ++m_lastNumber, std::move(run) });
+}
+
+bool EventQueue::runOne()
+{
+    if (m_events.empty())
+        return false;
+    Event event = m_events.top();
+    m_events.pop();
+    m_now = event.at;
+    event.run();
+    return true;
+}
+
+}
--- a/Utilities/jujuberelay/src/NotBuilt.cpp
+++ b/Utilities/jujuberelay/src/NotBuilt.cpp
@@ -10,7 +10,6 @@
     return InvalidInput;
 }
 
-int measure(const Arguments& arguments) { return notBuilt(arguments); }
 int note(const Arguments& arguments) { return notBuilt(arguments); }
 int state(const Arguments& arguments) { return notBuilt(arguments); }
 int history(const Arguments& arguments) { return notBuilt(arguments); }
