--- a/Utilities/jujuberelay/src/EventQueue.h
+++ b/Utilities/jujuberelay/src/EventQueue.h
@@ -16,6 +16,8 @@
     Time now() const { return m_now; }
     void at(Time, std::function<void()>);
     void after(Core::SteadyClock::duration delay, std::function<void()> action) { at(m_now + delay, std::move(action)); }
+    // Runs the next event; false when there is none.
+    bool runOne();
     // Runs until no event is left or the time is reached.
     void runUntil(Time);
 
--- a/Utilities/jujuberelay/src/NotBuilt.cpp
+++ b/Utilities/jujuberelay/src/NotBuilt.cpp
@@ -10,7 +10,6 @@
     return InvalidInput;
 }
 
-int measureRouting(const Arguments& arguments) { return notBuilt(arguments); }
 int measureHop(const Arguments& arguments) { return notBuilt(arguments); }
 int measureIntent(const Arguments& arguments) { return notBuilt(arguments); }
 int measureCapacity(const Arguments& arguments) { return notBuilt(arguments); }
