--- a/Libraries/LibPlatform/include/LibPlatform/InMemoryObjectStore.h
+++ b/Libraries/LibPlatform/include/LibPlatform/InMemoryObjectStore.h
@@ -29,6 +29,9 @@
     // The next writes fail with Conflict and have no effect.
     void failWithConflict(size_t count);
 
+    // The next reads and writes fail with RateLimited.
+    void limitRate(size_t count);
+
     // Calls so far, including failed ones; a watch counts as one read.
     size_t reads() const;
     size_t writes() const;
--- a/Libraries/LibPlatform/src/InMemoryObjectStore.cpp
+++ b/Libraries/LibPlatform/src/InMemoryObjectStore.cpp
@@ -25,6 +25,7 @@
     size_t repliesToLose { 0 };
     size_t requestsToLose { 0 };
     size_t conflictsToReport { 0 };
+    size_t callsToLimit { 0 };
     size_t reads { 0 };
     size_t writes { 0 };
 };
@@ -83,6 +84,8 @@
         co_return fail(FailureKind::OutcomeUnknown, step, "the reply did not come before the deadline", reason);
     if (state->isOut)
         co_return fail(FailureKind::Unavailable, step, "the store is out of service", reason);
+    if (takeOne(state->callsToLimit))
+        co_return fail(FailureKind::RateLimited, step, "the rate limit is exceeded", reason);
     if (takeOne(state->requestsToLose))
         co_return fail(FailureKind::OutcomeUnknown, step, "the request was lost", reason);
     if (takeOne(state->conflictsToReport))
@@ -117,9 +120,14 @@
 {
     ++state->reads;
     bool hasArrived = co_await arrive(state, Core::Deadline::after(state->delay), deadline);
-    if (hasArrived && !state->isOut)
+    if (!hasArrived)
+        fail(FailureKind::Unavailable, step, "the reply did not come before the deadline", reason);
+    else if (state->isOut)
+        fail(FailureKind::Unavailable, step, "the store is out of service", reason);
+    else if (takeOne(state->callsToLimit))
+        fail(FailureKind::RateLimited, step, "the rate limit is exceeded", reason);
+    else
         co_return true;
-    fail(FailureKind::Unavailable, step, hasArrived ? "the store is out of service" : "the reply did not come before the deadline", reason);
     co_return false;
 }
 
@@ -199,6 +207,11 @@
     m_state->conflictsToReport = count;
 }
 
+void InMemoryObjectStore::limitRate(size_t count)
+{
+    m_state->callsToLimit = count;
+}
+
 size_t InMemoryObjectStore::reads() const
 {
     return m_state->reads;
--- a/Tests/LibEmulator/TestPlatformFaults.cpp
+++ b/Tests/LibEmulator/TestPlatformFaults.cpp
@@ -53,6 +53,9 @@
     Result watch = Testing::start(fixture.context, fixture.store.watch("a/", 1, Testing::soon(), reason));
     Testing::runUntil(fixture.context, [&] { return fixture.emulator.counters().waitingWatches == 1; });
     fixture.setFaults(R"({"outage_ms": 3600000})");
+    // The watch ends with the start of the outage, not with its own time limit: before the next call does.
+    cr_assert_not(fixture.list("a/"));
+    cr_assert_eq(fixture.emulator.counters().waitingWatches, 0u);
     Testing::runUntil(fixture.context, [&] { return watch->has_value(); });
     cr_assert_not((**watch).has_value());
     cr_assert_eq(reason.kind, FailureKind::Unavailable);
@@ -64,7 +67,7 @@
     cr_assert_eq(fixture.reason.kind, FailureKind::Unavailable);
     cr_assert_not(fixture.list("a/"));
     cr_assert_eq(fixture.reason.kind, FailureKind::Unavailable);
-    cr_assert_eq(fixture.emulator.counters().duringOutage, 5u);
+    cr_assert_eq(fixture.emulator.counters().duringOutage, 6u);
     fixture.setFaults(R"({"outage_ms": 0})");
     cr_assert_eq(fixture.get("a/1")->value, "one");
 }
@@ -89,6 +92,8 @@
     Result otherWatch = Testing::start(fixture.context, other.watch("", 0, Testing::soon(), otherReason));
     Testing::runUntil(fixture.context, [&] { return fixture.emulator.counters().waitingWatches == 2; });
     fixture.setFaults(R"({"blocked_clients": ["host-a", "host-z"]})");
+    cr_assert_not(fixture.get("a/1"));
+    cr_assert_eq(fixture.emulator.counters().waitingWatches, 1u);
     Testing::runUntil(fixture.context, [&] { return watch->has_value(); });
     cr_assert_not((**watch).has_value());
     cr_assert_eq(reason.kind, FailureKind::Unavailable);
--- a/Tests/LibPlatform/TestInMemoryObjectStore.cpp
+++ b/Tests/LibPlatform/TestInMemoryObjectStore.cpp
@@ -68,6 +68,20 @@
     cr_assert_not(fixture.get("b"));
 }
 
+// Guards against rate-limited calls that write, and against a limit that hits only reads or only writes.
+Test(InMemoryObjectStore, limitedCallsHaveNoEffect)
+{
+    Fixture fixture;
+    fixture.memory.limitRate(2);
+    cr_assert_not(fixture.put("a", "one"));
+    cr_assert_eq(fixture.reason.kind, FailureKind::RateLimited);
+    cr_assert_not(fixture.get("a"));
+    cr_assert_eq(fixture.reason.kind, FailureKind::RateLimited);
+    cr_assert_not(fixture.get("a"));
+    cr_assert_eq(fixture.reason.kind, FailureKind::NotFound);
+    cr_assert(fixture.put("a", "one"));
+}
+
 // Guards against calls that get through an outage and against watches that outlast its start.
 Test(InMemoryObjectStore, outageFailsCallsAndWaitingWatches)
 {
