Tests: watches that no slow machine can make fail

Quiet watches of the emulator now have a short hold and a long deadline, so that every one is compared again, and the followers end with a last write instead of a deadline.

--- a/Tests/LibEmulator/TestPlatformDifferential.cpp
+++ b/Tests/LibEmulator/TestPlatformDifferential.cpp
@@ -1,4 +1,5 @@
 #include "LibPlatform/InMemoryObjectStore.h"
+#include "LibPlatform/ObjectCodec.h"
 #include "PlatformFixture.h"
 #include <random>
 
@@ -77,6 +78,8 @@
     boost::asio::io_context& context;
     Platform::ObjectStore store;
     std::function<void(size_t)> loseReplies;
+    // A watch without changes that ends after a short time.
+    std::function<std::optional<Changes>(const std::string& prefix, Version since)> quietWatch;
     std::mt19937_64 generator;
     NaivePlatform naive {};
     Core::Reason reason {};
@@ -154,11 +157,8 @@
         step += " watch " + prefix + " since " + std::to_string(since);
         std::optional<Changes> expected = naive.changesAfter(prefix, since);
         bool mustWait = expected && expected->changes.empty();
-        // Watches without changes take their time; a few of them are enough.
-        if (mustWait && below(8) > 0)
-            return;
-        Core::Deadline deadline = mustWait ? Core::Deadline::after(std::chrono::milliseconds(800)) : Testing::soon();
-        std::optional<Changes> changes = Testing::run(context, store.watch(prefix, since, deadline, reason));
+        std::optional<Changes> changes = mustWait ? quietWatch(prefix, since)
+                                                  : Testing::run(context, store.watch(prefix, since, Testing::soon(), reason));
         cr_assert_eq(changes.has_value(), expected.has_value(), "%s: %s", step.c_str(), reason.text().c_str());
         if (changes)
             cr_assert(*changes == *expected, "%s", step.c_str());
@@ -187,6 +187,13 @@
 
 }
 
+// Watches with a short hold and a long deadline, so that a slow machine cannot make the watch fail.
+static std::optional<Changes> heldFor10ms(PlatformFixture& fixture, const std::string& prefix, Version since)
+{
+    std::string target = "/v1/watch?timeout_ms=10&since=" + std::to_string(since) + "&prefix=" + HTTP::encodeComponent(prefix);
+    return Platform::decodeChanges(fixture.send({ "GET", target, {}, "" }).body, fixture.reason);
+}
+
 // Guards against any difference between the emulated platform and its rules, for the results of all calls with lost
 // replies and a short history. The failing call is named with its number; the seeds are fixed.
 Test(PlatformDifferential, emulatorFollowsTheNaivePlatform)
@@ -194,7 +201,8 @@
     for (uint64_t seed = 1; seed <= 4; ++seed) {
         PlatformFixture fixture({ .history = { historyLength, 1'000'000 } });
         Comparison comparison { fixture.context, fixture.store,
-            [&](size_t count) { fixture.setFaults(R"({"lose_replies": )" + std::to_string(count) + "}"); }, std::mt19937_64(seed) };
+            [&](size_t count) { fixture.setFaults(R"({"lose_replies": )" + std::to_string(count) + "}"); },
+            [&](const std::string& prefix, Version since) { return heldFor10ms(fixture, prefix, since); }, std::mt19937_64(seed) };
         for (size_t number = 1; number <= 600; ++number)
             comparison.compareOne(number);
     }
@@ -206,7 +214,13 @@
     for (uint64_t seed = 1; seed <= 4; ++seed) {
         boost::asio::io_context context;
         Platform::InMemoryObjectStore memory(context.get_executor(), { historyLength, 1'000'000 });
-        Comparison comparison { context, memory.hooks(), [&](size_t count) { memory.loseReplies(count); }, std::mt19937_64(seed) };
+        Core::Reason reason;
+        Comparison comparison { context, memory.hooks(), [&](size_t count) { memory.loseReplies(count); },
+            [&](const std::string& prefix, Version since) {
+                Core::Deadline deadline = Core::Deadline::after(std::chrono::milliseconds(10));
+                return Testing::run(context, memory.table().watch("", prefix, since, deadline, reason));
+            },
+            std::mt19937_64(seed) };
         for (size_t number = 1; number <= 600; ++number)
             comparison.compareOne(number);
     }
--- a/Tests/LibEmulator/TestPlatformLimits.cpp
+++ b/Tests/LibEmulator/TestPlatformLimits.cpp
@@ -57,7 +57,7 @@
 {
     PlatformFixture fixture({ .readsPerSecond = 0.0001 });
     cr_assert(fixture.put("a/1", "one"));
-    cr_assert(fixture.watch("a/", 1, Core::Deadline::after(1s)));
+    cr_assert_eq(fixture.send({ "GET", "/v1/watch?prefix=a/&since=1&timeout_ms=1000", {}, "" }).status, 200u);
     cr_assert_not(fixture.list("a/"));
     cr_assert_eq(fixture.reason.kind, FailureKind::RateLimited);
     cr_assert_not(fixture.get("a/1"));
--- a/Tests/LibEmulator/TestPlatformRequests.cpp
+++ b/Tests/LibEmulator/TestPlatformRequests.cpp
@@ -67,7 +67,7 @@
 {
     PlatformFixture fixture;
     fixture.put("b/1", "one");
-    std::optional<Platform::Changes> changes = fixture.watch("a/", 1, Core::Deadline::after(std::chrono::milliseconds(1000)));
+    std::optional<Platform::Changes> changes = fixture.watch("a/", 1, Core::Deadline::after(std::chrono::seconds(4)));
     cr_assert(changes, "%s", fixture.reason.text().c_str());
     cr_assert(*changes == Platform::Changes({ 1, {} }));
 }
--- a/Tests/LibEmulator/TestPlatformWatches.cpp
+++ b/Tests/LibEmulator/TestPlatformWatches.cpp
@@ -13,15 +13,17 @@
 
 }
 
-static constexpr int writeCount = 300;
+static constexpr Platform::Version randomWrites = 300;
+// Written last, so that every follower ends with a change.
+static constexpr const char* lastNames[] = { "a/3-end", "b/end", "quiet/end" };
 
-// Follows a prefix by watches, each from the revision of the one before, until the last write has been passed.
-static Core::Task<bool> follow(Platform::ObjectStore store, std::string prefix, std::shared_ptr<Events> seen)
+// Follows a prefix by watches, each from the revision of the one before, until the given revision.
+static Core::Task<bool> follow(Platform::ObjectStore store, std::string prefix, Platform::Version end, std::shared_ptr<Events> seen)
 {
     Platform::Version since = 0;
-    while (since < writeCount) {
+    while (since < end) {
         Core::Reason reason;
-        std::optional<Platform::Changes> changes = co_await store.watch(prefix, since, Core::Deadline::after(std::chrono::milliseconds(2000)), reason);
+        std::optional<Platform::Changes> changes = co_await store.watch(prefix, since, Testing::soon(), reason);
         if (!changes)
             co_return false;
         seen->insert(seen->end(), changes->changes.begin(), changes->changes.end());
@@ -30,24 +32,35 @@
     co_return true;
 }
 
-// Creates, changes and removes objects of two prefixes; every write has a reply that may be lost.
+// Writes or removes one object; a lost reply is a success.
+static Core::Task<bool> write(Platform::ObjectStore store, std::string name, std::string value, bool isRemoval, Platform::Version expected)
+{
+    Core::Reason reason;
+    bool isWritten = isRemoval ? co_await store.remove(name, expected, Testing::soon(), reason)
+                               : (co_await store.put(name, value, expected, Testing::soon(), reason)).has_value();
+    co_return isWritten || reason.kind == Core::FailureKind::OutcomeUnknown;
+}
+
+// Creates, changes and removes objects of two prefixes, and then writes the last names.
 static Core::Task<bool> writeAll(Platform::ObjectStore store, uint64_t seed, std::shared_ptr<Events> written)
 {
     std::mt19937_64 generator(seed);
     std::map<std::string, Platform::Version> versions;
-    for (Platform::Version revision = 1; revision <= writeCount; ++revision) {
+    for (Platform::Version revision = 1; revision <= randomWrites; ++revision) {
         std::string name = (generator() % 2 ? "a/" : "b/") + std::to_string(generator() % 10);
         Platform::Version expected = versions[name];
-        Core::Reason reason;
         bool isRemoval = expected != 0 && generator() % 4 == 0;
         std::string value = isRemoval ? "" : std::to_string(generator());
-        bool isWritten = isRemoval ? co_await store.remove(name, expected, Testing::soon(), reason)
-                                   : (co_await store.put(name, value, expected, Testing::soon(), reason)).has_value();
-        if (!isWritten && reason.kind != Core::FailureKind::OutcomeUnknown)
+        if (!co_await write(store, name, value, isRemoval, expected))
             co_return false;
         versions[name] = isRemoval ? 0 : revision;
         written->push_back({ { name, revision, value }, isRemoval });
     }
+    for (const char* name : lastNames) {
+        if (!co_await write(store, name, "end", false, 0))
+            co_return false;
+        written->push_back({ { name, written->size() + 1, "end" }, false });
+    }
     co_return true;
 }
 
@@ -58,9 +71,10 @@
         PlatformFixture fixture;
         fixture.setFaults(R"({"lose_reply_probability": 0.2, "seed": )" + std::to_string(seed) + "}");
         std::vector<Follower> followers;
-        for (const char* prefix : { "", "a/", "b/", "a/3", "none/" }) {
+        const std::pair<const char*, Platform::Version> ends[] = { { "", 303 }, { "a/", 301 }, { "b/", 302 }, { "a/3", 301 }, { "quiet/", 303 } };
+        for (const std::pair<const char*, Platform::Version>& end : ends) {
             std::shared_ptr<Events> seen = std::make_shared<Events>();
-            followers.push_back({ prefix, seen, Testing::start(fixture.context, follow(fixture.store, prefix, seen)) });
+            followers.push_back({ end.first, seen, Testing::start(fixture.context, follow(fixture.store, end.first, end.second, seen)) });
         }
         std::shared_ptr<Events> written = std::make_shared<Events>();
         cr_assert(Testing::run(fixture.context, writeAll(fixture.store, seed, written)));
