--- a/Libraries/LibLedger/include/LibLedger/ShardWriter.h
+++ b/Libraries/LibLedger/include/LibLedger/ShardWriter.h
@@ -44,6 +44,7 @@
     };
 
     Core::Task<void> run();
+    bool hasUrgentEntry(const Submission&) const;
     Core::Task<void> gather();
     Batch takeBatch();
     void finish(const Batch&, const std::vector<EntryResult>&);
--- a/Libraries/LibLedger/src/ShardWriter.cpp
+++ b/Libraries/LibLedger/src/ShardWriter.cpp
@@ -19,9 +19,9 @@
     bool isDone() const { return failure || results.size() == entries.size(); }
 };
 
-static bool isUrgent(const std::vector<Entry>& entries)
+bool ShardWriter::hasUrgentEntry(const Submission& submission) const
 {
-    return std::any_of(entries.begin(), entries.end(), [](const Entry& entry) { return !std::holds_alternative<Usage>(entry); });
+    return std::any_of(submission.entries.begin(), submission.entries.end(), [this](const Entry& entry) { return isUrgent(entry, m_log->state().budgets()); });
 }
 
 ShardWriter::ShardWriter(const boost::asio::any_io_executor& executor, Platform::ObjectStore store, uint32_t shard, Holder self, WriterSettings settings)
@@ -44,10 +44,9 @@
     m_lastUsed = Core::SteadyClock::now();
     if (entries.empty())
         co_return std::vector<EntryResult>();
-    bool urgent = isUrgent(entries);
     std::shared_ptr<Submission> submission = std::make_shared<Submission>(Submission { std::move(entries), deadline, 0, {}, std::nullopt });
     m_queue.push_back(submission);
-    if (urgent)
+    if (hasUrgentEntry(*submission))
         m_urgentArrived.notifyAll();
     start();
     while (!submission->isDone()) {
@@ -120,7 +119,7 @@
 
 Core::Task<void> ShardWriter::gather()
 {
-    bool urgent = std::any_of(m_queue.begin(), m_queue.end(), [](const std::shared_ptr<Submission>& submission) { return isUrgent(submission->entries); });
+    bool urgent = std::any_of(m_queue.begin(), m_queue.end(), [this](const std::shared_ptr<Submission>& submission) { return hasUrgentEntry(*submission); });
     if (!urgent && m_settings.billGatherTime.count() > 0)
         co_await m_urgentArrived.wait(Core::Deadline::after(m_settings.billGatherTime));
     if (m_settings.gatherTime.count() > 0)
@@ -131,6 +130,9 @@
 
 ShardWriter::Batch ShardWriter::takeBatch()
 {
+    std::stable_partition(m_queue.begin(), m_queue.end(), [](const std::shared_ptr<Submission>& submission) {
+        return std::all_of(submission->entries.begin(), submission->entries.end(), addsTokens);
+    });
     Batch batch;
     batch.deadline = Core::Deadline::after(std::chrono::milliseconds(0));
     size_t bytes = 0;
--- a/Tests/LibLedger/FakeObjectStore.cpp
+++ b/Tests/LibLedger/FakeObjectStore.cpp
@@ -56,6 +56,7 @@
 
 Core::Task<std::optional<Platform::Version>> FakeObjectStore::put(std::string client, std::string name, std::string value, Platform::Version expected, Core::Reason& reason)
 {
+    ++m_putCalls;
     co_await turns();
     if (!isReachable(client, "put", reason))
         co_return std::nullopt;
--- a/Tests/LibLedger/FakeObjectStore.h
+++ b/Tests/LibLedger/FakeObjectStore.h
@@ -39,6 +39,8 @@
 
     const std::map<std::string, Platform::Object>& objects() const { return m_objects; }
     uint64_t writes() const { return m_writes; }
+    // Calls of put, with or without effect.
+    uint64_t putCalls() const { return m_putCalls; }
     size_t largestValue() const { return m_largestValue; }
 
 private:
@@ -57,6 +59,7 @@
     std::string m_refuseWritesOf;
     int64_t m_writesLeft { -1 };
     uint64_t m_writes { 0 };
+    uint64_t m_putCalls { 0 };
     size_t m_largestValue { 0 };
     Platform::Version m_revision { 0 };
     std::map<std::string, Platform::Object> m_objects;
--- a/Tests/LibLedger/TestShardWriter.cpp
+++ b/Tests/LibLedger/TestShardWriter.cpp
@@ -17,6 +17,8 @@
         cr_assert_eq(results->at(0).code, ResultCode::Applied);
         cr_assert_eq(results->at(1).code, ResultCode::Applied);
     }
+    // A writer that is alone never meets a conflict.
+    cr_assert_eq(fixture.store.putCalls(), fixture.store.writes());
     std::optional<LedgerAudit> audit = fixture.audit(fixture.writer("b"), reason);
     cr_assert(audit, "%s", reason.text().c_str());
     cr_assert_eq(audit->budgets.at(fixture.budget).spent, 200);
@@ -35,7 +37,7 @@
     std::optional<std::vector<EntryResult>> results = fixture.submit(writer, { TopUp { fixture.budget, "t1", 1000 } }, reason);
     cr_assert(results, "%s", reason.text().c_str());
     cr_assert_eq(results->at(0).code, ResultCode::Applied);
-    cr_assert_eq(fixture.store.writes(), 1u);
+    cr_assert_eq(fixture.store.putCalls(), 1u);
 }
 
 // Guards against a paused writer that resumes after the ring was overwritten and replaces newer commits.
@@ -143,6 +145,37 @@
     cr_assert_leq(fixture.store.writes(), 3u);
 }
 
+// Guards against requests for an exhausted budget that use up the platform's writes, and against a request that is
+// answered as exhausted although the returned tokens are part of the same commit.
+Test(ShardWriter, grantOfExhaustedBudgetWaitsForReturnedTokens)
+{
+    LedgerFixture fixture(10);
+    WriterSettings settings = fixture.settings();
+    settings.billGatherTime = std::chrono::hours(1);
+    std::shared_ptr<ShardWriter> writer = std::make_shared<ShardWriter>(fixture.context.get_executor(), fixture.store.client("a"), 0, Holder { "a", 1 }, settings);
+    Core::Reason reason;
+    cr_assert(fixture.submit(writer, { TopUp { fixture.budget, "t", 10 }, Grant { fixture.budget, { "x", 1 }, 10 } }, reason));
+    std::vector<std::optional<std::vector<EntryResult>>> answers(3);
+    std::vector<Core::Reason> reasons(3);
+    int finished = 0;
+    for (size_t i = 0; i < 3; ++i) {
+        std::vector<Entry> entries { Grant { fixture.budget, { "y", i }, 4 } };
+        boost::asio::co_spawn(fixture.context, writer->submit(std::move(entries), Core::Deadline::after(std::chrono::hours(2)), reasons[i]), [&answers, &finished, i](std::exception_ptr, std::optional<std::vector<EntryResult>> results) {
+            answers[i] = std::move(results);
+            ++finished;
+        });
+    }
+    fixture.context.restart();
+    while (fixture.context.poll() > 0) { }
+    cr_assert_eq(finished, 0);
+    cr_assert(fixture.submit(writer, { Return { fixture.budget, { "x", 1 }, 9 } }, reason), "%s", reason.text().c_str());
+    runUntil(fixture.context, [&finished] { return finished == 3; });
+    cr_assert_eq(answers[0]->at(0).cumulativeGranted, 4);
+    cr_assert_eq(answers[1]->at(0).cumulativeGranted, 4);
+    cr_assert_eq(answers[2]->at(0).cumulativeGranted, 1);
+    cr_assert_eq(fixture.store.writes(), 2u);
+}
+
 // Guards against a caller that waits past its deadline, and against a commit that is lost because its caller gave up.
 Test(ShardWriter, deadlineEndsTheWaitWithUnknownOutcome)
 {
--- a/Utilities/jujuberelay/src/EscrowWriter.cpp
+++ b/Utilities/jujuberelay/src/EscrowWriter.cpp
@@ -43,7 +43,7 @@
 {
     if (m_isCommitting || m_queue.empty())
         return;
-    bool isUrgent = std::any_of(m_queue.begin(), m_queue.end(), [](const Message& message) { return !std::holds_alternative<Ledger::Usage>(message.entry); });
+    bool isUrgent = std::any_of(m_queue.begin(), m_queue.end(), [this](const Message& message) { return Ledger::isUrgent(message.entry, m_ledger.budgets()); });
     // A commit that is scheduled for bills only is brought forward by an urgent entry.
     if (m_scheduledCommit != 0 && (m_isUrgentScheduled || !isUrgent))
         return;
@@ -62,6 +62,7 @@
     m_isUrgentScheduled = false;
     m_isCommitting = true;
     m_pacer.countWrite(m_events.now());
+    std::stable_partition(m_queue.begin(), m_queue.end(), [](const Message& message) { return Ledger::addsTokens(message.entry); });
     std::vector<Message> batch = std::move(m_queue);
     m_queue.clear();
     m_events.after(m_settings.platformWrite, [this, batch = std::move(batch)] {
