Accounts: a daemon that waits gives back a part of the remainder

Cause of refusals in the last tenth: several daemons that waited each kept the part of the remainder they had been granted, and all were refused although the parts together covered one of them. A daemon whose grant stays short of every waiting request now returns it at once. The ledger's answer that nothing is left is no longer applied to smaller requests than the one it was given for.

The test of outages against exhausted budgets failed, because it relied on an answer that is cached or was still in flight. It now allows no cached answer and waits for open requests first; a new test covers the cached answer.

--- a/Libraries/LibBudget/include/LibBudget/Accounts.h
+++ b/Libraries/LibBudget/include/LibBudget/Accounts.h
@@ -49,7 +49,7 @@
     AccountPointer account(const Ledger::BudgetId&);
     Core::Deadline waitLimit(Core::Deadline) const;
     Core::Task<std::optional<Hold>> waitForGrant(AccountPointer, Ledger::Tokens, Core::Deadline, Core::Reason&);
-    bool isHopeless(const Account&) const;
+    bool isHopeless(const Account&, Ledger::Tokens) const;
     void startGrant(const AccountPointer&);
     Core::Task<void> requestGrant(AccountPointer);
     void startReturn(const AccountPointer&);
--- a/Libraries/LibBudget/include/LibBudget/GrantAccount.h
+++ b/Libraries/LibBudget/include/LibBudget/GrantAccount.h
@@ -42,7 +42,7 @@
     // Spare tokens have fallen below half of what the policy keeps ahead.
     bool runsLow(const Ledger::BudgetId&, const GrantPolicy&, double prefetchSeconds, Time now) const;
     // Other holders had unspent grants at the last answer.
-    bool othersHoldGrants() const;
+    bool othersHoldGrants() const { return m_othersHoldGrants; }
 
 private:
     void countDemand(Ledger::Tokens, Time now);
@@ -54,6 +54,7 @@
     bool m_isClosed { false };
     std::optional<Ledger::Tokens> m_ungranted;
     uint32_t m_activeHolders { 0 };
+    bool m_othersHoldGrants { false };
     // Exponentially decaying sum of consumed tokens and the time of its last change.
     double m_demand { 0 };
     Time m_demandAt {};
--- a/Libraries/LibBudget/src/Account.h
+++ b/Libraries/LibBudget/src/Account.h
@@ -2,6 +2,7 @@
 
 #include "LibBudget/Accounts.h"
 #include "LibBudget/GrantAccount.h"
+#include <set>
 
 namespace Budget {
 
@@ -17,9 +18,8 @@
     GrantAccount numbers;
     // Signalled when tokens became available or the ledger answered.
     Core::Signal changed;
-    uint32_t waiting { 0 };
-    // Sum of the tokens that waiting requests want.
-    Ledger::Tokens wanted { 0 };
+    // What each waiting request wants.
+    std::multiset<Ledger::Tokens> wanted;
 
     bool isGrantInFlight { false };
     bool isReturnInFlight { false };
@@ -30,6 +30,8 @@
     uint64_t grantAnswers { 0 };
     // The last grant request got fewer tokens than it asked for, at this time.
     bool isExhausted { false };
+    // Tokens that were available after that answer; a smaller request is worth asking again.
+    Ledger::Tokens foundTokens { 0 };
     bool isUnknown { false };
     GrantAccount::Time answeredAt {};
     // Why the last grant request failed; empty when it was answered.
--- a/Libraries/LibBudget/src/AccountTransfers.cpp
+++ b/Libraries/LibBudget/src/AccountTransfers.cpp
@@ -2,6 +2,7 @@
 #include "BudgetEvents.h"
 #include "LibBudget/Accounts.h"
 #include <algorithm>
+#include <numeric>
 
 // The parts of Accounts that move tokens between the ledger and this daemon.
 namespace Budget {
@@ -33,7 +34,8 @@
 {
     Core::SteadyClock::time_point now = Core::SteadyClock::now();
     GrantAccount& numbers = account->numbers;
-    GrantNeed need = numbers.need(account->budget, account->wanted, now);
+    Tokens wanted = std::accumulate(account->wanted.begin(), account->wanted.end(), Tokens(0));
+    GrantNeed need = numbers.need(account->budget, wanted, now);
     Tokens size = std::max(need.missing, m_settings.policy(need));
     Tokens target = numbers.granted() + size;
     Core::Reason reason;
@@ -48,11 +50,15 @@
         account->isUnknown = result->code == Ledger::ResultCode::UnknownBudget;
         account->isExhausted = result->cumulativeGranted < target;
         numbers.applyGrantResult(*result);
+        account->foundTokens = numbers.available();
         if (account->isExhausted)
             numbers.markScarceUntil(account->answeredAt + m_settings.scarceTime);
         if (numbers.isClosed())
             Core::logEvent(holderClosed, "budget " + account->budget.text() + ": the ledger has closed the grants of " + m_self.text());
     }
+    // Several daemons that each wait with a part of the remainder would all be refused although it covers one of them.
+    if (account->isExhausted && !account->wanted.empty() && numbers.available() < *account->wanted.begin())
+        startReturn(account);
     account->changed.notifyAll();
 }
 
@@ -90,7 +96,7 @@
     GrantAccount& numbers = account->numbers;
     bool isIdle = now >= numbers.lastUsed() + m_settings.grantIdle;
     bool isScarce = numbers.isScarce(now);
-    if (account->waiting == 0 && (isIdle || isScarce)) {
+    if (account->wanted.empty() && (isIdle || isScarce)) {
         startReturn(account);
         return;
     }
--- a/Libraries/LibBudget/src/Accounts.cpp
+++ b/Libraries/LibBudget/src/Accounts.cpp
@@ -43,23 +43,21 @@
     }
     AccountPointer pointer = account(budget);
     // Requests that already wait come first.
-    if (pointer->waiting == 0 && pointer->numbers.hold(tokens, Core::SteadyClock::now()))
+    if (pointer->wanted.empty() && pointer->numbers.hold(tokens, Core::SteadyClock::now()))
         co_return Hold { budget, tokens };
-    ++pointer->waiting;
-    pointer->wanted += tokens;
+    pointer->wanted.insert(tokens);
     std::optional<Hold> hold = co_await waitForGrant(pointer, tokens, waitLimit(deadline), reason);
-    --pointer->waiting;
-    pointer->wanted -= tokens;
+    pointer->wanted.erase(pointer->wanted.find(tokens));
     // Without waiting requests, what is left of a scarce budget goes back.
-    if (pointer->waiting == 0)
+    if (pointer->wanted.empty())
         holdEnded(pointer);
     co_return hold;
 }
 
-bool Accounts::isHopeless(const Account& account) const
+bool Accounts::isHopeless(const Account& account, Tokens tokens) const
 {
     bool isRecent = Core::SteadyClock::now() < account.answeredAt + m_settings.exhaustedLifetime;
-    return account.isExhausted && isRecent && !account.numbers.othersHoldGrants() && account.numbers.held() == 0;
+    return account.isExhausted && isRecent && tokens > account.foundTokens && !account.numbers.othersHoldGrants() && account.numbers.held() == 0;
 }
 
 Core::Task<std::optional<Hold>> Accounts::waitForGrant(AccountPointer account, Tokens tokens, Core::Deadline limit, Core::Reason& reason)
@@ -74,7 +72,7 @@
             reason = { Core::FailureKind::Unavailable, "acquire tokens", account->budget.text(), "the ledger has closed this daemon's grants" };
             co_return std::nullopt;
         }
-        if (isHopeless(*account)) {
+        if (isHopeless(*account, tokens)) {
             reason = exhausted;
             co_return std::nullopt;
         }
@@ -98,7 +96,7 @@
                 reason = account->failure.value_or(Core::Reason { Core::FailureKind::TimedOut, "acquire tokens", account->budget.text(), "the ledger did not answer in time" });
             co_return std::nullopt;
         }
-        if (isHopeless(*account))
+        if (isHopeless(*account, tokens))
             continue;
         // Random waits let one of several daemons that each got a part of the remainder get all of it.
         std::chrono::milliseconds wait = retry / 2 + std::chrono::milliseconds(Core::randomBelow(static_cast<uint64_t>(retry.count()) + 1));
@@ -125,7 +123,7 @@
 {
     account->changed.notifyAll();
     bool returnsAtOnce = m_isReturningAll || account->numbers.isScarce(Core::SteadyClock::now());
-    if (returnsAtOnce && account->waiting == 0)
+    if (returnsAtOnce && account->wanted.empty())
         startReturn(account);
 }
 
@@ -143,7 +141,7 @@
     std::vector<AccountStatus> statuses;
     for (const std::pair<const Ledger::BudgetId, AccountPointer>& item : m_accounts) {
         const GrantAccount& numbers = item.second->numbers;
-        statuses.push_back({ item.first, numbers.granted(), numbers.returned(), numbers.settled(), numbers.held(), numbers.available(), item.second->waiting });
+        statuses.push_back({ item.first, numbers.granted(), numbers.returned(), numbers.settled(), numbers.held(), numbers.available(), static_cast<uint32_t>(item.second->wanted.size()) });
     }
     return statuses;
 }
--- a/Libraries/LibBudget/src/GrantAccount.cpp
+++ b/Libraries/LibBudget/src/GrantAccount.cpp
@@ -38,6 +38,8 @@
     m_granted = std::max(m_granted, result.cumulativeGranted);
     m_ungranted = result.ungranted;
     m_activeHolders = result.activeHolders;
+    bool isActive = m_granted - m_returned - m_settled > 0;
+    m_othersHoldGrants = result.activeHolders > (isActive ? 1u : 0u);
 }
 
 Tokens GrantAccount::giveUpAvailable()
@@ -83,10 +85,4 @@
     return size > available() && static_cast<double>(size) >= prefetchSeconds * tokensPerSecond(now);
 }
 
-bool GrantAccount::othersHoldGrants() const
-{
-    bool holdsGrant = m_granted - m_returned - m_settled > 0;
-    return m_activeHolders > (holdsGrant ? 1u : 0u);
-}
-
 }
--- a/Tests/LibBudget/TestAccounts.cpp
+++ b/Tests/LibBudget/TestAccounts.cpp
@@ -44,13 +44,68 @@
 Test(Accounts, exhaustedBudgetIsRefusedAndOutageIsNot)
 {
     BudgetFixture fixture(3);
-    BudgetFixture::Daemon& daemon = fixture.addDaemon("a");
+    // Each request needs an answer of its own.
+    AccountSettings settings = BudgetFixture::accountSettings();
+    settings.exhaustedLifetime = std::chrono::milliseconds(0);
+    BudgetFixture::Daemon& daemon = fixture.addDaemon("a", settings);
     fixture.topUp("t1", 100);
     Core::Reason reason;
     cr_assert_not(fixture.acquire(daemon, 101, fixture.seconds(1), reason));
     cr_assert_eq(reason.kind, Core::FailureKind::Refused);
     cr_assert_str_eq(reason.message.c_str(), "budget exhausted");
+    // The answer to a request that is still in flight would count for the next caller as well.
+    runTask(fixture.context, daemon.accounts->returnAll(fixture.seconds(20), reason));
     daemon.isCutOff = true;
     cr_assert_not(fixture.acquire(daemon, 101, Core::Deadline::after(std::chrono::milliseconds(100)), reason));
     cr_assert_neq(reason.kind, Core::FailureKind::Refused);
 }
+
+// Guards against a small request that is refused because a large one was refused a moment ago.
+Test(Accounts, smallRequestIsServedAfterRefusedLargeOne)
+{
+    BudgetFixture fixture(4);
+    AccountSettings settings = BudgetFixture::accountSettings();
+    settings.exhaustedLifetime = std::chrono::hours(1);
+    BudgetFixture::Daemon& daemon = fixture.addDaemon("a", settings);
+    fixture.topUp("t1", 100);
+    Core::Reason reason;
+    cr_assert_not(fixture.acquire(daemon, 101, fixture.seconds(20), reason));
+    cr_assert_eq(reason.kind, Core::FailureKind::Refused);
+    cr_assert(fixture.acquire(daemon, 100, fixture.seconds(20), reason), "%s", reason.text().c_str());
+}
+
+// Guards against two daemons that each keep a part of the remainder and are both refused: a request at a third daemon
+// that the remainder covers must get it.
+Test(Accounts, waitingDaemonsDoNotKeepTheRemainder)
+{
+    BudgetFixture fixture(5);
+    BudgetFixture::Daemon& first = fixture.addDaemon("a");
+    BudgetFixture::Daemon& second = fixture.addDaemon("b");
+    fixture.topUp("t1", 100);
+    Core::Reason firstReason;
+    bool isFinished = false;
+    boost::asio::co_spawn(fixture.context, first.accounts->acquire(fixture.budget, 150, fixture.seconds(20), firstReason), [&isFinished](std::exception_ptr, std::optional<Hold>) { isFinished = true; });
+    Core::Reason reason;
+    std::optional<Hold> held = fixture.acquire(second, 10, fixture.seconds(20), reason);
+    cr_assert(held, "%s", reason.text().c_str());
+    cr_assert(fixture.acquire(second, 90, fixture.seconds(20), reason), "%s", reason.text().c_str());
+    second.accounts->release(*held);
+    runUntil(fixture.context, [&isFinished] { return isFinished; });
+    cr_assert_eq(firstReason.kind, Core::FailureKind::Refused);
+}
+
+// Guards against a top-up that waiting requests do not notice within their deadline.
+Test(Accounts, waitingRequestGetsATopUp)
+{
+    BudgetFixture fixture(6);
+    BudgetFixture::Daemon& daemon = fixture.addDaemon("a");
+    fixture.topUp("t1", 100);
+    Core::Reason reason;
+    std::optional<Hold> first = fixture.acquire(daemon, 100, fixture.seconds(20), reason);
+    cr_assert(first);
+    bool isHeld = false;
+    Core::Reason waitingReason;
+    boost::asio::co_spawn(fixture.context, daemon.accounts->acquire(fixture.budget, 50, fixture.seconds(20), waitingReason), [&isHeld](std::exception_ptr, std::optional<Hold> hold) { isHeld = hold.has_value(); });
+    fixture.topUp("t2", 60);
+    runUntil(fixture.context, [&isHeld] { return isHeld; });
+}
--- a/Utilities/jujuberelay/src/EscrowReplay.cpp
+++ b/Utilities/jujuberelay/src/EscrowReplay.cpp
@@ -40,7 +40,7 @@
     Daemon& daemon = *m_daemons[m_trace.requests[request].daemon];
     if (daemon.waiting.empty() && daemon.numbers.hold(m_trace.requests[request].bound, m_events.now()))
         return serve(request);
-    if (isHopeless(daemon))
+    if (isHopeless(daemon, request))
         return refuse(request);
     daemon.waiting.push_back(request);
     startGrant(daemon);
@@ -109,21 +109,25 @@
     daemon.answeredAt = m_events.now();
     daemon.isExhausted = result.cumulativeGranted < target;
     daemon.numbers.applyGrantResult(result);
+    daemon.foundTokens = daemon.numbers.available();
     if (daemon.isExhausted)
         daemon.numbers.markScarceUntil(m_events.now() + m_settings.account.scarceTime);
     serveWaiting(daemon);
-    if (isHopeless(daemon)) {
-        for (size_t request : daemon.waiting)
-            refuse(request);
-        daemon.waiting.clear();
-    }
+    if (daemon.isExhausted && !daemon.waiting.empty())
+        startReturn(daemon);
+    std::erase_if(daemon.waiting, [this, &daemon](size_t request) {
+        if (!isHopeless(daemon, request))
+            return false;
+        refuse(request);
+        return true;
+    });
     scheduleRetry(daemon);
 }
 
-bool EscrowReplay::isHopeless(const Daemon& daemon) const
+bool EscrowReplay::isHopeless(const Daemon& daemon, size_t request) const
 {
     bool isRecent = m_events.now() < daemon.answeredAt + m_settings.account.exhaustedLifetime;
-    return daemon.isExhausted && isRecent && !daemon.numbers.othersHoldGrants() && daemon.numbers.held() == 0;
+    return daemon.isExhausted && isRecent && m_trace.requests[request].bound > daemon.foundTokens && !daemon.numbers.othersHoldGrants() && daemon.numbers.held() == 0;
 }
 
 void EscrowReplay::scheduleRetry(Daemon& daemon)
--- a/Utilities/jujuberelay/src/EscrowReplay.h
+++ b/Utilities/jujuberelay/src/EscrowReplay.h
@@ -30,6 +30,7 @@
         bool isReturnInFlight { false };
         bool isRetryScheduled { false };
         bool isExhausted { false };
+        Tokens foundTokens { 0 };
         Time answeredAt;
         Tokens confirmedReturned { 0 };
         std::chrono::milliseconds retry { 0 };
@@ -52,7 +53,7 @@
     void startGrant(Daemon&);
     void grantAnswered(Daemon&, Tokens target, const Ledger::EntryResult&);
     void scheduleRetry(Daemon&);
-    bool isHopeless(const Daemon&) const;
+    bool isHopeless(const Daemon&, size_t request) const;
     void startReturn(Daemon&);
     void sendReturn(Daemon&);
     void tokensFreed(Daemon&);
