--- a/Utilities/jujuberelay/src/OperatorClient.cpp
+++ b/Utilities/jujuberelay/src/OperatorClient.cpp
@@ -12,7 +12,7 @@
 
 DEFINE_string(daemon, "", "IP:PORT of a daemon's control address");
 DEFINE_string(operator_key_file, "", "file that holds the operator key");
-DEFINE_string(output, "table", "table or json");
+DECLARE_string(output);
 
 using Core::FailureKind;
 
