--- a/Tests/Sessions/test_money.py
+++ b/Tests/Sessions/test_money.py
@@ -97,8 +97,8 @@
             fleet.daemon(2).kill()
             thread.join()
             self.assertEqual(first[0][0], "unknown")
-            outcome, _, _, answer = send_chat(fleet.caller(3), "long", "key", False, 200)
-            self.assertEqual(outcome, "complete")
+            outcome, _, code, answer = send_chat(fleet.caller(3), "long", "key", True, 200)
+            self.assertEqual((outcome, code), ("complete", None))
             self.assertIn(answer[0], whole[1])
             for number in (1, 3):
                 fleet.daemon(number).stop(60)
