Test gossip to a restarted daemon that has outdated entries

Removing the resend of outdated entries passed all tests in a mutation trial; this test fails without it. Eight other mutations were caught by existing tests: identity comparison, older incarnations, suspected daemons as missing, ages of confirmations, known newer generations, held states, tombstones, withdrawn budgets with keys.

--- a/Tests/LibMembership/TestGossip.cpp
+++ b/Tests/LibMembership/TestGossip.cpp
@@ -79,6 +79,21 @@
     }
 }
 
+// Guards against a restarted daemon that keeps an outdated entry because its peers believe that it has the newer one.
+Test(Gossip, restartedDaemonLearnsWhatItHadBefore)
+{
+    SimulatedFleet fleet(12, 3);
+    fleet.daemons[5].view->setOwnState(MemberState::Draining);
+    for (int i = 0; i < 20; ++i)
+        fleet.second();
+    cr_assert_eq(countWithState(fleet, 5, MemberState::Draining), 12);
+    fleet.start(7, 2, 12);
+    cr_assert_eq(countWithState(fleet, 5, MemberState::Draining), 11);
+    for (int i = 0; i < 20; ++i)
+        fleet.second();
+    cr_assert_eq(countWithState(fleet, 5, MemberState::Draining), 12);
+}
+
 // Guards against gossip that exceeds the byte budget at the design size, and against a new generation that is not known
 // everywhere within the time that an operator waits: 370 daemons for one heartbeat period, in which each raises its
 // heartbeat once and one note is accepted. 350 notes a day are fewer.
