--- a/Tests/LibEmulator/TestLoadGenerator.cpp
+++ b/Tests/LibEmulator/TestLoadGenerator.cpp
@@ -3,6 +3,7 @@
 #include "LibEmulator/LoadGenerator.h"
 #include "LibHTTP/Server.h"
 #include "ReceivedAnswer.h"
+#include <map>
 
 using Emulator::AnswerText;
 using Emulator::LoadResult;
@@ -69,6 +70,27 @@
     cr_assert_eq(fixture.counters()["workspaces"]["load"]["runs"].get<int64_t>(), 60);
 }
 
+// Guards against attempts of one request under different keys, and requests that share a key.
+Test(LoadGenerator, attemptsHaveTheirRequestsKey)
+{
+    boost::asio::io_context context;
+    std::map<std::string, int> attempts;
+    HTTP::Server server(context.get_executor(), [&attempts](HTTP::Request request, HTTP::ResponseWriter& writer) -> Core::Task<void> {
+        ++attempts[HTTP::findHeader(request.headers, "Idempotency-Key").value_or("")];
+        writer.abort();
+        co_return;
+    });
+    Core::Reason reason;
+    LoadSettings settings;
+    settings.targets = { server.listen({ "127.0.0.1", 0 }, reason).value() };
+    settings.count = 3;
+    settings.maxAttempts = 4;
+    cr_assert_eq(runLoad(context, settings).broken, 3);
+    cr_assert_eq(attempts.size(), 3u);
+    for (const std::pair<const std::string, int>& entry : attempts)
+        cr_assert_eq(entry.second, 4, "%s", entry.first.c_str());
+}
+
 // Guards against refusals that are counted as broken, and against a target that is down.
 Test(LoadGenerator, countsRefusalsByCode)
 {
--- a/Tests/LibEndpoint/TestServiceClient.cpp
+++ b/Tests/LibEndpoint/TestServiceClient.cpp
@@ -47,6 +47,25 @@
     cr_assert_eq(fixture.reason.kind, FailureKind::OutcomeUnknown);
 }
 
+// Guards against a service that stalls in the middle of its answer and is reported as if the call had not been sent.
+Test(ServiceClient, timeoutInTheAnswerMayHaveRun)
+{
+    boost::asio::io_context context;
+    HTTP::Server server(context.get_executor(), [](HTTP::Request, HTTP::ResponseWriter& writer) -> Core::Task<void> {
+        Core::Reason ignored;
+        co_await writer.startStream(200, {}, ignored);
+        co_await writer.writeChunk("half", ignored);
+        co_await Core::sleepUntil(Core::Deadline::after(std::chrono::seconds(30)));
+    });
+    Core::Reason reason;
+    Core::Address address = server.listen({ "127.0.0.1", 0 }, reason).value();
+    HTTP::Client client(context.get_executor());
+    Endpoint::ServiceClient services(client);
+    Core::Deadline deadline = Core::Deadline::after(std::chrono::milliseconds(300));
+    cr_assert_not(TestSupport::runTask(context, services.call(address, { "POST", "/x", {}, "b" }, deadline, {}, reason)));
+    cr_assert_eq(reason.kind, FailureKind::OutcomeUnknown);
+}
+
 // Guards against a call that was never sent but is reported as possibly run, which would lose an order.
 Test(ServiceClient, unsentCallDidNotRun)
 {
--- a/Tests/LibEndpoint/TestStreamChecks.cpp
+++ b/Tests/LibEndpoint/TestStreamChecks.cpp
@@ -99,6 +99,9 @@
     cr_assert_not(engine.read());
     ScriptedEngine reordered("data: {\"x\":{\"id\":\"t\"},\"id\":\"s\"}\n\n" + end + done);
     cr_assert(reordered.read(), "%s", reordered.reason.text().c_str());
+    // The second event equals the first up to an inner identity.
+    ScriptedEngine inner("data: {\"x\":{\"id\":\"s\"},\"id\":\"s\"}\n\ndata: {\"x\":{\"id\":\"s\"},\"id\":\"t\"}\n\n" + end + done);
+    cr_assert_not(inner.read());
 }
 
 // Guards against a response of another stream on a reused connection.
