LibPeer: TLS for links between daemons

The transport is created at its first use, so that a missing setting or an unusable file is an error of listen or of the first call, with the file's name. Both ends must show a certificate of the configured authority; the host name is proved by the shared key, since peers are known by IP number.

Conclusion: links are encrypted when all three files are set.

--- a/Libraries/LibPeer/src/Network.cpp
+++ b/Libraries/LibPeer/src/Network.cpp
@@ -26,6 +26,7 @@
     bool isSweeping { false };
     bool isClosed { false };
 
+    bool prepare(Core::Reason&);
     std::shared_ptr<Link> linkTo(const Core::Address&, Core::Reason&);
     ConnectionEvents acceptLink(std::shared_ptr<Connection>);
     void track(const std::shared_ptr<Link>&);
@@ -40,12 +41,15 @@
     static Core::Task<void> notify(std::shared_ptr<State>, Core::Address, std::string type, std::string body);
 };
 
-static bool isConfigured(const Settings& settings, Core::Reason& reason)
+// Creates the transport at its first use; false when its settings are wrong.
+bool Network::State::prepare(Core::Reason& reason)
 {
-    if (settings.certificateFile.empty() && settings.privateKeyFile.empty() && settings.authorityFile.empty())
+    if (transport)
         return true;
-    reason = { Core::FailureKind::Invalid, "configure links", settings.self.host, "TLS for links between daemons is not supported; remove the certificate settings" };
-    return false;
+    const Settings& settings = shared->settings;
+    bool usesTls = !settings.certificateFile.empty() || !settings.privateKeyFile.empty() || !settings.authorityFile.empty();
+    transport = usesTls ? createTlsTransport(shared->executor, settings, reason) : createPlainTransport(shared->executor);
+    return transport != nullptr;
 }
 
 void Network::State::track(const std::shared_ptr<Link>& link)
@@ -74,7 +78,7 @@
         reason = { Core::FailureKind::Unavailable, "open link", address.text(), "the network is closed" };
         return nullptr;
     }
-    if (!isConfigured(shared->settings, reason))
+    if (!prepare(reason))
         return nullptr;
     std::shared_ptr<Link> link = std::make_shared<Link>(shared, Role::Opener, address.text());
     std::shared_ptr<Connection> connection = transport->connect(address, link->events(), reason);
@@ -128,7 +132,8 @@
 {
     isClosed = true;
     sweepTimer.cancel();
-    transport->stopListening();
+    if (transport)
+        transport->stopListening();
     std::set<std::shared_ptr<Link>> links = all;
     for (const std::shared_ptr<Link>& link : links)
         link->close("the daemon stops");
@@ -137,7 +142,6 @@
 Network::Network(const boost::asio::any_io_executor& executor, Settings settings)
     : m_state(std::make_shared<State>(executor, std::move(settings)))
 {
-    m_state->transport = createPlainTransport(executor);
 }
 
 Network::~Network()
@@ -147,7 +151,7 @@
 
 std::optional<Core::Address> Network::listen(Core::Reason& reason)
 {
-    if (!isConfigured(m_state->shared->settings, reason))
+    if (!m_state->prepare(reason))
         return std::nullopt;
     std::weak_ptr<State> weak = m_state;
     Transport::AcceptHook accept = [weak](std::shared_ptr<Connection> connection) {
--- a/Libraries/LibPeer/src/Transport.h
+++ b/Libraries/LibPeer/src/Transport.h
@@ -44,4 +44,8 @@
 
 std::shared_ptr<Transport> createPlainTransport(const boost::asio::any_io_executor&);
 
+// Encrypts links and requires each end to show a certificate of the authority. Nullptr, with the file in the reason,
+// when a setting is missing or a file cannot be used.
+std::shared_ptr<Transport> createTlsTransport(const boost::asio::any_io_executor&, const Settings&, Core::Reason&);
+
 }
--- /dev/null
+++ b/Tests/LibPeer/TestCertificates.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <string>
+
+// An authority and one certificate signed by it, in PEM files of a temporary directory.
+class TestCertificates {
+public:
+    TestCertificates();
+    ~TestCertificates();
+    TestCertificates(const TestCertificates&) = delete;
+    TestCertificates& operator=(const TestCertificates&) = delete;
+
+    std::string authorityFile() const { return m_directory + "/authority.pem"; }
+    std::string certificateFile() const { return m_directory + "/certificate.pem"; }
+    std::string privateKeyFile() const { return m_directory + "/key.pem"; }
+
+private:
+    std::string m_directory;
+};
