--- a/Libraries/LibPeer/src/LinkReceive.cpp
+++ b/Libraries/LibPeer/src/LinkReceive.cpp
@@ -113,7 +113,7 @@
     }
     if (!acceptsProof(proof.proof))
         return;
-    m_peerName = m_peer.host;
+    m_peerName = m_peer.host + " (" + m_peerName + ")";
     becomeOpen();
 }
 
--- a/Libraries/LibPeer/src/Network.cpp
+++ b/Libraries/LibPeer/src/Network.cpp
@@ -92,7 +92,7 @@
 
 ConnectionEvents Network::State::acceptLink(std::shared_ptr<Connection> connection)
 {
-    std::shared_ptr<Link> link = std::make_shared<Link>(shared, Role::Acceptor, "unknown peer");
+    std::shared_ptr<Link> link = std::make_shared<Link>(shared, Role::Acceptor, connection->remoteName());
     link->attach(std::move(connection));
     track(link);
     return link->events();
--- a/Libraries/LibPeer/src/Transport.h
+++ b/Libraries/LibPeer/src/Transport.h
@@ -12,6 +12,9 @@
     // Queues one binary message; false when the connection is closing.
     virtual bool send(const std::string& message) = 0;
 
+    // Address and port of the other end, for messages.
+    virtual std::string remoteName() const = 0;
+
     // Bytes that are queued and not yet written.
     virtual size_t queuedBytes() const = 0;
 
--- a/Libraries/LibPeer/src/WebSocketTransport.h
+++ b/Libraries/LibPeer/src/WebSocketTransport.h
@@ -20,6 +20,8 @@
         return m_connection && !m_connection->send(message.data(), message.size(), websocketpp::frame::opcode::binary);
     }
 
+    std::string remoteName() const override { return m_connection ? m_connection->get_remote_endpoint() : "closed connection"; }
+
     size_t queuedBytes() const override { return m_connection ? m_connection->get_buffered_amount() : 0; }
 
     void close(const std::string& reason) override
