Tests of LibPeer and LibWitness: close gaps that mutations showed

Cause: of 27 mutations of LibPeer, LibWitness and LibTelemetry, each built and run against its test binary, three passed all tests: a raised message limit, a missing withdrawal of the own record, and a restarted witness taken for the old one. One mutation did not compile.

The oversized message is now a valid frame, which a raised limit would answer; two tests are new.

Tested: Meta/jujuberelay.sh test passes (30 tests of LibPeer, 34 of LibWitness, 13 of LibTelemetry).

Conclusion: no check became weaker.

--- a/Tests/LibPeer/TestHandshake.cpp
+++ b/Tests/LibPeer/TestHandshake.cpp
@@ -176,14 +176,14 @@
     cr_assert(fixture.call("echo", "", Core::Deadline::after(20s), reason), "%s", reason.text().c_str());
 }
 
-// Guards against an oversized message that is buffered in full.
+// Guards against an oversized message that is buffered in full and served.
 Test(Handshake, oversizedMessageClosesTheLink, .timeout = 60)
 {
     Fixture fixture;
     fixture.run([](Fixture& fixture) -> Core::Task<void> {
         RawPeer peer(fixture.context.get_executor());
         cr_assert(co_await shakeHands(peer, fixture.address, "secret"));
-        co_await peer.send(std::string(maxFrameBytes + 1, 'x'));
+        co_await peer.sendFrame(Call { 1, "echo", std::string(maxFrameBytes + 1, 'x'), 20000 });
         cr_assert_not(co_await peer.receive());
     }(fixture));
     Core::Reason reason;
--- a/Tests/LibWitness/TestWitnessClient.cpp
+++ b/Tests/LibWitness/TestWitnessClient.cpp
@@ -110,6 +110,19 @@
     }
 }
 
+// Guards against a second record of the request at the first candidate, which had forgotten the earlier attempt.
+Test(WitnessClient, ownRecordIsWithdrawnWhenAnEarlierAttemptIsFound, .timeout = 60)
+{
+    Standard fleet;
+    fleet.second.store.open(recordOf("a1", "r1", fleet.first.holder()), true, fleet.first.holder());
+    OpenResult result = fleet.open(fleet.third, recordOf("a2", "r1", fleet.third.holder()));
+    cr_assert(result.existing);
+    cr_assert_eq(result.existing->attemptId, "a1");
+    cr_assert_eq(fleet.second.store.findAttempt("a1")->joiners.size(), 1u);
+    fleet.runUntil([&fleet] { return fleet.first.store.recordCount() == 0; });
+    cr_assert_eq(fleet.third.client.unflushed().size(), 1u);
+}
+
 // Guards against a partitioned witness that blocks the owner until the request's deadline.
 Test(WitnessClient, partitionedWitnessIsPassedOver, .timeout = 60)
 {
@@ -165,6 +178,22 @@
     }
 }
 
+// Guards against records that are taken to be kept by a witness which has restarted with empty memory.
+Test(WitnessClient, recordsAreResentToARestartedWitness, .timeout = 60)
+{
+    Standard fleet;
+    fleet.open(fleet.first, recordOf("a1", "r1", fleet.first.holder()), IdentityKind::Random);
+    fleet.second.store.flushed({ "a1" });
+    for (Membership::Member& member : fleet.members)
+        member.incarnation += member.host == "second";
+    fleet.run(fleet.first.client.resendLost(soon()));
+    cr_assert(fleet.second.store.findAttempt("a1"));
+    // Once is enough: the new incarnation is known to keep the record.
+    fleet.second.store.flushed({ "a1" });
+    fleet.run(fleet.first.client.resendLost(soon()));
+    cr_assert_not(fleet.second.store.findAttempt("a1"));
+}
+
 // Guards against an owner that cancels, because its caller has left, a stream which a retry reads.
 Test(WitnessClient, ownerLearnsOfJoiner, .timeout = 60)
 {
