--- a/Libraries/LibPeer/src/Transport.h
+++ b/Libraries/LibPeer/src/Transport.h
@@ -12,6 +12,9 @@
     // Queues one binary message; false when the connection is closing.
     virtual bool send(const std::string& message) = 0;
 
+    // Address and port of the other end, for messages.
+    virtual std::string remoteName() const = 0;
+
     // Bytes that are queued and not yet written.
     virtual size_t queuedBytes() const = 0;
 
@@ -44,4 +47,8 @@
 
 std::shared_ptr<Transport> createPlainTransport(const boost::asio::any_io_executor&);
 
+// Encrypts links and requires each end to show a certificate of the authority. Nullptr, with the file in the reason,
+// when a setting is missing or a file cannot be used.
+std::shared_ptr<Transport> createTlsTransport(const boost::asio::any_io_executor&, const Settings&, Core::Reason&);
+
 }
