LibBudget tests: count submissions of concurrent callers

A mutation that sends one grant request for each caller survived, because the shard writer merges them into one commit. The test now counts the calls of Submit and fails under that mutation.

--- a/Tests/LibBudget/BudgetFixture.h
+++ b/Tests/LibBudget/BudgetFixture.h
@@ -17,6 +17,8 @@
         std::unique_ptr<Budget::Accounts> accounts;
         std::unique_ptr<Budget::BillQueue> bills;
         bool isCutOff { false };
+        // Calls of Submit.
+        uint64_t submissions { 0 };
         std::vector<std::string> flushed;
         std::vector<Ledger::Usage> refusedBills;
     };
@@ -65,6 +67,7 @@
         Daemon& daemon = *daemons.back();
         daemon.holder = { host, 1 };
         Ledger::Submit submit = [this, &daemon](uint32_t shard, std::vector<Ledger::Entry> entries, Core::Deadline deadline, Core::Reason& reason) -> Core::Task<std::optional<std::vector<Ledger::EntryResult>>> {
+            ++daemon.submissions;
             if (daemon.isCutOff) {
                 reason = { Core::FailureKind::Unavailable, "submit", "writer", "partition" };
                 co_return std::nullopt;
--- a/Tests/LibBudget/TestSpending.cpp
+++ b/Tests/LibBudget/TestSpending.cpp
@@ -196,4 +196,5 @@
     }
     runUntil(spending.fixture.context, [&acquired] { return acquired == 100; });
     cr_assert_leq(spending.fixture.store.writes(), before + 2);
+    cr_assert_leq(daemon.submissions, 2u);
 }
