measure routing: names that the budget replay does not use

Tested: builds, and "measure routing" runs. The whole test script ran before this change, not after it.

--- a/Utilities/jujuberelay/src/MeasureRoutingCommand.cpp
+++ b/Utilities/jujuberelay/src/MeasureRoutingCommand.cpp
@@ -40,9 +40,9 @@
 
 }
 
-static ReplaySettings settingsFromFlags()
+static RoutingReplaySettings settingsFromFlags()
 {
-    ReplaySettings settings;
+    RoutingReplaySettings settings;
     settings.seed = FLAGS_seed;
     settings.requests = FLAGS_replay_requests;
     settings.routers = FLAGS_replay_routers;
@@ -58,7 +58,7 @@
     return settings;
 }
 
-static Json rowOf(const NamedPolicy& policy, const ReplaySettings& settings, const ReplayResult& result)
+static Json rowOf(const NamedPolicy& policy, const RoutingReplaySettings& settings, const ReplayResult& result)
 {
     return { { "load_percent", settings.loadPercent }, { "policy", policy.name }, { "first_token_p50_ms", result.firstTokenMedianMs },
         { "first_token_p95_ms", result.firstToken95Ms }, { "answered", result.answered }, { "prefix_hits", result.prefixHits },
@@ -75,7 +75,7 @@
 
 int measureRouting(const Arguments&)
 {
-    ReplaySettings settings = settingsFromFlags();
+    RoutingReplaySettings settings = settingsFromFlags();
     bool areFlagsValid = settings.requests >= 1 && settings.routers >= 1 && settings.endpoints >= 1 && settings.slots >= 1
         && settings.reportPeriodMs >= 1 && settings.reportLagMs >= 0;
     if (!areFlagsValid) {
--- a/Utilities/jujuberelay/src/ReplayEndpoint.cpp
+++ b/Utilities/jujuberelay/src/ReplayEndpoint.cpp
@@ -2,7 +2,7 @@
 
 namespace Commands {
 
-ReplayEndpoint::ReplayEndpoint(EventQueue& events, const ReplaySettings& settings)
+ReplayEndpoint::ReplayEndpoint(ReplayEventQueue& events, const RoutingReplaySettings& settings)
     : m_events(events)
     , m_settings(settings)
 {
@@ -34,7 +34,7 @@
     ReplayRequest& request = *next.request;
     request.isPrefixHit = isCached(request.prefix);
     int64_t newTokens = request.ownTokens + (request.isPrefixHit ? 0 : m_settings.prefixTokens);
-    EventQueue::TimePoint prefilled = m_events.now() + std::chrono::microseconds(newTokens * m_settings.prefillMsPer1000Tokens);
+    ReplayEventQueue::TimePoint prefilled = m_events.now() + std::chrono::microseconds(newTokens * m_settings.prefillMsPer1000Tokens);
     std::chrono::milliseconds timePerToken(m_settings.timePerTokenMs);
     request.firstTokenAt = prefilled + timePerToken;
     m_events.schedule(prefilled, [this, prefix = request.prefix] { cache(prefix); });
--- a/Utilities/jujuberelay/src/ReplayEndpoint.h
+++ b/Utilities/jujuberelay/src/ReplayEndpoint.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "EventQueue.h"
+#include "ReplayEventQueue.h"
 #include "ReplayRequest.h"
-#include "ReplaySettings.h"
+#include "RoutingReplaySettings.h"
 #include <deque>
 #include <functional>
 #include <list>
@@ -15,7 +15,7 @@
 public:
     using Ended = std::function<void()>;
 
-    ReplayEndpoint(EventQueue&, const ReplaySettings&);
+    ReplayEndpoint(ReplayEventQueue&, const RoutingReplaySettings&);
 
     // Runs or queues the request; ended is called when it has finished or was shed.
     void submit(ReplayRequest&, Ended);
@@ -32,8 +32,8 @@
     bool isCached(uint64_t prefix);
     void cache(uint64_t prefix);
 
-    EventQueue& m_events;
-    const ReplaySettings& m_settings;
+    ReplayEventQueue& m_events;
+    const RoutingReplaySettings& m_settings;
     std::deque<Queued> m_queue;
     int64_t m_running { 0 };
     // Most recently used first.
--- a/Utilities/jujuberelay/src/EventQueue.cpp
+++ b/Utilities/jujuberelay/src/ReplayEventQueue.cpp
@@ -1,13 +1,13 @@
-#include "EventQueue.h"
+#include "ReplayEventQueue.h"
 
 namespace Commands {
 
-void EventQueue::schedule(TimePoint at, std::function<void()> run)
+void ReplayEventQueue::schedule(TimePoint at, std::function<void()> run)
 {
     m_events.push({ at, ++m_lastNumber, std::move(run) });
 }
 
-bool EventQueue::runOne()
+bool ReplayEventQueue::runOne()
 {
     if (m_events.empty())
         return false;
--- a/Utilities/jujuberelay/src/EventQueue.h
+++ b/Utilities/jujuberelay/src/ReplayEventQueue.h
@@ -9,7 +9,7 @@
 namespace Commands {
 
 // The clock and the pending events of a replay. Events at the same time run in the order in which they were added.
-class EventQueue {
+class ReplayEventQueue {
 public:
     using TimePoint = Core::SteadyClock::time_point;
 
--- a/Utilities/jujuberelay/src/ReplayRouter.cpp
+++ b/Utilities/jujuberelay/src/ReplayRouter.cpp
@@ -6,7 +6,7 @@
 
 static constexpr const char* model = "m";
 
-ReplayRouter::ReplayRouter(EventQueue& events, const ReplaySettings& settings, std::vector<ReplayEndpoint>& endpoints, uint64_t number)
+ReplayRouter::ReplayRouter(ReplayEventQueue& events, const RoutingReplaySettings& settings, std::vector<ReplayEndpoint>& endpoints, uint64_t number)
     : m_events(events)
     , m_settings(settings)
     , m_endpoints(endpoints)
@@ -42,7 +42,7 @@
     shed(m_waiting.add({ request.number, 0, request.deadline }, m_events.now()));
 }
 
-void ReplayRouter::report(size_t endpoint, int64_t load, EventQueue::TimePoint at)
+void ReplayRouter::report(size_t endpoint, int64_t load, ReplayEventQueue::TimePoint at)
 {
     m_table.recordReport(nameOf(endpoint), load, at);
     dispatchWaiting();
--- a/Utilities/jujuberelay/src/ReplayRouter.h
+++ b/Utilities/jujuberelay/src/ReplayRouter.h
@@ -13,11 +13,11 @@
 // One daemon's routing in a replay. It knows the endpoints' load only from late reports and from its own requests.
 class ReplayRouter {
 public:
-    ReplayRouter(EventQueue&, const ReplaySettings&, std::vector<ReplayEndpoint>&, uint64_t number);
+    ReplayRouter(ReplayEventQueue&, const RoutingReplaySettings&, std::vector<ReplayEndpoint>&, uint64_t number);
 
     void receive(ReplayRequest&);
     // A load report of an endpoint that was true at a time.
-    void report(size_t endpoint, int64_t load, EventQueue::TimePoint at);
+    void report(size_t endpoint, int64_t load, ReplayEventQueue::TimePoint at);
 
     static std::string nameOf(size_t endpoint);
 
@@ -30,8 +30,8 @@
     void dispatchWaiting();
     void shed(const std::vector<Routing::Waiter>&);
 
-    EventQueue& m_events;
-    const ReplaySettings& m_settings;
+    ReplayEventQueue& m_events;
+    const RoutingReplaySettings& m_settings;
     std::vector<ReplayEndpoint>& m_endpoints;
     Routing::EndpointTable m_table;
     Routing::PrefixPopularity m_popularity;
--- a/Utilities/jujuberelay/src/RoutingReplay.cpp
+++ b/Utilities/jujuberelay/src/RoutingReplay.cpp
@@ -10,14 +10,14 @@
 
 namespace Commands {
 
-using TimePoint = EventQueue::TimePoint;
+using TimePoint = ReplayEventQueue::TimePoint;
 
 namespace {
 
 // Draws requests; the draws do not depend on the policy.
 class RequestSource {
 public:
-    explicit RequestSource(const ReplaySettings& settings)
+    explicit RequestSource(const RoutingReplaySettings& settings)
         : m_settings(settings)
         , m_generator(settings.seed)
         , m_own(1.0 / static_cast<double>(settings.ownTokens))
@@ -49,7 +49,7 @@
     }
 
 private:
-    static double arrivalsPerSecond(const ReplaySettings& settings)
+    static double arrivalsPerSecond(const RoutingReplaySettings& settings)
     {
         double promptTokens = static_cast<double>(settings.prefixTokens + settings.ownTokens);
         double serviceMs = promptTokens * static_cast<double>(settings.prefillMsPer1000Tokens) / 1000
@@ -58,7 +58,7 @@
         return capacity * static_cast<double>(settings.loadPercent) / 100;
     }
 
-    const ReplaySettings& m_settings;
+    const RoutingReplaySettings& m_settings;
     std::mt19937_64 m_generator;
     std::exponential_distribution<double> m_own;
     std::exponential_distribution<double> m_answer;
@@ -70,7 +70,7 @@
 
 class Replay {
 public:
-    explicit Replay(const ReplaySettings& settings)
+    explicit Replay(const RoutingReplaySettings& settings)
         : m_settings(settings)
         , m_source(settings)
     {
@@ -141,8 +141,8 @@
         return result;
     }
 
-    const ReplaySettings& m_settings;
-    EventQueue m_events;
+    const RoutingReplaySettings& m_settings;
+    ReplayEventQueue m_events;
     RequestSource m_source;
     std::vector<ReplayEndpoint> m_endpoints;
     std::vector<std::unique_ptr<ReplayRouter>> m_routers;
@@ -152,7 +152,7 @@
 
 }
 
-ReplayResult replayRouting(const ReplaySettings& settings)
+ReplayResult replayRouting(const RoutingReplaySettings& settings)
 {
     return Replay(settings).run();
 }
--- a/Utilities/jujuberelay/src/RoutingReplay.h
+++ b/Utilities/jujuberelay/src/RoutingReplay.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "ReplaySettings.h"
+#include "RoutingReplaySettings.h"
 #include <cstdint>
 
 namespace Commands {
@@ -18,6 +18,6 @@
 
 // Replays a seeded load on routers that share endpoints, at the interfaces of EndpointTable, chooseEndpoint and
 // WaitingList. There is no network and no real time.
-ReplayResult replayRouting(const ReplaySettings&);
+ReplayResult replayRouting(const RoutingReplaySettings&);
 
 }
--- a/Utilities/jujuberelay/src/ReplaySettings.h
+++ b/Utilities/jujuberelay/src/RoutingReplaySettings.h
@@ -12,7 +12,7 @@
     Chooser,
 };
 
-struct ReplaySettings {
+struct RoutingReplaySettings {
     uint64_t seed { 1 };
     ReplayPolicy policy { ReplayPolicy::Chooser };
     // Arrivals in percent of what all slots can serve when no prefix is cached.
