Ledger: bound what a shard remembers; recovery: only by daemons that have seen enough

Cause 1: identities of bills (42 bytes each) and stored answers (up to 2 KB each) were kept for 24 hours whatever their number; past about 23,800 bills or 400 answers the checkpoint outgrew 1 MB and the shard refused every commit. Now the oldest are forgotten first, and bills from before the horizon are refused. Cause 2: a daemon that replaced a lost one did not know of that loss and released the grants of a second one killed with it. Only a daemon that ran for 60 s before a loss releases now. Hosts that an operator withdraws count as lost, and their own daemons refuse new work. Cause 3: a shard's writer that is cut off from the platform now passes entries on. Event numbers 1301 to 1304 stood for two events each; the budget's are 1351 to 1354.

--- a/Libraries/LibBudget/src/BudgetEvents.h
+++ b/Libraries/LibBudget/src/BudgetEvents.h
@@ -4,9 +4,9 @@
 
 namespace Budget {
 
-constexpr Core::Event holderClosed { 1301, Core::Severity::Error, "budget_holder_closed" };
-constexpr Core::Event returnFailed { 1302, Core::Severity::Warning, "budget_return_failed" };
-constexpr Core::Event billRefused { 1303, Core::Severity::Error, "budget_bill_refused" };
-constexpr Core::Event billsDelayed { 1304, Core::Severity::Warning, "budget_bills_delayed" };
+constexpr Core::Event holderClosed { 1351, Core::Severity::Error, "budget_holder_closed" };
+constexpr Core::Event returnFailed { 1352, Core::Severity::Warning, "budget_return_failed" };
+constexpr Core::Event billRefused { 1353, Core::Severity::Error, "budget_bill_refused" };
+constexpr Core::Event billsDelayed { 1354, Core::Severity::Warning, "budget_bills_delayed" };
 
 }
--- a/Libraries/LibLedger/include/LibLedger/IdentitySet.h
+++ b/Libraries/LibLedger/include/LibLedger/IdentitySet.h
@@ -34,6 +34,9 @@
     bool contains(const IdentityHash& identity) const { return m_items.contains(identity); }
     // Drops the identities whose last occurrence is before the time.
     void expireBefore(int64_t timeMs);
+    // The time to pass to expireBefore so that at most this many identities remain, unless more of them share the latest
+    // minute. Depends on the items only, so that a restored set gives the same answer.
+    int64_t expiryForRoom(size_t most) const;
     size_t size() const { return m_items.size(); }
 
     // All items, ordered by identity, for the checkpoint.
--- a/Libraries/LibLedger/include/LibLedger/ShardState.h
+++ b/Libraries/LibLedger/include/LibLedger/ShardState.h
@@ -68,6 +68,9 @@
     ClaimState* findClaim(const std::string& requestId, const BudgetId&, const std::string& nonce);
     void countBill(BudgetState&, const std::string& requestId, int64_t timeMs);
     void expireClaims();
+    void boundAttempts();
+    void boundFinishedClaims();
+    size_t forgetOldestFinishedClaim();
     void expireHolders();
     void expireOpenAttempts();
 
@@ -78,6 +81,10 @@
     // Counts the attempts of each request.
     IdentitySet m_requests;
     std::map<std::string, ClaimState> m_claims;
+    // Claims that ran and whose answers are no longer stored.
+    IdentitySet m_finishedClaims;
+    // Bills and claims from before this time are refused, since their identities may have been forgotten.
+    int64_t m_forgottenBeforeMs { 0 };
     std::map<std::string, OpenAttemptState> m_openAttempts;
 };
 
--- a/Libraries/LibLedger/src/IdentitySet.cpp
+++ b/Libraries/LibLedger/src/IdentitySet.cpp
@@ -39,6 +39,22 @@
     }
 }
 
+int64_t IdentitySet::expiryForRoom(size_t most) const
+{
+    std::map<int64_t, size_t> byMinute;
+    for (const std::pair<const IdentityHash, Item>& item : m_items)
+        ++byMinute[item.second.minute];
+    size_t remaining = m_items.size();
+    int64_t horizon = 0;
+    for (const std::pair<const int64_t, size_t>& group : byMinute) {
+        if (remaining <= most || group.first == byMinute.rbegin()->first)
+            break;
+        remaining -= group.second;
+        horizon = group.first + 1;
+    }
+    return horizon * millisecondsPerMinute;
+}
+
 std::map<IdentityHash, IdentitySet::Item> IdentitySet::sorted() const
 {
     return std::map<IdentityHash, Item>(m_items.begin(), m_items.end());
--- a/Libraries/LibLedger/src/ShardExpiry.cpp
+++ b/Libraries/LibLedger/src/ShardExpiry.cpp
@@ -1,3 +1,4 @@
+#include "LibLedger/Limits.h"
 #include "LibLedger/ShardState.h"
 
 namespace Ledger {
@@ -18,6 +19,46 @@
     });
 }
 
+void ShardState::boundAttempts()
+{
+    if (m_attempts.size() <= maximumAttempts)
+        return;
+    int64_t horizon = m_attempts.expiryForRoom(maximumAttempts * 3 / 4);
+    m_attempts.expireBefore(horizon);
+    m_requests.expireBefore(horizon);
+    m_forgottenBeforeMs = std::max(m_forgottenBeforeMs, horizon);
+}
+
+void ShardState::boundFinishedClaims()
+{
+    size_t count = 0;
+    size_t bytes = 0;
+    for (const std::pair<const std::string, ClaimState>& item : m_claims) {
+        count += item.second.outcome ? 1 : 0;
+        bytes += item.second.outcome ? item.second.outcome->body.size() : 0;
+    }
+    while (count > maximumFinishedClaims || bytes > maximumOutcomeBytes) {
+        bytes -= forgetOldestFinishedClaim();
+        --count;
+    }
+    if (m_finishedClaims.size() > maximumFinishedIdentities)
+        m_finishedClaims.expireBefore(m_finishedClaims.expiryForRoom(maximumFinishedIdentities * 3 / 4));
+}
+
+// A retry of the call is told that it ran, without its answer. Returns the size of the forgotten answer.
+size_t ShardState::forgetOldestFinishedClaim()
+{
+    std::map<std::string, ClaimState>::iterator oldest = m_claims.end();
+    for (std::map<std::string, ClaimState>::iterator item = m_claims.begin(); item != m_claims.end(); ++item) {
+        if (item->second.outcome && (oldest == m_claims.end() || item->second.changedAtMs < oldest->second.changedAtMs))
+            oldest = item;
+    }
+    m_finishedClaims.add(IdentityHash::of(oldest->first), oldest->second.changedAtMs);
+    size_t bytes = oldest->second.outcome->body.size();
+    m_claims.erase(oldest);
+    return bytes;
+}
+
 // A holder without tokens is forgotten only when a newer incarnation of its host is known. Its process is gone then,
 // so no message can repeat a cumulative number that the ledger no longer knows.
 void ShardState::expireHolders()
--- a/Libraries/LibLedger/src/ShardState.cpp
+++ b/Libraries/LibLedger/src/ShardState.cpp
@@ -30,12 +30,16 @@
 void ShardState::beginCommit(int64_t committedAtMs, int64_t expireBeforeMs)
 {
     m_committedAtMs = std::max(m_committedAtMs, committedAtMs);
+    boundAttempts();
+    boundFinishedClaims();
     // Expiry visits every budget, so it runs at most once for each minute.
     if (expireBeforeMs / millisecondsPerMinute <= m_expireBeforeMs / millisecondsPerMinute)
         return;
     m_expireBeforeMs = expireBeforeMs;
     m_attempts.expireBefore(m_expireBeforeMs);
     m_requests.expireBefore(m_expireBeforeMs);
+    m_finishedClaims.expireBefore(m_expireBeforeMs);
+    m_forgottenBeforeMs = std::max(m_forgottenBeforeMs, m_expireBeforeMs);
     expireClaims();
     expireHolders();
     expireOpenAttempts();
@@ -120,7 +124,7 @@
     IdentityHash attempt = IdentityHash::of(entry.attemptId);
     if (m_attempts.contains(attempt))
         return withCode(ResultCode::Duplicate);
-    if (!isAmount(entry.tokens) || entry.endedAtMs < m_expireBeforeMs)
+    if (!isAmount(entry.tokens) || entry.endedAtMs < m_forgottenBeforeMs)
         return withCode(ResultCode::Rejected);
     std::map<Holder, HolderState>::iterator found = budget->holders.find(entry.holder);
     Tokens covered = found == budget->holders.end() ? 0 : found->second.outstanding();
@@ -180,7 +184,12 @@
         result.existing = ExistingClaim { existing.claim.claimant, existing.outcome };
         return result;
     }
-    if (!isAmount(entry.price) || entry.claimedAtMs < m_expireBeforeMs)
+    if (m_finishedClaims.contains(IdentityHash::of(entry.requestId))) {
+        EntryResult result = withCode(ResultCode::AlreadyClaimed);
+        result.existing = ExistingClaim {};
+        return result;
+    }
+    if (!isAmount(entry.price) || entry.claimedAtMs < m_forgottenBeforeMs)
         return withCode(ResultCode::Rejected);
     // The daemon that made this claim has freed it; the entry is a late repetition.
     if (m_attempts.contains(voidedNonce(entry.nonce)))
--- a/Libraries/LibLedger/src/ShardStateCodec.cpp
+++ b/Libraries/LibLedger/src/ShardStateCodec.cpp
@@ -155,7 +155,7 @@
     for (const std::pair<const std::string, OpenAttemptState>& item : m_openAttempts)
         attempts.push_back(json::array({ toJSON(Entry(item.second.attempt)), item.second.openedAtMs }));
     return CBOR::serialise(json::array({ stateFormat, m_committedAtMs, m_expireBeforeMs, budgets, claims, attempts,
-        CBOR::byteString(packIdentities(m_attempts)), CBOR::byteString(packIdentities(m_requests)) }));
+        CBOR::byteString(packIdentities(m_attempts)), CBOR::byteString(packIdentities(m_requests)), CBOR::byteString(packIdentities(m_finishedClaims)), m_forgottenBeforeMs }));
 }
 
 std::optional<ShardState> ShardState::decode(const std::string& bytes)
@@ -174,6 +174,8 @@
     isComplete = isComplete && readOpenAttempts(reader.array(), state.m_openAttempts);
     isComplete = isComplete && unpackIdentities(reader.bytes(), state.m_attempts);
     isComplete = isComplete && unpackIdentities(reader.bytes(), state.m_requests);
+    isComplete = isComplete && unpackIdentities(reader.bytes(), state.m_finishedClaims);
+    state.m_forgottenBeforeMs = reader.signedNumber();
     if (!isComplete || !reader.finished() || !state.invariantHolds())
         return std::nullopt;
     return state;
--- a/Services/jujuberelayd/src/Daemon.cpp
+++ b/Services/jujuberelayd/src/Daemon.cpp
@@ -17,6 +17,7 @@
 static constexpr std::chrono::seconds startTimeout(20);
 static constexpr std::chrono::milliseconds incarnationTimeout(1000);
 static constexpr std::chrono::milliseconds drainPoll(20);
+static constexpr std::chrono::seconds idleShardTime(60);
 static constexpr std::chrono::seconds leaveTimeout(2);
 static constexpr std::chrono::milliseconds ledgerOpenTimeout(3000);
 static constexpr std::chrono::milliseconds witnessCloseTimeout(2000);
@@ -106,6 +107,9 @@
 {
     if (m_isDraining)
         return Caller::Refusal { "draining", 503, Caller::Ran::NotRun, "admit", m_settings.host, "this daemon is shutting down", 100 };
+    // Others release the grants of a withdrawn host, so its daemon must not spend them.
+    if (m_intent.state() && m_intent.state()->withdrawnHosts.contains(m_settings.host))
+        return Caller::Refusal { "host_withdrawn", 503, Caller::Ran::NotRun, "admit", m_settings.host, "an operator has withdrawn this host", 0 };
     SteadyClock::time_point now = SteadyClock::now();
     if (!m_intent.state() || !m_freshness.mayDispatch(now))
         return Caller::Refusal { "stale_intent", 503, Caller::Ran::NotRun, "admit", m_settings.host, m_freshness.reason(now), 1000 };
@@ -233,6 +237,15 @@
     Core::spawn(m_executor, "witness", m_witness.run());
     Core::spawn(m_executor, "settler", m_settler.run());
     Core::spawn(m_executor, "recovery", m_recovery.run());
+    Core::spawn(m_executor, "idle shards", dropIdleShards());
+}
+
+Core::Task<void> Daemon::dropIdleShards()
+{
+    while (!m_isDraining) {
+        co_await Core::sleepUntil(Core::Deadline::after(idleShardTime));
+        m_ledger.dropIdleSince(SteadyClock::now() - idleShardTime);
+    }
 }
 
 std::string Daemon::addressLine() const
--- a/Services/jujuberelayd/src/Daemon.h
+++ b/Services/jujuberelayd/src/Daemon.h
@@ -82,6 +82,7 @@
     Core::Task<bool> submitOne(Ledger::Entry, Core::Deadline, Core::Reason&);
     void intentChanged(std::shared_ptr<const Intent::FleetState>);
     void startTasks();
+    Core::Task<void> dropIdleShards();
     Core::Task<bool> waitUntilIdle(Core::Deadline, const char* what, std::function<size_t()> remaining, Core::Reason&);
 
     boost::asio::any_io_executor m_executor;
--- a/Services/jujuberelayd/src/DaemonHooks.cpp
+++ b/Services/jujuberelayd/src/DaemonHooks.cpp
@@ -47,6 +47,7 @@
     RouteService::Hooks hooks;
     hooks.state = [this] { return m_intent.state(); };
     hooks.domainMembers = [this] { return m_membership.domainMembers(); };
+    hooks.daemonCount = [this] { return m_membership.live().size(); };
     return hooks;
 }
 
@@ -102,6 +103,7 @@
 HolderRecovery::Hooks Daemon::makeRecoveryHooks()
 {
     HolderRecovery::Hooks hooks;
+    hooks.startedAt = Core::SteadyClock::now();
     hooks.live = [this] { return m_membership.live(); };
     hooks.ownerState = [this](const Ledger::Holder& holder) { return ownerState(holder); };
     hooks.ownRecords = [this](const Ledger::Holder& holder) { return m_records.recordsOf(holder).size(); };
--- a/Services/jujuberelayd/src/HolderRecovery.cpp
+++ b/Services/jujuberelayd/src/HolderRecovery.cpp
@@ -27,6 +27,7 @@
     , m_shardCount(shardCount)
     , m_network(network)
     , m_hooks(std::move(hooks))
+    , m_startedAt(m_hooks.startedAt)
 {
 }
 
@@ -54,6 +55,25 @@
         m_suspects.erase(suspected);
 }
 
+// Counts the daemons of hosts that an operator has declared destroyed as lost.
+void HolderRecovery::adoptWithdrawnHosts()
+{
+    std::vector<Holder> dead;
+    for (const std::pair<const Holder, MemberState>& seen : m_seen) {
+        if (seen.first.host != m_selfHost && m_hooks.ownerState(seen.first) == Witness::OwnerState::ProvedDead)
+            dead.push_back(seen.first);
+    }
+    for (const Holder& holder : dead)
+        superseded(holder.host, holder.incarnation);
+}
+
+// A daemon that started shortly before the loss, or after it, cannot know which other daemons were lost with the holder,
+// its own predecessor among them.
+bool HolderRecovery::hasSeenEnough(const Loss& loss) const
+{
+    return loss.at - m_startedAt >= lossWindow;
+}
+
 bool HolderRecovery::isFirstToTry(const Holder& holder, const Loss& loss) const
 {
     if (SteadyClock::now() - loss.at > takeoverDelay)
@@ -166,9 +186,10 @@
 {
     SteadyClock::time_point now = SteadyClock::now();
     std::erase_if(m_released, [now](const std::pair<const Holder, Loss>& item) { return !isClose(item.second.at, now); });
+    adoptWithdrawnHosts();
     std::vector<Holder> candidates;
     for (const std::pair<const Holder, Loss>& item : m_lost) {
-        if (!item.second.isStranded && m_hooks.ownerState(item.first) == Witness::OwnerState::ProvedDead && isFirstToTry(item.first, item.second))
+        if (!item.second.isStranded && hasSeenEnough(item.second) && m_hooks.ownerState(item.first) == Witness::OwnerState::ProvedDead && isFirstToTry(item.first, item.second))
             candidates.push_back(item.first);
     }
     for (const Holder& holder : candidates) {
--- a/Services/jujuberelayd/src/HolderRecovery.h
+++ b/Services/jujuberelayd/src/HolderRecovery.h
@@ -17,6 +17,8 @@
 class HolderRecovery {
 public:
     struct Hooks {
+        // When this process started.
+        Core::SteadyClock::time_point startedAt {};
         std::function<std::vector<Membership::Member>()> live;
         std::function<Witness::OwnerState(const Ledger::Holder&)> ownerState;
         // Unbilled records of the holder that this daemon keeps.
@@ -51,6 +53,8 @@
         bool isStranded { false };
     };
 
+    void adoptWithdrawnHosts();
+    bool hasSeenEnough(const Loss&) const;
     bool isFirstToTry(const Ledger::Holder&, const Loss&) const;
     bool couldHaveLostRecords(const Ledger::Holder&, Loss&) const;
     Core::Task<bool> noRecordsLeft(Ledger::Holder);
@@ -63,6 +67,7 @@
     uint32_t m_shardCount;
     Peer::Network& m_network;
     Hooks m_hooks;
+    Core::SteadyClock::time_point m_startedAt;
     // The last state of each incarnation that this daemon has seen alive.
     std::map<Ledger::Holder, Membership::MemberState> m_seen;
     // When a daemon became a suspect that has not been heard again.
--- a/Services/jujuberelayd/src/LedgerGateway.cpp
+++ b/Services/jujuberelayd/src/LedgerGateway.cpp
@@ -6,6 +6,9 @@
 // A submission at a peer that does not answer must leave time for the own try.
 static constexpr std::chrono::milliseconds peerTimeout(1500);
 
+// Daemons asked to write before a submission fails.
+static constexpr size_t maxWritersTried = 3;
+
 static const char* const submitType = "ledgerSubmit";
 
 LedgerGateway::LedgerGateway(std::string selfHost, Peer::Network& network, Ledger::Submit local, LiveMembers liveMembers)
@@ -48,18 +51,15 @@
     });
 }
 
-std::optional<Membership::Member> LedgerGateway::writerOf(uint32_t shard) const
+std::vector<Membership::Member> LedgerGateway::orderOf(uint32_t shard) const
 {
-    std::vector<Membership::Member> order = Membership::rendezvousOrder("shard-" + std::to_string(shard), m_liveMembers());
-    if (order.empty())
-        return std::nullopt;
-    return order.front();
+    return Membership::rendezvousOrder("shard-" + std::to_string(shard), m_liveMembers());
 }
 
 bool LedgerGateway::isWriter(uint32_t shard) const
 {
-    std::optional<Membership::Member> writer = writerOf(shard);
-    return !writer || writer->host == m_selfHost;
+    std::vector<Membership::Member> order = orderOf(shard);
+    return order.empty() || order.front().host == m_selfHost;
 }
 
 Core::Task<std::optional<std::vector<Ledger::EntryResult>>> LedgerGateway::submitToPeer(const Membership::Member& writer, uint32_t shard,
@@ -81,11 +81,23 @@
 Core::Task<std::optional<std::vector<Ledger::EntryResult>>> LedgerGateway::submit(
     uint32_t shard, std::vector<Ledger::Entry> entries, Core::Deadline deadline, Core::Reason& reason)
 {
-    std::optional<Membership::Member> writer = writerOf(shard);
-    if (writer && writer->host != m_selfHost) {
-        std::optional<std::vector<Ledger::EntryResult>> results = co_await submitToPeer(*writer, shard, entries, deadline, reason);
+    // The writer first, then others in the same order: this daemon or the writer may be cut off from the platform.
+    std::vector<Membership::Member> order = orderOf(shard);
+    if (order.size() > maxWritersTried)
+        order.resize(maxWritersTried);
+    bool triedSelf = false;
+    for (const Membership::Member& writer : order) {
+        bool isSelf = writer.host == m_selfHost;
+        triedSelf = triedSelf || isSelf;
+        std::optional<std::vector<Ledger::EntryResult>> results = isSelf
+            ? co_await m_local(shard, entries, std::min(deadline, Core::Deadline::after(peerTimeout)), reason)
+            : co_await submitToPeer(writer, shard, entries, deadline, reason);
         if (results)
             co_return results;
+        if (deadline.hasPassed())
+            co_return std::nullopt;
     }
+    if (triedSelf)
+        co_return std::nullopt;
     co_return co_await m_local(shard, std::move(entries), deadline, reason);
 }
--- a/Services/jujuberelayd/src/LedgerGateway.h
+++ b/Services/jujuberelayd/src/LedgerGateway.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 // Sends ledger entries to the daemon that writes their shard: this one or, over a peer link, the first live daemon in
-// rendezvous order. A daemon that cannot reach the writer writes the shard itself; the platform's conditional writes
+// rendezvous order. When that one fails, the next in the order are tried, and this daemon last; the platform's conditional writes
 // decide between two writers.
 class LedgerGateway {
 public:
@@ -27,7 +27,8 @@
     bool isWriter(uint32_t shard) const;
 
 private:
-    std::optional<Membership::Member> writerOf(uint32_t shard) const;
+    // The daemons in the order in which they write the shard.
+    std::vector<Membership::Member> orderOf(uint32_t shard) const;
     Core::Task<std::optional<std::vector<Ledger::EntryResult>>> submitToPeer(
         const Membership::Member&, uint32_t shard, const std::vector<Ledger::Entry>&, Core::Deadline, Core::Reason&);
 
--- a/Services/jujuberelayd/src/RouteService.cpp
+++ b/Services/jujuberelayd/src/RouteService.cpp
@@ -11,6 +11,7 @@
 static const char* const loadsType = "loads";
 static constexpr std::chrono::milliseconds reportInterval(1000);
 static constexpr std::chrono::milliseconds reportTimeout(800);
+static constexpr int64_t maxReportAgeMs = 60'000;
 // An endpoint with this multiple of its slots in work gets no more; further requests wait here by priority.
 static constexpr double overcommit = 2;
 
@@ -164,6 +165,7 @@
     while (!m_isStopped) {
         std::shared_ptr<const Intent::FleetState> state = m_hooks.state();
         std::vector<Membership::Member> members = m_hooks.domainMembers();
+        m_table.setSharingDaemons(static_cast<int64_t>(m_hooks.daemonCount()));
         if (state) {
             for (const std::pair<const std::string, Intent::Endpoint>& item : state->endpoints) {
                 if (item.second.kind == Intent::EndpointKind::Engine && isReader(item.first, members))
@@ -212,7 +214,8 @@
             bool isValid = report.is_array() && report.size() == 3 && report[0].is_string() && report[1].is_number_integer() && report[2].is_number_integer();
             if (!isValid)
                 continue;
-            SteadyClock::time_point at = SteadyClock::now() - std::chrono::milliseconds(report[2].get<int64_t>());
+            int64_t ageMs = std::clamp<int64_t>(report[2].get<int64_t>(), 0, maxReportAgeMs);
+            SteadyClock::time_point at = SteadyClock::now() - std::chrono::milliseconds(ageMs);
             m_table.recordReport(report[0].get<std::string>(), report[1].get<int64_t>(), at);
         }
         m_queue.capacityChanged();
--- a/Services/jujuberelayd/src/RouteService.h
+++ b/Services/jujuberelayd/src/RouteService.h
@@ -19,6 +19,8 @@
         std::function<std::shared_ptr<const Intent::FleetState>()> state;
         // Live daemons of the own failure domain, this one included.
         std::function<std::vector<Membership::Member>()> domainMembers;
+        // Number of live daemons, which share the endpoints.
+        std::function<size_t()> daemonCount;
     };
 
     RouteService(const boost::asio::any_io_executor&, std::string selfHost, Peer::Network&, Endpoint::EngineClient&, Hooks);
--- /dev/null
+++ b/Tests/LibDaemon/TestHolderRecovery.cpp
@@ -0,0 +1,151 @@
+#include "HolderRecovery.h"
+
+#include "RunTask.h"
+#include <criterion/criterion.h>
+
+using Membership::Member;
+using Membership::MemberState;
+
+namespace {
+
+// A recovery whose other daemons, ledger and endpoints are fakes. Only this daemon is alive, so that no call is made.
+struct Fixture {
+    boost::asio::io_context context;
+    Peer::Network network { context.get_executor(), {} };
+    std::set<Ledger::Holder> dead;
+    size_t records { 0 };
+    std::vector<Ledger::CloseHolder> closed;
+    std::vector<Ledger::Usage> bills;
+    Ledger::LedgerAudit audit;
+    Ledger::BudgetId budget { "orders", "default" };
+    HolderRecovery recovery;
+
+    explicit Fixture(std::chrono::seconds age = std::chrono::seconds(600))
+        : recovery("entry-1", 1, network, makeHooks(age))
+    {
+        for (const char* host : { "entry-2", "entry-3" }) {
+            audit.budgets[budget].outstanding[{ host, 1 }] = 100;
+            recovery.memberChanged(member(host, MemberState::Alive));
+        }
+    }
+
+    static Member member(const char* host, MemberState state)
+    {
+        Member made;
+        made.host = host;
+        made.incarnation = 1;
+        made.state = state;
+        return made;
+    }
+
+    HolderRecovery::Hooks makeHooks(std::chrono::seconds age)
+    {
+        HolderRecovery::Hooks hooks;
+        hooks.startedAt = Core::SteadyClock::now() - age;
+        hooks.live = [] { return std::vector<Member> { member("entry-1", MemberState::Alive) }; };
+        hooks.ownerState = [this](const Ledger::Holder& holder) { return dead.contains(holder) ? Witness::OwnerState::ProvedDead : Witness::OwnerState::Disappeared; };
+        hooks.ownRecords = [this](const Ledger::Holder&) { return records; };
+        hooks.audit = [this](uint32_t, Core::Deadline, Core::Reason&) -> Core::Task<std::optional<Ledger::LedgerAudit>> { co_return audit; };
+        hooks.submit = [this](uint32_t, std::vector<Ledger::Entry> entries, Core::Deadline, Core::Reason&) -> Core::Task<std::optional<std::vector<Ledger::EntryResult>>> {
+            for (const Ledger::Entry& entry : entries) {
+                if (const Ledger::CloseHolder* close = std::get_if<Ledger::CloseHolder>(&entry))
+                    closed.push_back(*close);
+                if (const Ledger::Usage* usage = std::get_if<Ledger::Usage>(&entry))
+                    bills.push_back(*usage);
+            }
+            co_return std::vector<Ledger::EntryResult>(entries.size());
+        };
+        hooks.cancelStream = [](std::string, std::string, Core::Deadline, Core::Reason&) -> Core::Task<std::optional<Ledger::Tokens>> { co_return 7; };
+        return hooks;
+    }
+
+    void replace(const char* host)
+    {
+        dead.insert({ host, 1 });
+        recovery.superseded(host, 1);
+    }
+
+    void runOnce()
+    {
+        TestSupport::runTask(context, [](HolderRecovery& recovery) -> Core::Task<bool> {
+            co_await recovery.runOnce();
+            co_return true;
+        }(recovery));
+    }
+};
+
+}
+
+// Guards against tokens that stay stranded although their holder was replaced.
+Test(HolderRecovery, replacedHolderIsReleased)
+{
+    Fixture fixture;
+    fixture.replace("entry-2");
+    fixture.runOnce();
+    cr_assert_eq(fixture.closed.size(), 1u);
+    cr_assert_eq(fixture.closed[0].holder, (Ledger::Holder { "entry-2", 1 }));
+    cr_assert_eq(fixture.recovery.pending(), 0u);
+}
+
+// Guards against a release on mere suspicion: the holder may be paused and spend its grant when it wakes.
+Test(HolderRecovery, suspectIsNotReleased)
+{
+    Fixture fixture;
+    fixture.recovery.memberChanged(Fixture::member("entry-2", MemberState::Suspect));
+    fixture.runOnce();
+    cr_assert(fixture.closed.empty());
+}
+
+// Guards against a release while a record of the holder is not billed.
+Test(HolderRecovery, unbilledRecordsDelayTheRelease)
+{
+    Fixture fixture;
+    fixture.records = 1;
+    fixture.replace("entry-2");
+    fixture.runOnce();
+    cr_assert(fixture.closed.empty());
+    fixture.records = 0;
+    fixture.runOnce();
+    cr_assert_eq(fixture.closed.size(), 1u);
+}
+
+// Guards against a release when the daemon that kept the holder's records was lost with it.
+Test(HolderRecovery, twoLossesAtOnceStayStranded)
+{
+    Fixture fixture;
+    fixture.replace("entry-2");
+    fixture.replace("entry-3");
+    fixture.runOnce();
+    cr_assert(fixture.closed.empty());
+}
+
+// Guards against a daemon that replaced a lost one and does not know of that loss: it once released the grants of a
+// second daemon that was killed together with its predecessor.
+Test(HolderRecovery, daemonThatJustStartedReleasesNothing)
+{
+    Fixture fixture(std::chrono::seconds(5));
+    fixture.replace("entry-2");
+    fixture.runOnce();
+    cr_assert(fixture.closed.empty());
+}
+
+// Guards against tokens that stay stranded after an operator declared the host destroyed.
+Test(HolderRecovery, withdrawnHostIsReleased)
+{
+    Fixture fixture;
+    fixture.dead.insert({ "entry-2", 1 });
+    fixture.runOnce();
+    cr_assert_eq(fixture.closed.size(), 1u);
+}
+
+// Guards against grants released before attempts that only the ledger knows of are billed.
+Test(HolderRecovery, openAttemptsInTheLedgerAreBilledFirst)
+{
+    Fixture fixture;
+    fixture.audit.openAttempts.push_back({ "a1", "r1", fixture.budget, { "entry-2", 1 }, 50, "engine-1" });
+    fixture.replace("entry-2");
+    fixture.runOnce();
+    cr_assert_eq(fixture.bills.size(), 1u);
+    cr_assert_eq(fixture.bills[0].tokens, 7);
+    cr_assert_eq(fixture.closed.size(), 1u);
+}
