Serve the daemon's metrics

GET /metrics returned an empty text, and refusals made by the chat and service handlers reached neither a counter nor the log: CallerApi's refusal hook saw only its own.

Caller::Observer, a member of Caller::Hooks, is told of each refusal, of the end of each request, and of the times between the events of an answer; it replaces CallerApi's hook. DaemonMetrics counts these, measures the holds, the queue and the witness by wrapping Caller::Hooks, and counts platform calls by wrapping Platform::ObjectStore. DaemonGauges.cpp adds what the parts keep themselves. Metrics::observeCounter shows totals that are kept elsewhere as counters.

The new tests were not seen failing first. The text was not yet read from a running daemon.

--- a/Libraries/LibCaller/include/LibCaller/CallerApi.h
+++ b/Libraries/LibCaller/include/LibCaller/CallerApi.h
@@ -17,24 +17,20 @@
     using IsReady = std::function<bool()>;
     // The text for /metrics.
     using MetricsText = std::function<std::string()>;
-    // Told of each refusal before it is sent.
-    using OnRefusal = std::function<void(const Refusal&)>;
 
-    CallerApi(const Hooks&, ChatHandler&, ServiceHandler&, IsReady, MetricsText, OnRefusal);
+    CallerApi(const Hooks&, ChatHandler&, ServiceHandler&, IsReady, MetricsText);
 
     Core::Task<void> handle(HTTP::Request, HTTP::ResponseWriter&);
 
 private:
     Core::Task<bool> answerPlainPath(const std::string& path, HTTP::ResponseWriter&);
     Core::Task<void> listModels(HTTP::ResponseWriter&);
-    Core::Task<void> refuse(const Refusal&, HTTP::ResponseWriter&);
 
     const Hooks& m_hooks;
     ChatHandler& m_chat;
     ServiceHandler& m_services;
     IsReady m_isReady;
     MetricsText m_metricsText;
-    OnRefusal m_onRefusal;
 };
 
 }
--- a/Libraries/LibCaller/include/LibCaller/ChatHandler.h
+++ b/Libraries/LibCaller/include/LibCaller/ChatHandler.h
@@ -25,6 +25,7 @@
     Core::Task<bool> start(Session&, Refusal&);
     Core::Task<bool> join(Session&, Refusal&);
     Core::Task<bool> dispatch(Session&, const Route&, Refusal&, bool& mayTryNext);
+    void reportEventTime(Session&) const;
     Core::Task<bool> forward(Session&, HTTP::ResponseWriter&, Refusal&);
     Core::Task<std::optional<std::string>> readEvents(Session&, Core::Reason&);
     Core::Task<bool> reconnect(Session&, Core::Reason&);
--- a/Libraries/LibCaller/include/LibCaller/Hooks.h
+++ b/Libraries/LibCaller/include/LibCaller/Hooks.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibCaller/Observer.h"
 #include "LibCaller/Refusal.h"
 #include "LibCore/Address.h"
 #include "LibCore/Async.h"
@@ -87,6 +88,8 @@
     std::function<void(const Route&, RouteResult)> routeDone;
 
     Ledger::Submit submit;
+
+    Observer observer;
 };
 
 }
--- a/Libraries/LibCaller/src/CallerApi.cpp
+++ b/Libraries/LibCaller/src/CallerApi.cpp
@@ -1,19 +1,19 @@
 #include "LibCaller/CallerApi.h"
 
 #include "IdentifiedWriter.h"
+#include "SendRefusal.h"
 #include <nlohmann/json.hpp>
 
 namespace Caller {
 
 static constexpr std::string_view servicesPath = "/services/";
 
-CallerApi::CallerApi(const Hooks& hooks, ChatHandler& chat, ServiceHandler& services, IsReady isReady, MetricsText metricsText, OnRefusal onRefusal)
+CallerApi::CallerApi(const Hooks& hooks, ChatHandler& chat, ServiceHandler& services, IsReady isReady, MetricsText metricsText)
     : m_hooks(hooks)
     , m_chat(chat)
     , m_services(services)
     , m_isReady(std::move(isReady))
     , m_metricsText(std::move(metricsText))
-    , m_onRefusal(std::move(onRefusal))
 {
 }
 
@@ -26,17 +26,17 @@
     bool isService = path.starts_with(servicesPath);
     if (!isChat && !isService) {
         Core::Reason reason { Core::FailureKind::NotFound, "find path", "daemon", "no such path: " + path };
-        co_return co_await refuse(notRun("not_found", 404, reason), writer);
+        co_return co_await sendRefusal(m_hooks.observer, notRun("not_found", 404, reason), writer);
     }
     if (isChat && request.method != "POST")
-        co_return co_await refuse({ "bad_request", 405, Ran::NotRun, "read method", "caller", "expected POST", 0 }, writer);
+        co_return co_await sendRefusal(m_hooks.observer, { "bad_request", 405, Ran::NotRun, "read method", "caller", "expected POST", 0 }, writer);
     std::optional<Refusal> closed = m_hooks.admission();
     if (closed)
-        co_return co_await refuse(*closed, writer);
+        co_return co_await sendRefusal(m_hooks.observer, *closed, writer);
     Refusal refusal;
     std::optional<RequestIdentity> identity = identify(request, *m_hooks.state(), refusal);
     if (!identity)
-        co_return co_await refuse(refusal, writer);
+        co_return co_await sendRefusal(m_hooks.observer, refusal, writer);
     IdentifiedWriter identified(writer, identity->requestId);
     if (isChat)
         co_await m_chat.handle(request, *identity, identified);
@@ -73,11 +73,4 @@
     co_await writer.send({ 200, { { "Content-Type", "application/json" } }, body.dump() }, ignored);
 }
 
-Core::Task<void> CallerApi::refuse(const Refusal& refusal, HTTP::ResponseWriter& writer)
-{
-    m_onRefusal(refusal);
-    Core::Reason ignored;
-    co_await writer.send(refusal.response(), ignored);
-}
-
 }
--- a/Libraries/LibCaller/src/ChatHandler.cpp
+++ b/Libraries/LibCaller/src/ChatHandler.cpp
@@ -1,6 +1,7 @@
 #include "LibCaller/ChatHandler.h"
 
 #include "AnswerAssembler.h"
+#include "SendRefusal.h"
 #include <algorithm>
 #include <set>
 
@@ -40,6 +41,8 @@
     // Whether routeDone is still to be called.
     bool isRouteOpen { false };
     bool callerGone { false };
+    Core::SteadyClock::time_point startedAt { Core::SteadyClock::now() };
+    std::optional<Core::SteadyClock::time_point> lastEventAt;
     AnswerAssembler assembler;
 };
 
@@ -53,12 +56,9 @@
 Core::Task<void> ChatHandler::handle(const HTTP::Request& request, const RequestIdentity& identity, HTTP::ResponseWriter& writer)
 {
     Refusal refusal;
-    Core::Reason ignored;
     std::optional<ChatRequest> chat = parseChatRequest(request.body, *m_hooks.state(), refusal);
-    if (!chat) {
-        co_await writer.send(refusal.response(), ignored);
-        co_return;
-    }
+    if (!chat)
+        co_return co_await sendRefusal(m_hooks.observer, refusal, writer);
     std::shared_ptr<Session> session = std::make_shared<Session>(m_hooks, identity, std::move(*chat));
     bool isRunning = co_await start(*session, refusal);
     // A refusal may say "not run" only if no earlier try with the same key ran.
@@ -67,8 +67,7 @@
     if (!isRunning) {
         if (session->wasSent)
             resolveLater(session);
-        co_await writer.send(refusal.response(), ignored);
-        co_return;
+        co_return co_await sendRefusal(m_hooks.observer, refusal, writer);
     }
     if (co_await forward(*session, writer, refusal)) {
         co_await complete(*session, writer);
@@ -182,6 +181,16 @@
     co_return false;
 }
 
+void ChatHandler::reportEventTime(Session& session) const
+{
+    Core::SteadyClock::time_point now = Core::SteadyClock::now();
+    if (session.lastEventAt)
+        m_hooks.observer.nextEvent(now - *session.lastEventAt);
+    else
+        m_hooks.observer.firstEvent(now - session.startedAt);
+    session.lastEventAt = now;
+}
+
 Core::Task<bool> ChatHandler::forward(Session& session, HTTP::ResponseWriter& writer, Refusal& refusal)
 {
     Core::Reason reason;
@@ -199,6 +208,7 @@
         }
         if (events->empty())
             co_return true;
+        reportEventTime(session);
         if (!session.request.isStreaming) {
             session.assembler.add(*events);
             continue;
@@ -259,36 +269,38 @@
     Core::Deadline deadline(std::max(session.identity.deadline.at(), Core::Deadline::after(durabilityGrace).at()));
     bool isDurable = co_await session.attempt.makeDurable(used, Ledger::UsageKind::Complete, deadline, reason);
     session.attempt.finish(used, Ledger::UsageKind::Complete);
-    if (session.callerGone)
+    if (session.callerGone) {
+        m_hooks.observer.ended(RequestOutcome::CallerGone);
         co_return;
+    }
     if (!isDurable) {
         co_await breakOff(session, writer, unknownOutcome("witness_unavailable", 503, reason, 1000));
         co_return;
     }
     if (session.request.isStreaming) {
         finalEvent += "data: [DONE]\n\n";
-        if (co_await writer.writeChunk(finalEvent, reason))
-            co_await writer.finishStream(reason);
+        bool isSent = co_await writer.writeChunk(finalEvent, reason) && co_await writer.finishStream(reason);
+        m_hooks.observer.ended(isSent ? RequestOutcome::Answered : RequestOutcome::CallerGone);
         co_return;
     }
     std::optional<std::string> body = session.assembler.finish(finalEvent);
     if (!body) {
         reason = { Core::FailureKind::Invalid, "assemble answer", session.route.endpoint, "an event is not valid JSON" };
-        co_await writer.send(unknownOutcome("endpoint_failed", 502, reason).response(), reason);
-        co_return;
+        co_return co_await sendRefusal(m_hooks.observer, unknownOutcome("endpoint_failed", 502, reason), writer);
     }
     HTTP::Response response { 200, { { "Content-Type", "application/json" } }, std::move(*body) };
-    co_await writer.send(std::move(response), reason);
+    bool isSent = co_await writer.send(std::move(response), reason);
+    m_hooks.observer.ended(isSent ? RequestOutcome::Answered : RequestOutcome::CallerGone);
 }
 
 Core::Task<void> ChatHandler::breakOff(Session& session, HTTP::ResponseWriter& writer, Refusal refusal)
 {
     Core::Reason ignored;
-    if (!writer.hasStarted()) {
-        co_await writer.send(refusal.response(), ignored);
-        co_return;
-    }
+    if (!writer.hasStarted())
+        co_return co_await sendRefusal(m_hooks.observer, refusal, writer);
+    m_hooks.observer.ended(session.callerGone ? RequestOutcome::CallerGone : RequestOutcome::BrokenOff);
     if (!session.callerGone) {
+        m_hooks.observer.refused(refusal);
         std::string event = "event: error\ndata: " + refusal.json() + "\n\n";
         co_await writer.writeChunk(event, ignored);
     }
--- /dev/null
+++ b/Libraries/LibCaller/src/SendRefusal.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "LibCaller/Observer.h"
+#include "LibHTTP/ResponseWriter.h"
+
+namespace Caller {
+
+// Reports the refusal and the request's end to the observer, then sends it. The refusal must stay valid until the task
+// completes.
+Core::Task<void> sendRefusal(const Observer&, const Refusal&, HTTP::ResponseWriter&);
+
+}
--- a/Libraries/LibCaller/src/ServiceHandler.cpp
+++ b/Libraries/LibCaller/src/ServiceHandler.cpp
@@ -1,6 +1,7 @@
 #include "LibCaller/ServiceHandler.h"
 
 #include "LibCore/Random.h"
+#include "SendRefusal.h"
 #include <algorithm>
 
 namespace Caller {
@@ -50,8 +51,7 @@
     std::map<std::string, Intent::Service>::const_iterator service = state->services.find(name);
     if (!target || service == state->services.end()) {
         Core::Reason reason { Core::FailureKind::NotFound, "find service", "intent", "no service has the name " + name };
-        co_await writer.send(notRun("unknown_service", 404, reason).response(), ignored);
-        co_return;
+        co_return co_await sendRefusal(m_hooks.observer, notRun("unknown_service", 404, reason), writer);
     }
     Call call { request, identity, service->second, *target, identity.fingerprint + Core::randomIdentifier() };
     bool isSafe = request.method == "GET" || request.method == "HEAD";
@@ -59,7 +59,10 @@
     std::optional<HTTP::Response> response = call.service.isRepeatable || isSafe
         ? co_await runRepeatable(call, refusal)
         : co_await runOnce(call, refusal);
-    co_await writer.send(response ? std::move(*response) : refusal.response(), ignored);
+    if (!response)
+        co_return co_await sendRefusal(m_hooks.observer, refusal, writer);
+    bool isSent = co_await writer.send(std::move(*response), ignored);
+    m_hooks.observer.ended(isSent ? RequestOutcome::Answered : RequestOutcome::CallerGone);
 }
 
 static HTTP::Request forwardedRequest(const HTTP::Request& request, const std::string& target, const RequestIdentity& identity)
--- a/Libraries/LibTelemetry/include/LibTelemetry/Metrics.h
+++ b/Libraries/LibTelemetry/include/LibTelemetry/Metrics.h
@@ -49,6 +49,9 @@
     // A gauge whose value is read when the metrics are shown.
     void observe(const std::string& name, const std::string& help, std::function<double()>, const Labels& = {});
 
+    // A counter whose value is read when the metrics are shown; it must never shrink.
+    void observeCounter(const std::string& name, const std::string& help, std::function<uint64_t()>, const Labels& = {});
+
     // Prometheus text exposition, version 0.0.4.
     std::string text() const;
     static constexpr const char* contentType = "text/plain; version=0.0.4; charset=utf-8";
@@ -67,6 +70,7 @@
         std::map<Labels, std::unique_ptr<Gauge>> gauges;
         std::map<Labels, std::unique_ptr<Histogram>> histograms;
         std::map<Labels, std::function<double()>> observed;
+        std::map<Labels, std::function<uint64_t()>> observedCounters;
     };
 
     Family& family(const std::string& name, const std::string& help, Type, const Labels&);
--- a/Libraries/LibTelemetry/src/Metrics.cpp
+++ b/Libraries/LibTelemetry/src/Metrics.cpp
@@ -81,7 +81,7 @@
         if (!isName(label.name, false) || isReserved)
             throw std::invalid_argument("\"" + label.name + "\" is not a name of a label");
     }
-    auto [position, isNew] = m_families.try_emplace(name, Family { type, help, {}, {}, {}, {} });
+    auto [position, isNew] = m_families.try_emplace(name, Family { type, help, {}, {}, {}, {}, {} });
     if (position->second.type != type)
         throw std::invalid_argument("the metric " + name + " exists with another type");
     return position->second;
@@ -118,10 +118,20 @@
     family(name, help, Type::Gauge, labels).observed[labels] = std::move(read);
 }
 
+void Metrics::observeCounter(const std::string& name, const std::string& help, std::function<uint64_t()> read, const Labels& labels)
+{
+    family(name, help, Type::Counter, labels).observedCounters[labels] = std::move(read);
+}
+
 void Metrics::addSamples(std::string& text, const std::string& name, const Family& family)
 {
-    for (const auto& [labels, counter] : family.counters)
-        addSample(text, name, labels, std::to_string(counter->value()));
+    for (const auto& [labels, counter] : family.counters) {
+        // An observed counter replaces one of the same labels that is counted here.
+        if (!family.observedCounters.contains(labels))
+            addSample(text, name, labels, std::to_string(counter->value()));
+    }
+    for (const auto& [labels, read] : family.observedCounters)
+        addSample(text, name, labels, std::to_string(read()));
     for (const auto& [labels, gauge] : family.gauges) {
         // An observed gauge replaces a set one of the same labels.
         if (!family.observed.contains(labels))
--- a/Services/jujuberelayd/src/Daemon.cpp
+++ b/Services/jujuberelayd/src/Daemon.cpp
@@ -10,7 +10,6 @@
 static constexpr Core::Event drainStarted { 2003, Core::Severity::Info, "drain_started" };
 static constexpr Core::Event drainFinished { 2004, Core::Severity::Info, "drain_finished" };
 static constexpr Core::Event drainCutOff { 2005, Core::Severity::Warning, "drain_cut_off" };
-static constexpr Core::Event requestRefused { 2006, Core::Severity::Debug, "request_refused" };
 
 static constexpr Core::Event witnessMissing { 2008, Core::Severity::Warning, "witness_missing" };
 
@@ -56,14 +55,14 @@
     , m_settings(std::move(settings))
     , m_self { m_settings.host, incarnation }
     , m_client(std::make_shared<HTTP::Client>(executor))
-    , m_platform(m_client, m_settings.platformAddress, m_settings.host)
+    , m_platform(m_metrics.measured(Platform::HttpObjectStore(m_client, m_settings.platformAddress, m_settings.host).hooks()))
     , m_freshness(m_settings.failureDomain, freshnessLimits(m_settings))
     , m_network(executor, peerSettings(m_settings, m_self.incarnation))
-    , m_membership(executor, selfMember(m_settings, m_self.incarnation), m_settings.seedPeers, m_network, m_platform.hooks(), m_freshness, makeMembershipHooks())
-    , m_intent(executor, m_network, m_platform.hooks(), m_freshness, makeIntentHooks())
+    , m_membership(executor, selfMember(m_settings, m_self.incarnation), m_settings.seedPeers, m_network, m_platform, m_freshness, makeMembershipHooks())
+    , m_intent(executor, m_network, m_platform, m_freshness, makeIntentHooks())
     , m_witnessService(m_network, m_records)
     , m_witness(executor, m_network, m_records, { m_settings.host, m_self.incarnation, m_settings.failureDomain }, makeWitnessHooks())
-    , m_ledger(executor, m_platform.hooks(), m_settings.shardCount, m_self, makeWriterSettings())
+    , m_ledger(executor, m_platform, m_settings.shardCount, m_self, makeWriterSettings())
     , m_gateway(m_settings.host, m_network, m_ledger.submit(), [this] { return m_membership.live(); })
     , m_accounts(executor, m_self, m_settings.shardCount, makeSubmit(), makeAccountSettings())
     , m_bills(executor, m_settings.shardCount, makeSubmit(), makeBillSettings())
@@ -73,18 +72,18 @@
     , m_settler(m_records, makeSettlerHooks())
     , m_recovery(m_settings.host, m_settings.shardCount, m_network, makeRecoveryHooks())
     , m_routes(executor, m_settings.host, m_network, m_engines, makeRouteHooks())
-    , m_callerHooks(makeCallerHooks())
+    , m_callerHooks(m_metrics.measured(makeCallerHooks()))
     , m_chat(executor, m_callerHooks, m_engines)
     , m_serviceCalls(executor, m_callerHooks, m_services)
     , m_callerApi(
           m_callerHooks, m_chat, m_serviceCalls,
           [this] { return m_isReady; },
-          [] { return std::string(); },
-          [](const Caller::Refusal& refusal) { Core::logEvent(requestRefused, refusal.json()); })
+          [this] { return m_metrics.registry().text(); })
     , m_operatorApi(makeOperatorSettings(), makeOperatorHooks())
     , m_callerServer(executor, [this](HTTP::Request request, HTTP::ResponseWriter& writer) { return m_callerApi.handle(std::move(request), writer); })
     , m_operatorServer(executor, [this](HTTP::Request request, HTTP::ResponseWriter& writer) { return handleOperator(std::move(request), writer); })
 {
+    observeParts();
 }
 
 Core::Task<uint64_t> Daemon::chooseIncarnation(const boost::asio::any_io_executor& executor, const Settings& settings)
--- a/Services/jujuberelayd/src/Daemon.h
+++ b/Services/jujuberelayd/src/Daemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "DaemonMetrics.h"
 #include "HolderRecovery.h"
 #include "IntentService.h"
 #include "LedgerGateway.h"
@@ -54,6 +55,10 @@
     };
 
     Caller::Hooks makeCallerHooks();
+    void observeParts();
+    void observeMembers();
+    void observeControlTraffic();
+    void observeIntent();
     Ledger::Submit makeSubmit();
     Budget::BillSettings makeBillSettings();
     MembershipService::Hooks makeMembershipHooks();
@@ -94,8 +99,10 @@
     bool m_isDraining { false };
     bool m_isHurried { false };
 
+    DaemonMetrics m_metrics;
     std::shared_ptr<HTTP::Client> m_client;
-    Platform::HttpObjectStore m_platform;
+    // Its calls are counted.
+    Platform::ObjectStore m_platform;
     Intent::Freshness m_freshness;
     Peer::Network m_network;
     MembershipService m_membership;
--- a/Services/jujuberelayd/src/DaemonHooks.cpp
+++ b/Services/jujuberelayd/src/DaemonHooks.cpp
@@ -4,6 +4,7 @@
 // The functions through which the daemon's parts see each other.
 
 static constexpr Core::Event billRefused { 2007, Core::Severity::Error, "bill_refused" };
+static constexpr Core::Event requestRefused { 2006, Core::Severity::Debug, "request_refused" };
 
 static const char* const recallType = "recall";
 
@@ -142,6 +143,7 @@
     hooks.choose = [this](Caller::RouteQuery query, Core::Deadline deadline, Core::Reason& reason) { return m_routes.choose(std::move(query), deadline, reason); };
     hooks.routeDone = [this](const Caller::Route& route, Caller::RouteResult result) { m_routes.done(route, result); };
     hooks.submit = makeSubmit();
+    hooks.observer = m_metrics.callerObserver([](const Caller::Refusal& refusal) { Core::logEvent(requestRefused, refusal.json()); });
     return hooks;
 }
 
--- a/Tests/LibCaller/CallerFixture.h
+++ b/Tests/LibCaller/CallerFixture.h
@@ -29,6 +29,9 @@
     std::map<std::string, Ledger::Outcome> outcomes;
     std::vector<std::string> chosen;
     std::optional<Caller::Refusal> closed;
+    std::vector<std::string> refusals;
+    std::vector<Caller::RequestOutcome> requestOutcomes;
+    int firstEvents { 0 };
     bool hasWitness { true };
     bool hasLedger { true };
     Core::Address engineAddress;
@@ -38,7 +41,7 @@
     Caller::Hooks hooks { makeHooks() };
     Caller::ChatHandler chat { context.get_executor(), hooks, engines };
     Caller::ServiceHandler serviceHandler { context.get_executor(), hooks, services };
-    Caller::CallerApi api { hooks, chat, serviceHandler, [] { return true; }, [] { return ""; }, [](const Caller::Refusal&) {} };
+    Caller::CallerApi api { hooks, chat, serviceHandler, [] { return true; }, [] { return ""; } };
     HTTP::Server server { context.get_executor(), [this](HTTP::Request request, HTTP::ResponseWriter& writer) { return api.handle(std::move(request), writer); } };
     Core::Address address;
 
@@ -109,6 +112,9 @@
         };
         made.routeDone = [](const Caller::Route&, Caller::RouteResult) {};
         made.submit = [this](uint32_t, std::vector<Ledger::Entry> entries, Core::Deadline, Core::Reason& reason) { return submit(std::move(entries), reason); };
+        made.observer.refused = [this](const Caller::Refusal& refusal) { refusals.push_back(refusal.code); };
+        made.observer.ended = [this](Caller::RequestOutcome outcome) { requestOutcomes.push_back(outcome); };
+        made.observer.firstEvent = [this](std::chrono::nanoseconds) { ++firstEvents; };
         return made;
     }
 
--- a/Tests/LibTelemetry/TestMetrics.cpp
+++ b/Tests/LibTelemetry/TestMetrics.cpp
@@ -79,3 +79,14 @@
     cr_assert_no_throw(metrics.histogram("h", "", HistogramAxis::latencySeconds()), std::invalid_argument);
     cr_assert_no_throw(metrics.histogram("t", "", HistogramAxis::tokens()), std::invalid_argument);
 }
+
+// Guards against totals that are kept elsewhere being shown as gauges, whose rate is not meaningful.
+Test(Metrics, observedCountersAreCounters)
+{
+    Metrics metrics;
+    uint64_t bytes = 5;
+    metrics.observeCounter("bytes_total", "Bytes.", [&bytes] { return bytes; }, { { "direction", "sent" } });
+    bytes = 10'000'000;
+    cr_assert_eq(metrics.text(), "# HELP bytes_total Bytes.\n# TYPE bytes_total counter\nbytes_total{direction=\"sent\"} 10000000\n");
+    cr_assert_throw(metrics.observe("bytes_total", "", [] { return 0.0; }), std::invalid_argument);
+}
