Record a span for each hop of a request

A request could not be followed across its hops, and the endpoint never got a traceparent of its own hop.

Caller::Hooks::startSpan connects the handlers with the daemon's Tracer. The caller's span continues the traceparent of the request; the spans of budget, queue, witness and endpoint hang below it and carry request.id, the value of X-Request-Id. Engines and services get the traceparent of the endpoint's span, or the caller's own where nothing is recorded. main owns the tracer and declares it before the io_context, since tasks that are cut off at the drain limit hold spans until the context is destroyed. Platform calls begin traces of their own, as one group commit serves several requests; watches have no span.

The cost without a trace file was not measured; by the code a request then parses at most one header and allocates no span.

--- a/Libraries/LibCaller/include/LibCaller/Hooks.h
+++ b/Libraries/LibCaller/include/LibCaller/Hooks.h
@@ -6,6 +6,7 @@
 #include "LibCore/Async.h"
 #include "LibIntent/FleetState.h"
 #include "LibLedger/Submitter.h"
+#include "LibTelemetry/Span.h"
 #include "LibWitness/Record.h"
 #include <functional>
 #include <memory>
@@ -90,6 +91,10 @@
     Ledger::Submit submit;
 
     Observer observer;
+
+    // Starts a span below the parent, or a new trace. The default records nothing.
+    std::function<Telemetry::Span(std::string_view name, Telemetry::SpanKind, const std::optional<Telemetry::TraceContext>& parent)> startSpan
+        = [](std::string_view, Telemetry::SpanKind, const std::optional<Telemetry::TraceContext>&) { return Telemetry::Span(); };
 };
 
 }
--- a/Libraries/LibCaller/include/LibCaller/RequestIdentity.h
+++ b/Libraries/LibCaller/include/LibCaller/RequestIdentity.h
@@ -5,6 +5,7 @@
 #include "LibHTTP/Message.h"
 #include "LibIntent/FleetState.h"
 #include "LibLedger/Entry.h"
+#include "LibTelemetry/TraceContext.h"
 #include <optional>
 #include <string>
 
@@ -20,6 +21,8 @@
     std::string fingerprint;
     bool hasIdempotencyKey { false };
     Core::Deadline deadline { Core::Deadline::never() };
+    // Parent of the spans of the request's steps; not valid when there is no trace.
+    Telemetry::TraceContext trace;
     bool operator==(const RequestIdentity&) const = default;
 
     // What the identities of all attempts of this request start with.
--- a/Libraries/LibCaller/src/Attempt.cpp
+++ b/Libraries/LibCaller/src/Attempt.cpp
@@ -1,6 +1,7 @@
 #include "LibCaller/Attempt.h"
 
 #include "LibCore/Random.h"
+#include "RequestSpan.h"
 #include <algorithm>
 #include <chrono>
 
@@ -32,10 +33,13 @@
 
 Core::Task<bool> Attempt::hold(Ledger::Tokens tokens, Refusal& refusal)
 {
+    Telemetry::Span span = startRequestSpan(m_hooks, m_identity, "budget", Telemetry::SpanKind::Internal);
+    span.setAttribute("tokens", tokens);
     Core::Reason reason;
     m_hold = co_await m_hooks.acquire(m_identity.budget, tokens, m_identity.deadline, reason);
     if (m_hold)
         co_return true;
+    span.setError(reason.text());
     if (reason.kind == Core::FailureKind::Refused)
         refusal = notRun("budget_exhausted", 402, reason);
     else if (reason.kind == Core::FailureKind::NotFound)
@@ -68,9 +72,11 @@
     record.endpoint = route.endpoint;
     record.streamId = record.attemptId;
     record.deadline = recordDeadline();
+    Telemetry::Span span = startRequestSpan(m_hooks, m_identity, "witness open", Telemetry::SpanKind::Client);
     Core::Reason reason;
     std::optional<Hooks::Opened> opened = co_await m_hooks.openAttempt(record, mayBeRetry, m_identity.deadline, reason);
     if (!opened) {
+        span.setError(reason.text());
         refusal = notRun("witness_unavailable", 503, reason, 1000);
         co_return false;
     }
@@ -125,7 +131,12 @@
 
 Core::Task<bool> Attempt::makeDurable(Ledger::Tokens used, Ledger::UsageKind kind, Core::Deadline deadline, Core::Reason& reason)
 {
-    co_return co_await m_hooks.closeAttempt(usageOf(used, kind), deadline, reason);
+    Telemetry::Span span = startRequestSpan(m_hooks, m_identity, "witness close", Telemetry::SpanKind::Client);
+    span.setAttribute("tokens", used);
+    bool isDurable = co_await m_hooks.closeAttempt(usageOf(used, kind), deadline, reason);
+    if (!isDurable)
+        span.setError(reason.text());
+    co_return isDurable;
 }
 
 void Attempt::finish(Ledger::Tokens used, Ledger::UsageKind kind)
--- a/Libraries/LibCaller/src/CallerApi.cpp
+++ b/Libraries/LibCaller/src/CallerApi.cpp
@@ -37,6 +37,13 @@
     std::optional<RequestIdentity> identity = identify(request, *m_hooks.state(), refusal);
     if (!identity)
         co_return co_await sendRefusal(m_hooks.observer, refusal, writer);
+    std::optional<std::string> traceParent = HTTP::findHeader(request.headers, "traceparent");
+    std::optional<Telemetry::TraceContext> parent = traceParent ? Telemetry::TraceContext::parse(*traceParent) : std::nullopt;
+    Telemetry::Span span = m_hooks.startSpan("caller", Telemetry::SpanKind::Server, parent);
+    span.setAttribute("request.id", identity->requestId);
+    span.setAttribute("workspace", identity->workspace);
+    span.setAttribute("path", path);
+    identity->trace = span.isRecorded() ? span.context() : parent.value_or(Telemetry::TraceContext {});
     IdentifiedWriter identified(writer, identity->requestId);
     if (isChat)
         co_await m_chat.handle(request, *identity, identified);
--- a/Libraries/LibCaller/src/ChatHandler.cpp
+++ b/Libraries/LibCaller/src/ChatHandler.cpp
@@ -1,6 +1,7 @@
 #include "LibCaller/ChatHandler.h"
 
 #include "AnswerAssembler.h"
+#include "RequestSpan.h"
 #include "SendRefusal.h"
 #include <algorithm>
 #include <set>
@@ -41,6 +42,8 @@
     // Whether routeDone is still to be called.
     bool isRouteOpen { false };
     bool callerGone { false };
+    // From the dispatch to the end of the stream.
+    Telemetry::Span endpointSpan;
     Core::SteadyClock::time_point startedAt { Core::SteadyClock::now() };
     std::optional<Core::SteadyClock::time_point> lastEventAt;
     AnswerAssembler assembler;
@@ -88,7 +91,11 @@
     query.prefix = session.request.prefix;
     for (;;) {
         Core::Reason reason;
+        Telemetry::Span span = startRequestSpan(m_hooks, session.identity, "queue", Telemetry::SpanKind::Internal);
         std::optional<Route> route = co_await m_hooks.choose(query, session.identity.deadline, reason);
+        if (!route)
+            span.setError(reason.text());
+        span.end();
         if (!route) {
             // After a failed try the earlier refusal says more than "no other endpoint".
             if (query.excluded.empty())
@@ -124,6 +131,10 @@
     dispatch.workspace = session.identity.workspace;
     dispatch.priority = session.identity.priority;
     dispatch.body = session.request.engineBody;
+    session.endpointSpan = startRequestSpan(m_hooks, session.identity, "endpoint", Telemetry::SpanKind::Client);
+    session.endpointSpan.setAttribute("endpoint", route.endpoint);
+    session.endpointSpan.setAttribute("stream.id", dispatch.streamId);
+    dispatch.traceParent = traceParentOf(session.endpointSpan, session.identity);
     Core::Deadline deadline = session.identity.deadline;
     std::optional<Refusal> notAdmitted;
     // Checked in the step that writes the request, so that a process that was paused sends nothing on stale intent.
@@ -141,6 +152,8 @@
         session.isRouteOpen = true;
         co_return true;
     }
+    session.endpointSpan.setError(notAdmitted ? notAdmitted->message : reason.text());
+    session.endpointSpan.end();
     if (notAdmitted) {
         m_hooks.routeDone(route, { false, false });
         refusal = *notAdmitted;
@@ -166,6 +179,9 @@
     Core::Reason reason { Core::FailureKind::NotFound, "resume stream", record.endpoint, "the endpoint was withdrawn" };
     if (endpoint != state->endpoints.end()) {
         session.route = { record.endpoint, endpoint->second.address, 0 };
+        session.endpointSpan = startRequestSpan(m_hooks, session.identity, "endpoint resume", Telemetry::SpanKind::Client);
+        session.endpointSpan.setAttribute("endpoint", record.endpoint);
+        session.endpointSpan.setAttribute("stream.id", record.streamId);
         std::optional<std::unique_ptr<Endpoint::EngineStream>> stream
             = co_await m_engines.resume(session.route.address, record.streamId, session.identity.deadline, reason);
         if (stream) {
@@ -173,6 +189,8 @@
             co_return true;
         }
     }
+    session.endpointSpan.setError(reason.text());
+    session.endpointSpan.end();
     session.attempt.leaveToOwner();
     if (record.usage)
         refusal = unknownOutcome("already_ran", 409, reason);
@@ -262,6 +280,8 @@
 {
     Ledger::Tokens used = session.stream->usage()->total();
     std::string finalEvent = session.stream->finalEvent();
+    session.endpointSpan.setAttribute("tokens", used);
+    session.endpointSpan.end();
     session.stream.reset();
     if (session.isRouteOpen)
         m_hooks.routeDone(session.route, { true, false });
@@ -311,6 +331,8 @@
 void ChatHandler::resolveLater(std::shared_ptr<Session> session)
 {
     session->stream.reset();
+    session->endpointSpan.setError(session->callerGone ? "cancelled for the caller" : "the stream broke off");
+    session->endpointSpan.end();
     if (session->attempt.isJoined()) {
         session->attempt.leaveToOwner();
         return;
--- a/Libraries/LibCaller/src/ServiceHandler.cpp
+++ b/Libraries/LibCaller/src/ServiceHandler.cpp
@@ -1,6 +1,7 @@
 #include "LibCaller/ServiceHandler.h"
 
 #include "LibCore/Random.h"
+#include "RequestSpan.h"
 #include "SendRefusal.h"
 #include <algorithm>
 
@@ -65,9 +66,9 @@
     m_hooks.observer.ended(isSent ? RequestOutcome::Answered : RequestOutcome::CallerGone);
 }
 
-static HTTP::Request forwardedRequest(const HTTP::Request& request, const std::string& target, const RequestIdentity& identity)
+static HTTP::Request forwardedRequest(const HTTP::Request& request, const std::string& target, const RequestIdentity& identity, const std::string& traceParent)
 {
-    static const std::set<std::string> passed { "content-type", "accept", "idempotency-key", "traceparent" };
+    static const std::set<std::string> passed { "content-type", "accept", "idempotency-key" };
     HTTP::Request forwarded;
     forwarded.method = request.method;
     forwarded.target = target;
@@ -80,6 +81,8 @@
     }
     forwarded.headers.push_back({ "X-Workspace", identity.workspace });
     forwarded.headers.push_back({ "X-Request-Id", identity.requestId });
+    if (!traceParent.empty())
+        forwarded.headers.push_back({ "traceparent", traceParent });
     return forwarded;
 }
 
@@ -101,15 +104,25 @@
     query.priority = call.identity.priority;
     for (;;) {
         Core::Reason reason;
+        Telemetry::Span queueSpan = startRequestSpan(m_hooks, call.identity, "queue", Telemetry::SpanKind::Internal);
         std::optional<Route> route = co_await m_hooks.choose(query, call.identity.deadline, reason);
+        if (!route)
+            queueSpan.setError(reason.text());
+        queueSpan.end();
         if (!route) {
             if (query.excluded.empty())
                 refusal = notRun("no_endpoint", 503, reason, 1000);
             co_return std::nullopt;
         }
         HTTP::Client::SendGuard guard = [this, &call] { return !m_hooks.admission() && !call.identity.deadline.hasPassed(); };
+        Telemetry::Span span = startRequestSpan(m_hooks, call.identity, "endpoint", Telemetry::SpanKind::Client);
+        span.setAttribute("endpoint", route->endpoint);
+        HTTP::Request forwarded = forwardedRequest(call.request, call.target, call.identity, traceParentOf(span, call.identity));
         std::optional<HTTP::Response> response = co_await m_client.call(
-            route->address, forwardedRequest(call.request, call.target, call.identity), call.identity.deadline, guard, reason);
+            route->address, std::move(forwarded), call.identity.deadline, guard, reason);
+        if (!response)
+            span.setError(reason.text());
+        span.end();
         m_hooks.routeDone(*route, { response.has_value(), !response && reason.kind != Core::FailureKind::Refused });
         if (response) {
             mayHaveRun = true;
--- a/Services/jujuberelayd/src/Daemon.cpp
+++ b/Services/jujuberelayd/src/Daemon.cpp
@@ -50,12 +50,13 @@
     return limits;
 }
 
-Daemon::Daemon(const boost::asio::any_io_executor& executor, Settings settings, uint64_t incarnation)
+Daemon::Daemon(const boost::asio::any_io_executor& executor, Settings settings, uint64_t incarnation, Telemetry::Tracer& tracer)
     : m_executor(executor)
     , m_settings(std::move(settings))
     , m_self { m_settings.host, incarnation }
+    , m_tracer(tracer)
     , m_client(std::make_shared<HTTP::Client>(executor))
-    , m_platform(m_metrics.measured(Platform::HttpObjectStore(m_client, m_settings.platformAddress, m_settings.host).hooks()))
+    , m_platform(makePlatform())
     , m_freshness(m_settings.failureDomain, freshnessLimits(m_settings))
     , m_network(executor, peerSettings(m_settings, m_self.incarnation))
     , m_membership(executor, selfMember(m_settings, m_self.incarnation), m_settings.seedPeers, m_network, m_platform, m_freshness, makeMembershipHooks())
@@ -223,6 +224,8 @@
 
 void Daemon::startTasks()
 {
+    if (!m_settings.traceFile.empty())
+        Core::spawn(m_executor, "tracer", m_tracer.run());
     Core::spawn(m_executor, "membership", m_membership.run());
     Core::spawn(m_executor, "intent", m_intent.run());
     Core::spawn(m_executor, "accounts", m_accounts.run());
@@ -281,6 +284,8 @@
     m_intent.stop();
     m_membership.stop();
     co_await m_membership.leave(Core::Deadline::after(leaveTimeout));
+    m_tracer.stop();
+    co_await m_tracer.flush(Core::Deadline::after(leaveTimeout));
     Core::logEvent(drainFinished, isComplete ? "everything was handed over" : reason.text());
     m_operatorServer.closeAll();
     m_network.close();
--- a/Services/jujuberelayd/src/Daemon.h
+++ b/Services/jujuberelayd/src/Daemon.h
@@ -16,6 +16,7 @@
 #include "LibOperator/OperatorApi.h"
 #include "LibPeer/Network.h"
 #include "LibPlatform/HttpObjectStore.h"
+#include "LibTelemetry/Tracer.h"
 #include "LibWitness/Settler.h"
 #include "LibWitness/WitnessClient.h"
 #include "LibWitness/WitnessService.h"
@@ -29,8 +30,9 @@
 // One daemon: owns the parts and connects them.
 class Daemon {
 public:
-    // The incarnation must be above that of every earlier process on this host.
-    Daemon(const boost::asio::any_io_executor&, Settings, uint64_t incarnation);
+    // The incarnation must be above that of every earlier process on this host. The tracer must outlive the executor's
+    // tasks, since those of requests that were cut off hold spans.
+    Daemon(const boost::asio::any_io_executor&, Settings, uint64_t incarnation, Telemetry::Tracer&);
 
     // Wall-clock microseconds or, where the clock was set back, one above the incarnation that the platform knows.
     static Core::Task<uint64_t> chooseIncarnation(const boost::asio::any_io_executor&, const Settings&);
@@ -55,6 +57,7 @@
     };
 
     Caller::Hooks makeCallerHooks();
+    Platform::ObjectStore makePlatform();
     void observeParts();
     void observeMembers();
     void observeControlTraffic();
@@ -99,9 +102,10 @@
     bool m_isDraining { false };
     bool m_isHurried { false };
 
+    Telemetry::Tracer& m_tracer;
     DaemonMetrics m_metrics;
     std::shared_ptr<HTTP::Client> m_client;
-    // Its calls are counted.
+    // Its calls are counted and, with a trace file, traced.
     Platform::ObjectStore m_platform;
     Intent::Freshness m_freshness;
     Peer::Network m_network;
--- a/Services/jujuberelayd/src/DaemonHooks.cpp
+++ b/Services/jujuberelayd/src/DaemonHooks.cpp
@@ -1,5 +1,7 @@
 #include "Daemon.h"
 #include "LibCore/EventLog.h"
+#include "LibPlatform/HttpObjectStore.h"
+#include "TracedStore.h"
 
 // The functions through which the daemon's parts see each other.
 
@@ -8,6 +10,14 @@
 
 static const char* const recallType = "recall";
 
+Platform::ObjectStore Daemon::makePlatform()
+{
+    Platform::ObjectStore store = Platform::HttpObjectStore(m_client, m_settings.platformAddress, m_settings.host).hooks();
+    if (!m_settings.traceFile.empty())
+        store = tracedStore(std::move(store), m_tracer);
+    return m_metrics.measured(store);
+}
+
 Ledger::Submit Daemon::makeSubmit()
 {
     return [this](uint32_t shard, std::vector<Ledger::Entry> entries, Core::Deadline deadline, Core::Reason& reason) {
@@ -143,6 +153,7 @@
     hooks.choose = [this](Caller::RouteQuery query, Core::Deadline deadline, Core::Reason& reason) { return m_routes.choose(std::move(query), deadline, reason); };
     hooks.routeDone = [this](const Caller::Route& route, Caller::RouteResult result) { m_routes.done(route, result); };
     hooks.submit = makeSubmit();
+    hooks.startSpan = [this](std::string_view name, Telemetry::SpanKind kind, const std::optional<Telemetry::TraceContext>& parent) { return m_tracer.start(name, kind, parent); };
     hooks.observer = m_metrics.callerObserver([](const Caller::Refusal& refusal) { Core::logEvent(requestRefused, refusal.json()); });
     return hooks;
 }
--- a/Services/jujuberelayd/src/main.cpp
+++ b/Services/jujuberelayd/src/main.cpp
@@ -1,5 +1,6 @@
 #include "Daemon.h"
 #include "LibCore/EventLog.h"
+#include "LibTelemetry/Exporters.h"
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
@@ -29,10 +30,18 @@
     return level == "error" ? Core::Severity::Error : Core::Severity::Info;
 }
 
-Core::Task<void> runDaemon(std::unique_ptr<Daemon>& daemon, const Settings& settings, boost::asio::io_context& context, int& exitCode)
+// Without a trace file the spans are not recorded, and the export is never called.
+std::optional<Telemetry::Export> makeSpanExport(const Settings& settings, Core::Reason& reason)
+{
+    if (!settings.traceFile.empty())
+        return Telemetry::exportToFile(settings.traceFile, reason);
+    return [](std::string, Core::Deadline, Core::Reason&) -> Core::Task<bool> { co_return true; };
+}
+
+Core::Task<void> runDaemon(std::unique_ptr<Daemon>& daemon, const Settings& settings, Telemetry::Tracer& tracer, boost::asio::io_context& context, int& exitCode)
 {
     uint64_t incarnation = co_await Daemon::chooseIncarnation(context.get_executor(), settings);
-    daemon = std::make_unique<Daemon>(context.get_executor(), settings, incarnation);
+    daemon = std::make_unique<Daemon>(context.get_executor(), settings, incarnation, tracer);
     Core::Reason reason;
     if (!co_await daemon->start(reason)) {
         std::fprintf(stderr, "jujuberelayd: %s\n", reason.text().c_str());
@@ -83,12 +92,23 @@
         return Success;
     }
     Core::initialiseLog(settings->host, severityOf(settings->logLevel));
+    std::optional<Telemetry::Export> spanExport = makeSpanExport(*settings, reason);
+    if (!spanExport) {
+        std::fprintf(stderr, "jujuberelayd: %s\n", reason.text().c_str());
+        return InvalidSettings;
+    }
+    Telemetry::TracerSettings tracerSettings;
+    tracerSettings.isEnabled = !settings->traceFile.empty();
+    tracerSettings.serviceName = "jujuberelayd";
+    tracerSettings.host = settings->host;
+    // Declared before the context, whose tasks may still hold spans when it is destroyed.
+    Telemetry::Tracer tracer(std::move(tracerSettings), std::move(*spanExport));
     boost::asio::io_context context(1);
     std::unique_ptr<Daemon> daemon;
     int exitCode = Success;
     boost::asio::signal_set signals(context, SIGTERM, SIGINT);
     waitForSignal(signals, context, daemon, exitCode, true);
-    Core::spawn(context.get_executor(), "start", runDaemon(daemon, *settings, context, exitCode));
+    Core::spawn(context.get_executor(), "start", runDaemon(daemon, *settings, tracer, context, exitCode));
     context.run();
     return exitCode;
 }
