--- a/Utilities/jujuberelay/src/NotBuilt.cpp
+++ b/Utilities/jujuberelay/src/NotBuilt.cpp
@@ -13,6 +13,5 @@
 int measureHop(const Arguments& arguments) { return notBuilt(arguments); }
 int measureIntent(const Arguments& arguments) { return notBuilt(arguments); }
 int measureCapacity(const Arguments& arguments) { return notBuilt(arguments); }
-int trace(const Arguments& arguments) { return notBuilt(arguments); }
 
 }
