--- a/Libraries/LibCaller/include/LibCaller/Hooks.h
+++ b/Libraries/LibCaller/include/LibCaller/Hooks.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "LibCaller/Observer.h"
 #include "LibCaller/Refusal.h"
 #include "LibCore/Address.h"
 #include "LibCore/Async.h"
 #include "LibIntent/FleetState.h"
 #include "LibLedger/Submitter.h"
+#include "LibTelemetry/Span.h"
 #include "LibWitness/Record.h"
 #include <functional>
 #include <memory>
@@ -87,6 +89,12 @@
     std::function<void(const Route&, RouteResult)> routeDone;
 
     Ledger::Submit submit;
+
+    Observer observer;
+
+    // Starts a span below the parent, or a new trace. The default records nothing.
+    std::function<Telemetry::Span(std::string_view name, Telemetry::SpanKind, const std::optional<Telemetry::TraceContext>& parent)> startSpan
+        = [](std::string_view, Telemetry::SpanKind, const std::optional<Telemetry::TraceContext>&) { return Telemetry::Span(); };
 };
 
 }
--- a/Libraries/LibCaller/src/ChatHandler.cpp
+++ b/Libraries/LibCaller/src/ChatHandler.cpp
@@ -1,6 +1,8 @@
 #include "LibCaller/ChatHandler.h"
 
 #include "AnswerAssembler.h"
+#include "RequestSpan.h"
+#include "SendRefusal.h"
 #include <algorithm>
 #include <set>
 
@@ -40,6 +42,10 @@
     // Whether routeDone is still to be called.
     bool isRouteOpen { false };
     bool callerGone { false };
+    // From the dispatch to the end of the stream.
+    Telemetry::Span endpointSpan;
+    Core::SteadyClock::time_point startedAt { Core::SteadyClock::now() };
+    std::optional<Core::SteadyClock::time_point> lastEventAt;
     AnswerAssembler assembler;
 };
 
@@ -53,12 +59,9 @@
 Core::Task<void> ChatHandler::handle(const HTTP::Request& request, const RequestIdentity& identity, HTTP::ResponseWriter& writer)
 {
     Refusal refusal;
-    Core::Reason ignored;
     std::optional<ChatRequest> chat = parseChatRequest(request.body, *m_hooks.state(), refusal);
-    if (!chat) {
-        co_await writer.send(refusal.response(), ignored);
-        co_return;
-    }
+    if (!chat)
+        co_return co_await sendRefusal(m_hooks.observer, refusal, writer);
     std::shared_ptr<Session> session = std::make_shared<Session>(m_hooks, identity, std::move(*chat));
     bool isRunning = co_await start(*session, refusal);
     // A refusal may say "not run" only if no earlier try with the same key ran.
@@ -67,8 +70,7 @@
     if (!isRunning) {
         if (session->wasSent)
             resolveLater(session);
-        co_await writer.send(refusal.response(), ignored);
-        co_return;
+        co_return co_await sendRefusal(m_hooks.observer, refusal, writer);
     }
     if (co_await forward(*session, writer, refusal)) {
         co_await complete(*session, writer);
@@ -89,7 +91,11 @@
     query.prefix = session.request.prefix;
     for (;;) {
         Core::Reason reason;
+        Telemetry::Span span = startRequestSpan(m_hooks, session.identity, "queue", Telemetry::SpanKind::Internal);
         std::optional<Route> route = co_await m_hooks.choose(query, session.identity.deadline, reason);
+        if (!route)
+            span.setError(reason.text());
+        span.end();
         if (!route) {
             // After a failed try the earlier refusal says more than "no other endpoint".
             if (query.excluded.empty())
@@ -125,6 +131,10 @@
     dispatch.workspace = session.identity.workspace;
     dispatch.priority = session.identity.priority;
     dispatch.body = session.request.engineBody;
+    session.endpointSpan = startRequestSpan(m_hooks, session.identity, "endpoint", Telemetry::SpanKind::Client);
+    session.endpointSpan.setAttribute("endpoint", route.endpoint);
+    session.endpointSpan.setAttribute("stream.id", dispatch.streamId);
+    dispatch.traceParent = traceParentOf(session.endpointSpan, session.identity);
     Core::Deadline deadline = session.identity.deadline;
     std::optional<Refusal> notAdmitted;
     // Checked in the step that writes the request, so that a process that was paused sends nothing on stale intent.
@@ -142,6 +152,8 @@
         session.isRouteOpen = true;
         co_return true;
     }
+    session.endpointSpan.setError(notAdmitted ? notAdmitted->message : reason.text());
+    session.endpointSpan.end();
     if (notAdmitted) {
         m_hooks.routeDone(route, { false, false });
         refusal = *notAdmitted;
@@ -167,6 +179,9 @@
     Core::Reason reason { Core::FailureKind::NotFound, "resume stream", record.endpoint, "the endpoint was withdrawn" };
     if (endpoint != state->endpoints.end()) {
         session.route = { record.endpoint, endpoint->second.address, 0 };
+        session.endpointSpan = startRequestSpan(m_hooks, session.identity, "endpoint resume", Telemetry::SpanKind::Client);
+        session.endpointSpan.setAttribute("endpoint", record.endpoint);
+        session.endpointSpan.setAttribute("stream.id", record.streamId);
         std::optional<std::unique_ptr<Endpoint::EngineStream>> stream
             = co_await m_engines.resume(session.route.address, record.streamId, session.identity.deadline, reason);
         if (stream) {
@@ -174,6 +189,8 @@
             co_return true;
         }
     }
+    session.endpointSpan.setError(reason.text());
+    session.endpointSpan.end();
     session.attempt.leaveToOwner();
     if (record.usage)
         refusal = unknownOutcome("already_ran", 409, reason);
@@ -182,6 +199,16 @@
     co_return false;
 }
 
+void ChatHandler::reportEventTime(Session& session) const
+{
+    Core::SteadyClock::time_point now = Core::SteadyClock::now();
+    if (session.lastEventAt)
+        m_hooks.observer.nextEvent(now - *session.lastEventAt);
+    else
+        m_hooks.observer.firstEvent(now - session.startedAt);
+    session.lastEventAt = now;
+}
+
 Core::Task<bool> ChatHandler::forward(Session& session, HTTP::ResponseWriter& writer, Refusal& refusal)
 {
     Core::Reason reason;
@@ -199,6 +226,7 @@
         }
         if (events->empty())
             co_return true;
+        reportEventTime(session);
         if (!session.request.isStreaming) {
             session.assembler.add(*events);
             continue;
@@ -252,6 +280,8 @@
 {
     Ledger::Tokens used = session.stream->usage()->total();
     std::string finalEvent = session.stream->finalEvent();
+    session.endpointSpan.setAttribute("tokens", used);
+    session.endpointSpan.end();
     session.stream.reset();
     if (session.isRouteOpen)
         m_hooks.routeDone(session.route, { true, false });
@@ -259,36 +289,38 @@
     Core::Deadline deadline(std::max(session.identity.deadline.at(), Core::Deadline::after(durabilityGrace).at()));
     bool isDurable = co_await session.attempt.makeDurable(used, Ledger::UsageKind::Complete, deadline, reason);
     session.attempt.finish(used, Ledger::UsageKind::Complete);
-    if (session.callerGone)
+    if (session.callerGone) {
+        m_hooks.observer.ended(RequestOutcome::CallerGone);
         co_return;
+    }
     if (!isDurable) {
         co_await breakOff(session, writer, unknownOutcome("witness_unavailable", 503, reason, 1000));
         co_return;
     }
     if (session.request.isStreaming) {
         finalEvent += "data: [DONE]\n\n";
-        if (co_await writer.writeChunk(finalEvent, reason))
-            co_await writer.finishStream(reason);
+        bool isSent = co_await writer.writeChunk(finalEvent, reason) && co_await writer.finishStream(reason);
+        m_hooks.observer.ended(isSent ? RequestOutcome::Answered : RequestOutcome::CallerGone);
         co_return;
     }
     std::optional<std::string> body = session.assembler.finish(finalEvent);
     if (!body) {
         reason = { Core::FailureKind::Invalid, "assemble answer", session.route.endpoint, "an event is not valid JSON" };
-        co_await writer.send(unknownOutcome("endpoint_failed", 502, reason).response(), reason);
-        co_return;
+        co_return co_await sendRefusal(m_hooks.observer, unknownOutcome("endpoint_failed", 502, reason), writer);
     }
     HTTP::Response response { 200, { { "Content-Type", "application/json" } }, std::move(*body) };
-    co_await writer.send(std::move(response), reason);
+    bool isSent = co_await writer.send(std::move(response), reason);
+    m_hooks.observer.ended(isSent ? RequestOutcome::Answered : RequestOutcome::CallerGone);
 }
 
 Core::Task<void> ChatHandler::breakOff(Session& session, HTTP::ResponseWriter& writer, Refusal refusal)
 {
     Core::Reason ignored;
-    if (!writer.hasStarted()) {
-        co_await writer.send(refusal.response(), ignored);
-        co_return;
-    }
+    if (!writer.hasStarted())
+        co_return co_await sendRefusal(m_hooks.observer, refusal, writer);
+    m_hooks.observer.ended(session.callerGone ? RequestOutcome::CallerGone : RequestOutcome::BrokenOff);
     if (!session.callerGone) {
+        m_hooks.observer.refused(refusal);
         std::string event = "event: error\ndata: " + refusal.json() + "\n\n";
         co_await writer.writeChunk(event, ignored);
     }
@@ -299,6 +331,8 @@
 void ChatHandler::resolveLater(std::shared_ptr<Session> session)
 {
     session->stream.reset();
+    session->endpointSpan.setError(session->callerGone ? "cancelled for the caller" : "the stream broke off");
+    session->endpointSpan.end();
     if (session->attempt.isJoined()) {
         session->attempt.leaveToOwner();
         return;
--- a/Services/jujuberelayd/src/Daemon.h
+++ b/Services/jujuberelayd/src/Daemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "DaemonMetrics.h"
 #include "HolderRecovery.h"
 #include "IntentService.h"
 #include "LedgerGateway.h"
@@ -15,6 +16,7 @@
 #include "LibOperator/OperatorApi.h"
 #include "LibPeer/Network.h"
 #include "LibPlatform/HttpObjectStore.h"
+#include "LibTelemetry/Tracer.h"
 #include "LibWitness/Settler.h"
 #include "LibWitness/WitnessClient.h"
 #include "LibWitness/WitnessService.h"
@@ -28,8 +30,9 @@
 // One daemon: owns the parts and connects them.
 class Daemon {
 public:
-    // The incarnation must be above that of every earlier process on this host.
-    Daemon(const boost::asio::any_io_executor&, Settings, uint64_t incarnation);
+    // The incarnation must be above that of every earlier process on this host. The tracer must outlive the executor's
+    // tasks, since those of requests that were cut off hold spans.
+    Daemon(const boost::asio::any_io_executor&, Settings, uint64_t incarnation, Telemetry::Tracer&);
 
     // Wall-clock microseconds or, where the clock was set back, one above the incarnation that the platform knows.
     static Core::Task<uint64_t> chooseIncarnation(const boost::asio::any_io_executor&, const Settings&);
@@ -54,6 +57,11 @@
     };
 
     Caller::Hooks makeCallerHooks();
+    Platform::ObjectStore makePlatform();
+    void observeParts();
+    void observeMembers();
+    void observeControlTraffic();
+    void observeIntent();
     Ledger::Submit makeSubmit();
     Budget::BillSettings makeBillSettings();
     MembershipService::Hooks makeMembershipHooks();
@@ -95,8 +103,11 @@
     bool m_isDraining { false };
     bool m_isHurried { false };
 
+    Telemetry::Tracer& m_tracer;
+    DaemonMetrics m_metrics;
     std::shared_ptr<HTTP::Client> m_client;
-    Platform::HttpObjectStore m_platform;
+    // Its calls are counted and, with a trace file, traced.
+    Platform::ObjectStore m_platform;
     Intent::Freshness m_freshness;
     Peer::Network m_network;
     MembershipService m_membership;
