--- a/Libraries/LibEmulator/include/LibEmulator/EngineSettings.h
+++ b/Libraries/LibEmulator/include/LibEmulator/EngineSettings.h
@@ -13,6 +13,8 @@
     int64_t prefillMsPer1000Tokens { 40 };
     // Mean time for each token; a single one takes between half and one and a half times as long.
     int64_t timePerTokenUs { 5000 };
+    // Largest deviation of a token's time from the mean, 0 to 100.
+    int64_t tokenJitterPercent { 50 };
     // Streams that run at once; the rest wait in the order of priority and arrival.
     int64_t slots { 32 };
     // Streams that may wait; further ones are refused with 503.
--- a/Libraries/LibEmulator/include/LibEmulator/LoadSettings.h
+++ b/Libraries/LibEmulator/include/LibEmulator/LoadSettings.h
@@ -18,6 +18,8 @@
     // Number of requests, and how many of them are open at once.
     int64_t count { 100 };
     int64_t concurrency { 8 };
+    // Time over which the first requests start, evenly spread; 0: all at once.
+    int64_t rampMs { 0 };
     // Determines the prompts.
     uint64_t seed { 1 };
     // Bytes of a prompt's own part, which no other request has.
--- a/Libraries/LibEmulator/src/LatencyHistogram.cpp
+++ b/Libraries/LibEmulator/src/LatencyHistogram.cpp
@@ -4,7 +4,8 @@
 
 namespace Emulator {
 
-static constexpr unsigned steps = 1000;
+// Bins are 0.2% wide, so that differences of 0.05 ms between first-token times of some ms can be measured.
+static constexpr unsigned steps = 10000;
 static constexpr double smallestUs = 1;
 static constexpr double largestUs = 1e9;
 
--- a/Libraries/LibEmulator/src/LoadGenerator.cpp
+++ b/Libraries/LibEmulator/src/LoadGenerator.cpp
@@ -64,7 +64,7 @@
     void recordTokens(LoadRequest&, int64_t tokens, SteadyClock::time_point& lastAt);
     void count(const Attempt&, int64_t attempts);
     Core::Task<void> runRequest(int64_t index);
-    static Core::Task<void> runWorker(std::shared_ptr<State>);
+    static Core::Task<void> runWorker(std::shared_ptr<State>, int64_t worker);
 
     boost::asio::any_io_executor executor;
     LoadSettings settings;
@@ -238,8 +238,10 @@
     count(last, attempts);
 }
 
-Core::Task<void> LoadGenerator::State::runWorker(std::shared_ptr<State> state)
+Core::Task<void> LoadGenerator::State::runWorker(std::shared_ptr<State> state, int64_t worker)
 {
+    if (state->settings.rampMs > 0)
+        co_await Core::sleepUntil(Core::Deadline::after(std::chrono::milliseconds(state->settings.rampMs * worker / state->settings.concurrency)));
     while (state->nextIndex < state->settings.count)
         co_await state->runRequest(state->nextIndex++);
     --state->workers;
@@ -259,7 +261,7 @@
     SteadyClock::time_point startedAt = SteadyClock::now();
     state->workers = state->settings.concurrency;
     for (int64_t worker = 0; worker < state->settings.concurrency; ++worker)
-        Core::spawn(state->executor, "load worker", State::runWorker(state));
+        Core::spawn(state->executor, "load worker", State::runWorker(state, worker));
     while (state->workers > 0)
         co_await state->workerEnded.wait(Core::Deadline::never());
     LoadResult result = state->result;
--- a/Libraries/LibEmulator/src/StreamScheduler.cpp
+++ b/Libraries/LibEmulator/src/StreamScheduler.cpp
@@ -114,7 +114,8 @@
     Core::SteadyClock::time_point next = Core::SteadyClock::now();
     while (stream.generatedTokens < stream.answer.length()) {
         std::string_view indexBytes(reinterpret_cast<const char*>(&stream.generatedTokens), sizeof(stream.generatedTokens));
-        int64_t permille = 500 + static_cast<int64_t>(Core::hash64(indexBytes, streamSeed) % 1001);
+        int64_t jitter = 10 * m_settings.tokenJitterPercent;
+        int64_t permille = 1000 - jitter + static_cast<int64_t>(Core::hash64(indexBytes, streamSeed) % static_cast<uint64_t>(2 * jitter + 1));
         next += std::chrono::microseconds(m_settings.timePerTokenUs * permille / 1000);
         bool isYield = stream.generatedTokens % tokensBetweenYields == tokensBetweenYields - 1;
         if (isYield || next > Core::SteadyClock::now())
--- a/Meta/jujuberelay.sh
+++ b/Meta/jujuberelay.sh
@@ -88,6 +88,8 @@
     shift
     install_packages
     configure_and_build
+    # Measurements that start processes are scripts.
+    if [ -e "Meta/measure_${1:-}.py" ]; then exec python3 "Meta/measure_$1.py" "$build/bin" "${@:2}"; fi
     exec "$build/bin/jujuberelay" measure "$@"
     ;;
 *)
--- a/Tests/LibEmulator/TestLoadGenerator.cpp
+++ b/Tests/LibEmulator/TestLoadGenerator.cpp
@@ -179,6 +179,16 @@
     cr_assert_not(answer.hasEnded());
 }
 
+// Guards against a step so wide that a daemon's added 0.3 ms disappear in first-token times of 10 ms.
+Test(LatencyHistogram, stepsResolveSmallDifferences)
+{
+    Emulator::LatencyHistogram histogram;
+    for (int count = 0; count < 100; ++count)
+        histogram.add(std::chrono::microseconds(10'000));
+    histogram.add(std::chrono::milliseconds(20));
+    cr_assert(histogram.summary().medianMs >= 10 && histogram.summary().medianMs < 10.05);
+}
+
 // Guards against percentiles that are off by more than the histogram's step.
 Test(LatencyHistogram, percentilesAreWithinOneStep)
 {
--- a/Utilities/jujuberelay/src/EmulateEngineCommand.cpp
+++ b/Utilities/jujuberelay/src/EmulateEngineCommand.cpp
@@ -9,6 +9,7 @@
 DEFINE_uint64(engine_seed, 1, "emulate engine: seed of the times between tokens and of the gaps in cache events");
 DEFINE_int64(prefill_ms_per_1000_tokens, 40, "emulate engine: time for 1,000 prompt tokens that are not cached");
 DEFINE_int64(time_per_token_us, 5000, "emulate engine: mean time for each token in microseconds");
+DEFINE_int64(token_jitter_percent, 50, "emulate engine: largest deviation of a token's time from the mean, 0 to 100");
 DEFINE_int64(slots, 32, "emulate engine: streams that run at once");
 DEFINE_int64(queue_limit, 256, "emulate engine: streams that wait for a slot; further ones are refused with 503");
 DEFINE_int64(cache_tokens, 100000, "emulate engine: memory of the prefix cache in tokens");
@@ -56,6 +57,10 @@
         std::fprintf(stderr, "jujuberelay: --%s: must be at least %lld\n", limit.name, static_cast<long long>(limit.smallest));
         return false;
     }
+    if (FLAGS_token_jitter_percent < 0 || FLAGS_token_jitter_percent > 100) {
+        std::fputs("jujuberelay: --token_jitter_percent: must be 0 to 100\n", stderr);
+        return false;
+    }
     return true;
 }
 
@@ -65,6 +70,7 @@
     settings.seed = FLAGS_engine_seed;
     settings.prefillMsPer1000Tokens = FLAGS_prefill_ms_per_1000_tokens;
     settings.timePerTokenUs = FLAGS_time_per_token_us;
+    settings.tokenJitterPercent = FLAGS_token_jitter_percent;
     settings.slots = FLAGS_slots;
     settings.queueLimit = FLAGS_queue_limit;
     settings.cacheTokens = FLAGS_cache_tokens;
--- a/Utilities/jujuberelay/src/LoadCommand.cpp
+++ b/Utilities/jujuberelay/src/LoadCommand.cpp
@@ -21,6 +21,7 @@
 DEFINE_int64(whole_percent, 0, "load: share of requests that ask for a whole answer instead of a stream");
 DEFINE_bool(retry, false, "load: repeat a request whose answer broke off at another target, with the same Idempotency-Key");
 DEFINE_int64(max_attempts, 4, "load: attempts for each request when --retry is given");
+DEFINE_int64(load_ramp_ms, 0, "load: time over which the first requests start, one for each of --concurrency");
 DEFINE_int64(request_timeout_ms, 30000, "load: time for each attempt");
 
 namespace Commands {
@@ -49,7 +50,7 @@
         settings.targets.push_back(*target);
     }
     bool areNumbersValid = FLAGS_count >= 1 && FLAGS_concurrency >= 1 && FLAGS_prompt_bytes >= 0 && FLAGS_prefixes >= 0
-        && FLAGS_prefix_bytes >= 0 && FLAGS_max_tokens >= 1 && FLAGS_max_attempts >= 1 && FLAGS_request_timeout_ms >= 1;
+        && FLAGS_prefix_bytes >= 0 && FLAGS_max_tokens >= 1 && FLAGS_max_attempts >= 1 && FLAGS_load_ramp_ms >= 0 && FLAGS_request_timeout_ms >= 1;
     if (settings.targets.empty() || !areNumbersValid) {
         std::fputs("jujuberelay: load needs --targets=IP:PORT,... and positive numbers\n", stderr);
         return std::nullopt;
@@ -66,6 +67,7 @@
     settings.maxTokens = FLAGS_max_tokens;
     settings.wholePercent = FLAGS_whole_percent;
     settings.maxAttempts = FLAGS_retry ? FLAGS_max_attempts : 1;
+    settings.rampMs = FLAGS_load_ramp_ms;
     settings.timeoutMs = FLAGS_request_timeout_ms;
     return settings;
 }
