--- /dev/null
+++ b/Tests/Sessions/run.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Runs the tests of whole sessions with real processes. Usage: Tests/Sessions/run.sh <folder with the binaries>
+set -euo pipefail
+JUJUBERELAY_BIN=$(cd "$1" && pwd)
+export JUJUBERELAY_BIN
+cd "$(dirname "$0")"
+python3 ../../Meta/check_docs.py
+python3 -W ignore::ResourceWarning -m unittest -v $(ls test_*.py | sed 's/\.py$//')
