--- a/Tests/LibHTTP/TestServerClient.cpp
+++ b/Tests/LibHTTP/TestServerClient.cpp
@@ -15,6 +15,12 @@
         writer.abort();
         co_return;
     }
+    if (request.target == "/silent") {
+        co_await writer.startStream(200, {}, reason);
+        co_await writer.writeChunk("half", reason);
+        co_await Core::sleepUntil(Core::Deadline::after(std::chrono::seconds(20)));
+        co_return;
+    }
     if (request.target == "/stream") {
         co_await writer.startStream(200, {}, reason);
         for (int i = 0; i < 100; ++i)
@@ -37,14 +43,14 @@
         address = server.listen({ "127.0.0.1", 0 }, reason).value();
     }
 
-    std::optional<HTTP::Response> call(HTTP::Request request, Core::Reason& reason)
+    std::optional<HTTP::Response> call(HTTP::Request request, Core::Reason& reason, Core::Deadline deadline = Core::Deadline::after(std::chrono::seconds(20)))
     {
         std::optional<HTTP::Response> response;
         bool done = false;
-        Core::spawn(context.get_executor(), "call", [](Fixture& fixture, HTTP::Request request, Core::Reason& reason, std::optional<HTTP::Response>& response, bool& done) -> Core::Task<void> {
-            response = co_await fixture.client.roundTrip(fixture.address, std::move(request), Core::Deadline::after(std::chrono::seconds(20)), reason);
+        Core::spawn(context.get_executor(), "call", [](Fixture& fixture, HTTP::Request request, Core::Deadline deadline, Core::Reason& reason, std::optional<HTTP::Response>& response, bool& done) -> Core::Task<void> {
+            response = co_await fixture.client.roundTrip(fixture.address, std::move(request), deadline, reason);
             done = true;
-        }(*this, std::move(request), reason, response, done));
+        }(*this, std::move(request), deadline, reason, response, done));
         while (!done)
             context.run_one();
         return response;
@@ -76,6 +82,19 @@
     cr_assert_eq(reason.kind, Core::FailureKind::OutcomeUnknown);
 }
 
+// Guards against a read without an end when the server falls silent in the middle of a body, and against reuse of that
+// connection.
+Test(ServerClient, silentBodyTimesOut)
+{
+    Fixture fixture;
+    Core::Reason reason;
+    cr_assert_not(fixture.call({ "GET", "/silent", {}, "" }, reason, Core::Deadline::after(std::chrono::milliseconds(200))));
+    cr_assert_eq(reason.kind, Core::FailureKind::TimedOut, "%s", reason.text().c_str());
+    std::optional<HTTP::Response> whole = fixture.call({ "POST", "/whole", {}, "body" }, reason);
+    cr_assert(whole, "%s", reason.text().c_str());
+    cr_assert_eq(whole->body, "body!");
+}
+
 // Guards against a failed connection being reported as if the request could have run.
 Test(ServerClient, refusedConnectionSentNothing)
 {
