LibHTTP: one read timer for each response instead of one for each read

Cause: Beast's tcp_stream starts and cancels a timer for each read with an expiry, which is part of the cost of each stream event.

The tests of LibHTTP and LibEndpoint and the demonstration pass. That the test of the timeout fails without the timer was not seen: the mutated build did not finish in time.

--- a/Libraries/LibHTTP/src/Client.cpp
+++ b/Libraries/LibHTTP/src/Client.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -71,6 +72,56 @@
 
 namespace {
 
+// Ends the reads of one response at its deadline. Beast's own timeout starts and cancels a timer for each read, which
+// costs more than the read itself when each event of a stream is read alone; this timer is set once for each deadline.
+class ReadTimeout {
+public:
+    explicit ReadTimeout(Connection& connection)
+        : m_timer(connection.stream.get_executor())
+        , m_state(std::make_shared<State>(State { &connection, false }))
+    {
+    }
+    ~ReadTimeout() { m_state->connection = nullptr; }
+    ReadTimeout(const ReadTimeout&) = delete;
+    ReadTimeout& operator=(const ReadTimeout&) = delete;
+
+    void setDeadline(Core::SteadyClock::time_point at)
+    {
+        if (m_isSet && m_timer.expiry() == at)
+            return;
+        m_isSet = true;
+        m_state->hasExpired = false;
+        m_timer.expires_at(at);
+        m_timer.async_wait([state = m_state, at](const beast::error_code& error) {
+            if (error || !state->connection || state->at != at)
+                return;
+            state->hasExpired = true;
+            state->connection->stream.cancel();
+        });
+        m_state->at = at;
+    }
+
+    void stop()
+    {
+        m_state->connection = nullptr;
+        m_timer.cancel();
+    }
+
+    bool hasExpired() const { return m_state->hasExpired; }
+
+private:
+    struct State {
+        Connection* connection;
+        bool hasExpired;
+        // The deadline in force; a wait for an earlier one that has already completed has no effect.
+        Core::SteadyClock::time_point at {};
+    };
+
+    asio::steady_timer m_timer;
+    std::shared_ptr<State> m_state;
+    bool m_isSet { false };
+};
+
 template <typename PoolPointer>
 class PooledStream final : public ResponseStream {
 public:
@@ -78,6 +129,7 @@
         : m_pool(std::move(pool))
         , m_address(std::move(address))
         , m_connection(std::move(connection))
+        , m_timeout(*m_connection)
     {
         m_parser.body_limit(boost::none);
     }
@@ -108,12 +160,18 @@
             piece.resize(readPieceBytes);
             m_parser.get().body().data = piece.data();
             m_parser.get().body().size = piece.size();
-            m_connection->stream.expires_at(deadline.at());
-            auto [error, size] = co_await http::async_read_some(m_connection->stream, m_connection->buffer, m_parser, asTuple);
+            m_connection->stream.expires_never();
+            m_timeout.setDeadline(deadline.at());
+            beast::error_code error = beast::error::timeout;
+            if (!m_timeout.hasExpired())
+                error = std::get<0>(co_await http::async_read_some(m_connection->stream, m_connection->buffer, m_parser, asTuple));
             if (error && error != http::error::need_buffer) {
+                if (m_timeout.hasExpired())
+                    error = beast::error::timeout;
                 reason = describe(error, Core::FailureKind::OutcomeUnknown, "read body", m_address);
                 if (error == beast::error::timeout)
                     reason.kind = Core::FailureKind::TimedOut;
+                m_timeout.stop();
                 m_connection.reset();
                 m_isBroken = true;
                 break;
@@ -132,6 +190,7 @@
     {
         if (!m_parser.is_done())
             return;
+        m_timeout.stop();
         m_connection->stream.expires_never();
         if (m_parser.get().keep_alive())
             m_pool->put(m_address, std::move(m_connection));
@@ -141,6 +200,7 @@
     PoolPointer m_pool;
     Core::Address m_address;
     std::unique_ptr<Connection> m_connection;
+    ReadTimeout m_timeout;
     http::response_parser<http::buffer_body> m_parser;
     Headers m_headers;
     bool m_isBroken { false };
