Drain: submit kept usages until none arrives

Cause: a draining daemon submitted the usages that it keeps for others once, and ended with status 1 when another had been closed meanwhile. Ruled out: bills and grants (nothing pending in the log).

--- a/Services/jujuberelayd/src/Daemon.cpp
+++ b/Services/jujuberelayd/src/Daemon.cpp
@@ -268,6 +268,21 @@
     co_return true;
 }
 
+// Usages that other daemons close here while these are submitted need a further round; no new records arrive, since the
+// store takes none while it drains.
+Core::Task<bool> Daemon::submitRecords(Core::Deadline deadline, Core::Reason& reason)
+{
+    while (!co_await m_settler.submitAll()) {
+        if (m_isHurried || deadline.hasPassed()) {
+            reason = { Core::FailureKind::TimedOut, "drain", m_settings.host, "usages kept for other daemons were not submitted" };
+            Core::logEvent(drainCutOff, reason.text());
+            co_return false;
+        }
+        co_await Core::sleepUntil(Core::Deadline::after(drainPoll));
+    }
+    co_return true;
+}
+
 Core::Task<bool> Daemon::drain(Core::Reason& reason)
 {
     Core::logEvent(drainStarted, m_self.text());
@@ -278,6 +293,7 @@
     while (!m_isHurried && !noticed.hasPassed())
         co_await Core::sleepUntil(Core::Deadline::after(drainPoll));
     m_isDraining = true;
+    m_records.startDraining();
     bool isComplete = co_await waitUntilIdle(
         deadline, "requests were cut off", [this] { return m_callerServer.activeRequests(); }, reason);
     m_callerServer.stopAccepting();
@@ -285,8 +301,7 @@
         deadline, "attempts were left unresolved", [this] { return m_chat.unresolvedAttempts() + m_serviceCalls.pendingOutcomes(); }, reason);
     isComplete &= co_await m_bills.flushAll(deadline, reason);
     isComplete &= co_await m_accounts.returnAll(deadline, reason);
-    m_records.startDraining();
-    isComplete &= co_await m_settler.submitAll();
+    isComplete &= co_await submitRecords(deadline, reason);
     m_settler.stop();
     m_recovery.stop();
     m_witness.stop();
--- a/Services/jujuberelayd/src/Daemon.h
+++ b/Services/jujuberelayd/src/Daemon.h
@@ -91,6 +91,7 @@
     void intentChanged(std::shared_ptr<const Intent::FleetState>);
     void startTasks();
     Core::Task<void> dropIdleShards();
+    Core::Task<bool> submitRecords(Core::Deadline, Core::Reason&);
     Core::Task<bool> waitUntilIdle(Core::Deadline, const char* what, std::function<size_t()> remaining, Core::Reason&);
 
     boost::asio::any_io_executor m_executor;
