--- a/Libraries/LibIntent/include/LibIntent/FleetState.h
+++ b/Libraries/LibIntent/include/LibIntent/FleetState.h
@@ -15,7 +15,7 @@
     // Higher is served first when requests queue.
     int priority { 0 };
     // Largest share of the ungranted remainder that one grant takes, in percent.
-    int grantSharePercent { 25 };
+    int grantSharePercent { 75 };
     // Whether unspent grants are called back when a budget is nearly exhausted.
     bool recallGrants { true };
     bool operator==(const Workspace&) const = default;
--- a/Meta/check_docs.py
+++ b/Meta/check_docs.py
@@ -141,13 +141,15 @@
             "measure": self.names_in_table("MeasureCommand.cpp"),
             "note": set(re.findall(r'action != "(\w+)"', self.text(COMMANDS_FOLDER + "Note.cpp"))),
         }
+        scripts = {name[len("measure_"):-len(".py")] for name in os.listdir(os.path.join(self.root, "Meta")) if name.startswith("measure_")}
         for path in self.pages():
             for line, code in self.code_in_page(path):
                 for is_script, command, argument in COMMAND_LINE.findall(code):
                     known = script if is_script else commands
                     self.check_words(path, line, command, known, SCRIPT if is_script else "jujuberelay")
                     if argument and command in nested and command in known:
-                        self.check_words(path, line, argument, nested[command], "jujuberelay " + command)
+                        names = nested[command] | (scripts if is_script and command == "measure" else set())
+                        self.check_words(path, line, argument, names, "jujuberelay " + command)
 
     def check_words(self, path, line, words, known, owner):
         for word in re.split(r"\\?\|", words):
--- a/Meta/jujuberelay.sh
+++ b/Meta/jujuberelay.sh
@@ -9,7 +9,7 @@
 # Lets the compiler cache serve builds of other checkouts of the same sources.
 export CCACHE_BASEDIR="$top" CCACHE_NOHASHDIR=1
 
-packages="clang lld clang-format clang-tidy cmake ninja-build ccache curl jq python3 procps
+packages="clang lld clang-format clang-tidy cmake ninja-build ccache curl jq python3 procps iproute2
  libboost1.81-dev libwebsocketpp-dev libgflags-dev liblog4cplus-dev libyaml-cpp-dev libssl-dev
  nlohmann-json3-dev libcriterion-dev libxxhash-dev libclang-rt-14-dev"
 
--- a/Utilities/jujuberelay/src/Commands.h
+++ b/Utilities/jujuberelay/src/Commands.h
@@ -30,9 +30,6 @@
 // The measurements of `measure`; the first argument is the measurement's name.
 int measureBudget(const Arguments&);
 int measureRouting(const Arguments&);
-int measureHop(const Arguments&);
-int measureIntent(const Arguments&);
-int measureCapacity(const Arguments&);
 int note(const Arguments&);
 int state(const Arguments&);
 int history(const Arguments&);
--- a/Utilities/jujuberelay/src/MeasureCommand.cpp
+++ b/Utilities/jujuberelay/src/MeasureCommand.cpp
@@ -13,9 +13,6 @@
 const Measurement measurements[] = {
     { "budget", measureBudget },
     { "routing", measureRouting },
-    { "hop", measureHop },
-    { "intent", measureIntent },
-    { "capacity", measureCapacity },
 };
 
 }
@@ -28,7 +25,9 @@
             return measurement.run(Arguments(arguments.begin() + 1, arguments.end()));
         names += std::string(names.empty() ? "" : "|") + measurement.name;
     }
-    std::fprintf(stderr, "usage: jujuberelay measure %s\n", names.c_str());
+    std::fprintf(stderr, "usage: jujuberelay measure %s\n"
+                         "Measurements of whole fleets (hop, capacity) are started by Meta/jujuberelay.sh measure.\n",
+        names.c_str());
     return InvalidInput;
 }
 
--- a/Utilities/jujuberelay/src/main.cpp
+++ b/Utilities/jujuberelay/src/main.cpp
@@ -16,7 +16,7 @@
 const Command commands[] = {
     { "emulate", "platform|engine|service: run a stand-in for tests and demonstrations", Commands::emulate },
     { "load", "send a bounded load to daemons and check the answers", Commands::load },
-    { "measure", "budget|hop|routing|intent|capacity: measure and print a table", Commands::measure },
+    { "measure", "budget|routing: measure and print a table", Commands::measure },
     { "note", "check|diff|apply FILE: work with a release note", Commands::note },
     { "state", "print the intended state as one release note", Commands::state },
     { "history", "print the accepted notes", Commands::history },
