RouteService: a full endpoint is judged by the daemon's own requests

Cause: the admission limit used the estimated load, which multiplies own requests by the daemons that share an endpoint, so that a burst through one daemon waited for the next load report. Ruled out: grants and witnesses, by their histograms.

--- a/Services/jujuberelayd/src/RouteService.cpp
+++ b/Services/jujuberelayd/src/RouteService.cpp
@@ -92,7 +92,11 @@
 std::optional<Caller::Route> RouteService::takeEndpoint(const Caller::RouteQuery& query)
 {
     std::vector<Routing::Candidate> open = candidates(query);
-    std::erase_if(open, [](const Routing::Candidate& candidate) { return candidate.load >= candidate.weight * overcommit; });
+    // Own requests only: the estimated load multiplies them by the daemons that share the endpoint, and made requests wait
+    // for the next report although there was room. Beyond that the endpoint queues by priority, or refuses.
+    std::erase_if(open, [this](const Routing::Candidate& candidate) {
+        return static_cast<double>(m_table.inFlight(std::string(candidate.name))) >= candidate.weight * overcommit;
+    });
     Routing::ChoiceQuery choice;
     choice.prefixHash = Routing::prefixHashOf(query.prefix);
     choice.seed = Core::randomGenerator()();
