--- a/Tests/LibMembership/TestView.cpp
+++ b/Tests/LibMembership/TestView.cpp
@@ -171,3 +171,17 @@
         cr_assert_eq(reached.size(), static_cast<size_t>(count));
     }
 }
+
+// Guards against a daemon that is announced with the addresses from before they were bound, where nobody can reach it.
+Test(View, ownAddressesAreAnnounced)
+{
+    Fixture fixture;
+    HostNumber self = hostNumberOf(fixture.view.self().host);
+    uint64_t before = fixture.view.changes().rbegin()->first;
+    fixture.view.setOwnAddresses({ "127.0.0.1", 7001 }, { "127.0.0.1", 7002 });
+    std::optional<GossipRecord> record = fixture.view.record(self);
+    cr_assert(record);
+    cr_assert_eq(record->member.peerAddress, (Core::Address { "127.0.0.1", 7001 }));
+    cr_assert_eq(record->member.callerAddress, (Core::Address { "127.0.0.1", 7002 }));
+    cr_assert_gt(fixture.view.changes().rbegin()->first, before);
+}
