--- a/Libraries/LibCaller/src/ChatHandler.cpp
+++ b/Libraries/LibCaller/src/ChatHandler.cpp
@@ -138,7 +138,7 @@
     Core::Deadline deadline = session.identity.deadline;
     std::optional<Refusal> notAdmitted;
     // Checked in the step that writes the request, so that a process that was paused sends nothing on stale intent.
-    HTTP::Client::SendGuard guard = [this, deadline, &notAdmitted] {
+    HTTP::SendGuard guard = [this, deadline, &notAdmitted] {
         notAdmitted = m_hooks.admission();
         return !notAdmitted && !deadline.hasPassed();
     };
--- a/Libraries/LibCaller/src/ServiceHandler.cpp
+++ b/Libraries/LibCaller/src/ServiceHandler.cpp
@@ -114,7 +114,7 @@
                 refusal = notRun("no_endpoint", 503, reason, 1000);
             co_return std::nullopt;
         }
-        HTTP::Client::SendGuard guard = [this, &call] { return !m_hooks.admission() && !call.identity.deadline.hasPassed(); };
+        HTTP::SendGuard guard = [this, &call] { return !m_hooks.admission() && !call.identity.deadline.hasPassed(); };
         Telemetry::Span span = startRequestSpan(m_hooks, call.identity, "endpoint", Telemetry::SpanKind::Client);
         span.setAttribute("endpoint", route->endpoint);
         HTTP::Request forwarded = forwardedRequest(call.request, call.target, call.identity, traceParentOf(span, call.identity));
--- a/Libraries/LibCore/src/EventLog.cpp
+++ b/Libraries/LibCore/src/EventLog.cpp
@@ -1,11 +1,13 @@
 #include "LibCore/EventLog.h"
 
+#include "NonBlockingAppender.h"
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 #include <memory>
+#include <unistd.h>
 
 namespace Core {
 
@@ -30,12 +32,16 @@
     return instance;
 }
 
-void initialiseLog(const std::string& processName, Severity lowest)
+void initialiseLog(const std::string& processName, Severity lowest, LogTarget target)
 {
     initializer();
     log4cplus::Logger root = log4cplus::Logger::getRoot();
     root.removeAllAppenders();
-    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+    log4cplus::SharedAppenderPtr appender;
+    if (target == LogTarget::StandardOutput)
+        appender = new NonBlockingAppender(STDOUT_FILENO);
+    else
+        appender = new log4cplus::ConsoleAppender(true, true);
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%D{%Y-%m-%dT%H:%M:%S.%q} " + processName + " %p %m%n"));
     root.addAppender(appender);
     root.setLogLevel(levelOf(lowest));
--- a/Libraries/LibEndpoint/include/LibEndpoint/EngineClient.h
+++ b/Libraries/LibEndpoint/include/LibEndpoint/EngineClient.h
@@ -66,7 +66,7 @@
     // Sends the request. Unavailable, RateLimited and Refused (by the guard or by the engine's 4xx or 503 answer) mean
     // that it does not run; OutcomeUnknown and TimedOut that it may.
     Core::Task<std::optional<std::unique_ptr<EngineStream>>> dispatch(
-        Core::Address, Dispatch, Core::Deadline, HTTP::Client::SendGuard, Core::Reason&);
+        Core::Address, Dispatch, Core::Deadline, HTTP::SendGuard, Core::Reason&);
 
     // Joins a running or finished stream from its start. NotFound: the engine does not know it.
     Core::Task<std::optional<std::unique_ptr<EngineStream>>> resume(Core::Address, std::string streamId, Core::Deadline, Core::Reason&);
--- a/Libraries/LibEndpoint/include/LibEndpoint/ServiceClient.h
+++ b/Libraries/LibEndpoint/include/LibEndpoint/ServiceClient.h
@@ -17,7 +17,7 @@
     // Any status is returned as the service's answer. OutcomeUnknown means that the call may have run; every other
     // failure kind means that it was never sent.
     Core::Task<std::optional<HTTP::Response>> call(
-        Core::Address, HTTP::Request, Core::Deadline, HTTP::Client::SendGuard, Core::Reason&);
+        Core::Address, HTTP::Request, Core::Deadline, HTTP::SendGuard, Core::Reason&);
 
 private:
     HTTP::Client& m_client;
--- a/Libraries/LibEndpoint/src/EngineClient.cpp
+++ b/Libraries/LibEndpoint/src/EngineClient.cpp
@@ -51,7 +51,7 @@
 }
 
 Core::Task<std::optional<std::unique_ptr<EngineStream>>> EngineClient::dispatch(
-    Core::Address address, Dispatch dispatch, Core::Deadline deadline, HTTP::Client::SendGuard guard, Core::Reason& reason)
+    Core::Address address, Dispatch dispatch, Core::Deadline deadline, HTTP::SendGuard guard, Core::Reason& reason)
 {
     HTTP::Request request { "POST", "/v1/chat/completions",
         { { "Content-Type", "application/json" }, { "X-Stream-Id", dispatch.streamId }, { "X-Workspace", dispatch.workspace },
@@ -60,12 +60,14 @@
     if (!dispatch.traceParent.empty())
         request.headers.push_back({ "traceparent", dispatch.traceParent });
     bool wasSent = false;
-    HTTP::Client::SendGuard recordingGuard = [&wasSent, &guard]() {
+    HTTP::SendGuard recordingGuard = [&wasSent, &guard]() {
         wasSent = !guard || guard();
         return wasSent;
     };
+    HTTP::CallOptions options;
+    options.guard = std::move(recordingGuard);
     std::optional<std::unique_ptr<HTTP::ResponseStream>> response
-        = co_await m_client.openGuarded(address, std::move(request), deadline, std::move(recordingGuard), reason);
+        = co_await m_client.call(address, std::move(request), deadline, std::move(options), reason);
     if (!response) {
         // A connection attempt that times out has sent nothing.
         if (!wasSent && reason.kind == FailureKind::TimedOut)
--- a/Libraries/LibEndpoint/src/ServiceClient.cpp
+++ b/Libraries/LibEndpoint/src/ServiceClient.cpp
@@ -48,18 +48,21 @@
 }
 
 Core::Task<std::optional<HTTP::Response>> ServiceClient::call(
-    Core::Address address, HTTP::Request request, Core::Deadline deadline, HTTP::Client::SendGuard guard, Core::Reason& reason)
+    Core::Address address, HTTP::Request request, Core::Deadline deadline, HTTP::SendGuard guard, Core::Reason& reason)
 {
     request.headers = endToEndHeaders(request.headers);
     // The connection is not used again, so the service need not keep it.
     request.headers.push_back({ "Connection", "close" });
     bool wasSent = false;
-    HTTP::Client::SendGuard recordingGuard = [&wasSent, &guard]() {
+    HTTP::SendGuard recordingGuard = [&wasSent, &guard]() {
         wasSent = !guard || guard();
         return wasSent;
     };
-    std::optional<std::unique_ptr<HTTP::ResponseStream>> stream = co_await m_client.openGuarded(
-        address, std::move(request), deadline, std::move(recordingGuard), reason, HTTP::ConnectionUse::Fresh);
+    HTTP::CallOptions options;
+    options.use = HTTP::ConnectionUse::Fresh;
+    options.guard = std::move(recordingGuard);
+    std::optional<std::unique_ptr<HTTP::ResponseStream>> stream
+        = co_await m_client.call(address, std::move(request), deadline, std::move(options), reason);
     std::optional<std::string> body;
     if (stream)
         body = co_await (*stream)->readAll(maxResponseBytes, deadline, reason);
--- a/Libraries/LibHTTP/include/LibHTTP/Client.h
+++ b/Libraries/LibHTTP/include/LibHTTP/Client.h
@@ -34,6 +34,36 @@
     Fresh,
 };
 
+// Ends a call from another task by closing the connection that the call uses.
+class Cancellation {
+public:
+    void cancel();
+    bool isCancelled() const { return m_isCancelled; }
+
+    // Called by the client while a connection serves the call; an empty function detaches it.
+    void attach(std::function<void()> closeConnection);
+
+private:
+    std::function<void()> m_closeConnection;
+    bool m_isCancelled { false };
+};
+
+// Called in the same step that hands a request's bytes to the socket; returning false fails with Refused and sends
+// nothing.
+using SendGuard = std::function<bool()>;
+
+struct CallOptions {
+    ConnectionUse use { ConnectionUse::Pooled };
+    SendGuard guard {};
+    std::shared_ptr<Cancellation> cancellation {};
+    // False for a response that belongs to another request: it is discarded and the next one on the connection is read.
+    std::function<bool(unsigned status, const Headers&)> isExpected {};
+    // Bounds the time to connect where it is earlier than the call's deadline.
+    Core::Deadline connectDeadline { Core::Deadline::never() };
+    // Sends the request again on a new connection when a reused one ends before any byte of a response.
+    bool mayResend { false };
+};
+
 // An HTTP/1.1 client with a pool of idle connections for each address.
 class Client {
 public:
@@ -49,11 +79,12 @@
     Core::Task<std::optional<Response>> roundTrip(
         Core::Address, Request, Core::Deadline, Core::Reason&, ConnectionUse = ConnectionUse::Pooled);
 
-    // Called in the same step that hands a request's bytes to the socket; returning false fails with Refused
-    // and sends nothing.
-    using SendGuard = std::function<bool()>;
-    Core::Task<std::optional<std::unique_ptr<ResponseStream>>> openGuarded(
-        Core::Address, Request, Core::Deadline, SendGuard, Core::Reason&, ConnectionUse = ConnectionUse::Pooled);
+    // As open, with the options. A `Host` header of the request replaces the address.
+    Core::Task<std::optional<std::unique_ptr<ResponseStream>>> call(
+        Core::Address, Request, Core::Deadline, CallOptions, Core::Reason&);
+
+    // Connections opened so far.
+    uint64_t connectionsOpened() const;
 
 private:
     struct Pool;
--- a/Libraries/LibHTTP/include/LibHTTP/ResponseWriter.h
+++ b/Libraries/LibHTTP/include/LibHTTP/ResponseWriter.h
@@ -3,6 +3,7 @@
 #include "LibCore/Async.h"
 #include "LibCore/Reason.h"
 #include "LibHTTP/Message.h"
+#include <functional>
 
 namespace HTTP {
 
@@ -23,6 +24,9 @@
     // Sends the final chunk. Without it the client sees that the stream broke off.
     virtual Core::Task<bool> finishStream(Core::Reason&) = 0;
 
+    // Calls the function once if the client closes the connection before the response is complete.
+    virtual void onClientGone(std::function<void()>) { }
+
     // Closes the connection without completing the response.
     virtual void abort() = 0;
 
--- a/Libraries/LibHTTP/src/Client.cpp
+++ b/Libraries/LibHTTP/src/Client.cpp
@@ -7,6 +7,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <map>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 namespace HTTP {
@@ -18,6 +20,15 @@
 static constexpr asio::as_tuple_t<asio::use_awaitable_t<>> asTuple(asio::use_awaitable);
 static constexpr size_t maxIdlePerAddress = 256;
 static constexpr size_t readPieceBytes = 16 * 1024;
+// A peer that leaves sent bytes unacknowledged for this long is gone; a partition ends no connection by itself.
+static constexpr int unacknowledgedLimitMs = 3'000;
+// An idle connection is not used in the last part of the time that the peer keeps it open, since the request could cross
+// the peer's close.
+static constexpr std::chrono::milliseconds idleMargin(500);
+// Reuse limit for connections whose peer states no idle time; it may be under a second then.
+static constexpr std::chrono::milliseconds defaultIdleTime(700);
+// Responses to other requests that one call discards before it gives up on the connection.
+static constexpr int maxDiscardedResponses = 3;
 
 namespace {
 
@@ -28,6 +39,7 @@
     }
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
+    Core::Deadline reusableUntil { Core::Deadline::never() };
 
     // False when the peer has closed the connection or has sent bytes that nobody asked for.
     bool isIdle()
@@ -49,12 +61,14 @@
         while (!connections.empty()) {
             std::unique_ptr<Connection> connection = std::move(connections.back());
             connections.pop_back();
-            if (connection->isIdle())
+            if (!connection->reusableUntil.hasPassed() && connection->isIdle())
                 return connection;
         }
         return nullptr;
     }
 
+    uint64_t opened { 0 };
+
     void put(const Core::Address& address, std::unique_ptr<Connection> connection)
     {
         std::vector<std::unique_ptr<Connection>>& connections = idle[address];
@@ -125,32 +139,52 @@
 template <typename PoolPointer>
 class PooledStream final : public ResponseStream {
 public:
-    PooledStream(PoolPointer pool, Core::Address address, std::unique_ptr<Connection> connection)
+    PooledStream(PoolPointer pool, Core::Address address, std::unique_ptr<Connection> connection, std::shared_ptr<Cancellation> cancellation)
         : m_pool(std::move(pool))
         , m_address(std::move(address))
         , m_connection(std::move(connection))
+        , m_cancellation(std::move(cancellation))
         , m_timeout(*m_connection)
     {
-        m_parser.body_limit(boost::none);
     }
 
-    Core::Task<bool> readHeader(Core::Deadline deadline, bool isHead, Core::Reason& reason)
+    ~PooledStream() override
     {
-        if (isHead)
-            m_parser.skip(true);
-        m_connection->stream.expires_at(deadline.at());
-        auto [error, size] = co_await http::async_read_header(m_connection->stream, m_connection->buffer, m_parser, asTuple);
-        if (error) {
-            reason = describe(error, Core::FailureKind::OutcomeUnknown, "read response", m_address);
-            co_return false;
+        if (m_cancellation)
+            m_cancellation->attach({});
+    }
+
+    // Reads the headers of the first response that is expected. hasAnswered tells whether any byte has arrived.
+    Core::Task<bool> readHeader(Core::Deadline deadline, bool isHead, const CallOptions& options, bool& hasAnswered, Core::Reason& reason)
+    {
+        for (int discarded = 0; discarded <= maxDiscardedResponses; ++discarded) {
+            m_parser.emplace();
+            m_parser->body_limit(boost::none);
+            if (isHead)
+                m_parser->skip(true);
+            m_connection->stream.expires_at(deadline.at());
+            auto [error, size] = co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_parser, asTuple);
+            hasAnswered = hasAnswered || m_parser->got_some();
+            if (error) {
+                reason = describe(error, Core::FailureKind::OutcomeUnknown, "read response", m_address);
+                co_return false;
+            }
+            m_headers.clear();
+            for (const http::fields::value_type& field : m_parser->get())
+                m_headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+            m_status = m_parser->get().result_int();
+            if (!options.isExpected || options.isExpected(m_status, m_headers)) {
+                releaseIfDone();
+                co_return true;
+            }
+            if (!co_await discardBody(deadline, reason))
+                co_return false;
         }
-        for (const http::fields::value_type& field : m_parser.get())
-            m_headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
-        releaseIfDone();
-        co_return true;
+        reason = { Core::FailureKind::OutcomeUnknown, "read response", m_address.text(), "the peer sends responses to other requests" };
+        co_return false;
     }
 
-    unsigned status() const override { return m_parser.get().result_int(); }
+    unsigned status() const override { return m_status; }
     const Headers& headers() const override { return m_headers; }
 
     Core::Task<std::optional<std::string>> readSome(Core::Deadline deadline, Core::Reason& reason) override
@@ -158,25 +192,24 @@
         std::string piece;
         while (m_connection && piece.empty()) {
             piece.resize(readPieceBytes);
-            m_parser.get().body().data = piece.data();
-            m_parser.get().body().size = piece.size();
+            m_parser->get().body().data = piece.data();
+            m_parser->get().body().size = piece.size();
             m_connection->stream.expires_never();
             m_timeout.setDeadline(deadline.at());
             beast::error_code error = beast::error::timeout;
             if (!m_timeout.hasExpired())
-                error = std::get<0>(co_await http::async_read_some(m_connection->stream, m_connection->buffer, m_parser, asTuple));
+                error = std::get<0>(co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser, asTuple));
             if (error && error != http::error::need_buffer) {
                 if (m_timeout.hasExpired())
                     error = beast::error::timeout;
                 reason = describe(error, Core::FailureKind::OutcomeUnknown, "read body", m_address);
                 if (error == beast::error::timeout)
                     reason.kind = Core::FailureKind::TimedOut;
-                m_timeout.stop();
-                m_connection.reset();
+                closeConnection();
                 m_isBroken = true;
                 break;
             }
-            piece.resize(piece.size() - m_parser.get().body().size);
+            piece.resize(piece.size() - m_parser->get().body().size);
             releaseIfDone();
         }
         if (m_isBroken)
@@ -185,23 +218,66 @@
     }
 
 private:
+    void closeConnection()
+    {
+        m_timeout.stop();
+        if (m_cancellation)
+            m_cancellation->attach({});
+        m_connection.reset();
+    }
+
+    // Reads the body of a response to another request. Only one with a length ends where the next response begins.
+    Core::Task<bool> discardBody(Core::Deadline deadline, Core::Reason& reason)
+    {
+        std::string piece(readPieceBytes, 0);
+        while (!m_parser->is_done()) {
+            m_parser->get().body().data = piece.data();
+            m_parser->get().body().size = piece.size();
+            m_connection->stream.expires_at(deadline.at());
+            auto [error, size] = co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser, asTuple);
+            if (error && error != http::error::need_buffer) {
+                reason = describe(error, Core::FailureKind::OutcomeUnknown, "discard response", m_address);
+                co_return false;
+            }
+        }
+        co_return true;
+    }
+
     // Hands the connection back to the pool once the whole response has been read.
     void releaseIfDone()
     {
-        if (!m_parser.is_done())
+        if (!m_parser->is_done())
             return;
         m_timeout.stop();
         m_connection->stream.expires_never();
-        if (m_parser.get().keep_alive())
+        if (m_parser->get().keep_alive()) {
+            if (m_cancellation)
+                m_cancellation->attach({});
+            m_connection->reusableUntil = reuseDeadline();
             m_pool->put(m_address, std::move(m_connection));
-        m_connection.reset();
+        }
+        closeConnection();
+    }
+
+    // The peer's `Keep-Alive: timeout=N`, in seconds, less a margin.
+    Core::Deadline reuseDeadline() const
+    {
+        static constexpr std::string_view parameter = "timeout=";
+        std::string text = findHeader(m_headers, "Keep-Alive").value_or("");
+        size_t at = text.find(parameter);
+        if (at == std::string::npos)
+            return Core::Deadline::after(defaultIdleTime);
+        std::chrono::milliseconds stated(std::strtol(text.c_str() + at + parameter.size(), nullptr, 10) * 1'000);
+        return Core::Deadline::after(std::max(stated - idleMargin, idleMargin));
     }
 
     PoolPointer m_pool;
     Core::Address m_address;
     std::unique_ptr<Connection> m_connection;
+    std::shared_ptr<Cancellation> m_cancellation;
     ReadTimeout m_timeout;
-    http::response_parser<http::buffer_body> m_parser;
+    std::optional<http::response_parser<http::buffer_body>> m_parser;
+    unsigned m_status { 0 };
     Headers m_headers;
     bool m_isBroken { false };
 };
@@ -245,16 +321,41 @@
     }
     beast::error_code ignored;
     connection.stream.socket().set_option(tcp::no_delay(true), ignored);
+    ::setsockopt(connection.stream.socket().native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledgedLimitMs, sizeof(unacknowledgedLimitMs));
     co_return true;
 }
 
+namespace {
+
+// Detaches a call that failed before its response's stream took over.
+struct CancellationGuard {
+    std::shared_ptr<Cancellation> cancellation;
+
+    explicit CancellationGuard(std::shared_ptr<Cancellation> cancellation)
+        : cancellation(std::move(cancellation))
+    {
+    }
+    CancellationGuard(const CancellationGuard&) = delete;
+    CancellationGuard& operator=(const CancellationGuard&) = delete;
+    ~CancellationGuard()
+    {
+        if (cancellation)
+            cancellation->attach({});
+    }
+
+    void release() { cancellation = nullptr; }
+};
+
+}
+
 static http::request<http::string_body> buildMessage(const Core::Address& address, Request request)
 {
     http::request<http::string_body> message;
     message.version(11);
     message.method_string(request.method);
     message.target(request.target);
-    message.set(http::field::host, address.text());
+    if (!findHeader(request.headers, "Host"))
+        message.set(http::field::host, address.text());
     for (const Header& header : request.headers)
         message.insert(header.name, header.value);
     message.body() = std::move(request.body);
@@ -262,39 +363,72 @@
     return message;
 }
 
-Core::Task<std::optional<std::unique_ptr<ResponseStream>>> Client::openGuarded(
-    Core::Address address, Request request, Core::Deadline deadline, SendGuard guard, Core::Reason& reason, ConnectionUse use)
+void Cancellation::cancel()
+{
+    m_isCancelled = true;
+    if (m_closeConnection)
+        std::exchange(m_closeConnection, {})();
+}
+
+void Cancellation::attach(std::function<void()> closeConnection)
+{
+    m_closeConnection = std::move(closeConnection);
+}
+
+uint64_t Client::connectionsOpened() const
+{
+    return m_pool->opened;
+}
+
+Core::Task<std::optional<std::unique_ptr<ResponseStream>>> Client::call(
+    Core::Address address, Request request, Core::Deadline deadline, CallOptions options, Core::Reason& reason)
 {
-    std::unique_ptr<Connection> connection = use == ConnectionUse::Pooled ? m_pool->take(address) : nullptr;
-    if (!connection) {
-        connection = std::make_unique<Connection>(m_executor);
-        if (!co_await connect(*connection, address, deadline, reason))
-            co_return std::nullopt;
-    }
     bool isHead = request.method == "HEAD";
     http::request<http::string_body> message = buildMessage(address, std::move(request));
-    if (guard && !guard()) {
-        m_pool->put(address, std::move(connection));
-        reason = { Core::FailureKind::Refused, "send request", address.text(), "the condition for sending no longer holds" };
-        co_return std::nullopt;
-    }
-    connection->stream.expires_at(deadline.at());
-    auto [error, size] = co_await http::async_write(connection->stream, message, asTuple);
-    if (error) {
-        reason = describe(error, Core::FailureKind::OutcomeUnknown, "send request", address);
-        co_return std::nullopt;
+    std::unique_ptr<Connection> connection = options.use == ConnectionUse::Pooled ? m_pool->take(address) : nullptr;
+    for (;;) {
+        bool isReused = connection != nullptr;
+        if (!connection)
+            connection = std::make_unique<Connection>(m_executor);
+        if (options.cancellation)
+            options.cancellation->attach([stream = &connection->stream] { stream->close(); });
+        CancellationGuard detach { options.cancellation };
+        if (!isReused) {
+            ++m_pool->opened;
+            if (!co_await connect(*connection, address, std::min(deadline, options.connectDeadline), reason))
+                co_return std::nullopt;
+        }
+        if (options.guard && !options.guard()) {
+            m_pool->put(address, std::move(connection));
+            reason = { Core::FailureKind::Refused, "send request", address.text(), "the condition for sending no longer holds" };
+            co_return std::nullopt;
+        }
+        connection->stream.expires_at(deadline.at());
+        auto [error, size] = co_await http::async_write(connection->stream, message, asTuple);
+        bool hasAnswered = false;
+        if (error) {
+            reason = describe(error, Core::FailureKind::OutcomeUnknown, "send request", address);
+        } else {
+            std::unique_ptr<PooledStream<std::shared_ptr<Pool>>> stream
+                = std::make_unique<PooledStream<std::shared_ptr<Pool>>>(m_pool, address, std::move(connection), options.cancellation);
+            if (co_await stream->readHeader(deadline, isHead, options, hasAnswered, reason)) {
+                detach.release();
+                co_return std::unique_ptr<ResponseStream>(std::move(stream));
+            }
+        }
+        connection.reset();
+        bool isCancelled = options.cancellation && options.cancellation->isCancelled();
+        if (!isReused || !options.mayResend || hasAnswered || isCancelled || deadline.hasPassed())
+            co_return std::nullopt;
     }
-    std::unique_ptr<PooledStream<std::shared_ptr<Pool>>> stream
-        = std::make_unique<PooledStream<std::shared_ptr<Pool>>>(m_pool, address, std::move(connection));
-    if (!co_await stream->readHeader(deadline, isHead, reason))
-        co_return std::nullopt;
-    co_return std::unique_ptr<ResponseStream>(std::move(stream));
 }
 
 Core::Task<std::optional<std::unique_ptr<ResponseStream>>> Client::open(
     Core::Address address, Request request, Core::Deadline deadline, Core::Reason& reason, ConnectionUse use)
 {
-    co_return co_await openGuarded(std::move(address), std::move(request), deadline, {}, reason, use);
+    CallOptions options;
+    options.use = use;
+    co_return co_await call(std::move(address), std::move(request), deadline, std::move(options), reason);
 }
 
 Core::Task<std::optional<Response>> Client::roundTrip(
--- a/Libraries/LibHTTP/src/Server.cpp
+++ b/Libraries/LibHTTP/src/Server.cpp
@@ -7,7 +7,10 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <set>
+#include <sys/socket.h>
 
 namespace HTTP {
 
@@ -16,6 +19,10 @@
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
 static constexpr asio::as_tuple_t<asio::use_awaitable_t<>> asTuple(asio::use_awaitable);
+// A client that leaves sent bytes unacknowledged for this long is gone.
+static constexpr int unacknowledgedLimitMs = 3'000;
+// Time to send the refusal of a request that could not be read.
+static constexpr int64_t unreadRefusalLimitMs = 1'000;
 
 namespace {
 
@@ -27,6 +34,10 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     bool busy { false };
+    // Set while a request is handled; see ResponseWriter::onClientGone.
+    std::function<void()> onGone {};
+    // Separates the waits of successive requests on one connection.
+    uint64_t watches { 0 };
 
     void close()
     {
@@ -37,16 +48,18 @@
 
 class StreamWriter final : public ResponseWriter {
 public:
-    StreamWriter(Connection& connection, unsigned version, bool keepAlive)
+    // The connection is kept when the client asked for it and isClosing is still false as the response starts.
+    StreamWriter(Connection& connection, unsigned version, bool keepAlive, const bool& isClosing)
         : m_connection(connection)
         , m_version(version)
         , m_keepAlive(keepAlive)
+        , m_isClosing(isClosing)
     {
     }
 
     Core::Task<bool> send(Response response, Core::Reason& reason) override
     {
-        m_hasStarted = true;
+        start();
         http::response<http::string_body> message(http::int_to_status(response.status), m_version);
         message.result(response.status);
         addHeaders(message, response.headers);
@@ -60,7 +73,7 @@
 
     Core::Task<bool> startStream(unsigned status, Headers headers, Core::Reason& reason) override
     {
-        m_hasStarted = true;
+        start();
         http::response<http::empty_body> message(http::int_to_status(status), m_version);
         message.result(status);
         addHeaders(message, headers);
@@ -85,11 +98,20 @@
         co_return check(error, reason);
     }
 
+    void onClientGone(std::function<void()> handler) override { m_connection.onGone = std::move(handler); }
+
     void abort() override { m_connection.close(); }
     bool hasStarted() const override { return m_hasStarted; }
-    bool isComplete() const { return m_isComplete; }
+    // Whether the response is complete and the connection can serve another request.
+    bool isReusable() const { return m_isComplete && m_keepAlive; }
 
 private:
+    void start()
+    {
+        m_hasStarted = true;
+        m_keepAlive = m_keepAlive && !m_isClosing;
+    }
+
     template <typename Message>
     static void addHeaders(Message& message, const Headers& headers)
     {
@@ -108,6 +130,7 @@
     Connection& m_connection;
     unsigned m_version;
     bool m_keepAlive;
+    const bool& m_isClosing;
     bool m_hasStarted { false };
     bool m_isComplete { false };
 };
@@ -130,8 +153,25 @@
     std::set<Connection*> connections;
     size_t activeRequests { 0 };
     bool isStopping { false };
+    bool isClosing { false };
 };
 
+// Waits until the socket is readable during a request. A client that has closed its end reads as 0 bytes or an error;
+// bytes of a next request end the watch.
+static void watchClient(const std::shared_ptr<Connection>& connection)
+{
+    connection->stream.socket().async_wait(tcp::socket::wait_read,
+        [connection, watch = ++connection->watches](const beast::error_code& error) {
+            if (error || watch != connection->watches || !connection->onGone)
+                return;
+            char byte = 0;
+            ssize_t received = ::recv(connection->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+            bool isGone = received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+            if (isGone)
+                std::exchange(connection->onGone, {})();
+        });
+}
+
 static Request takeRequest(http::request<http::string_body>& message)
 {
     Request request;
@@ -157,34 +197,70 @@
     return response;
 }
 
+static void setTimeout(Connection& connection, int64_t milliseconds)
+{
+    if (milliseconds > 0)
+        connection.stream.expires_after(std::chrono::milliseconds(milliseconds));
+    else
+        connection.stream.expires_never();
+}
+
+// Reads the first bytes of a request; false when the connection was closed or stayed idle for too long.
+static Core::Task<bool> awaitRequest(Server::State& state, Connection& connection)
+{
+    static constexpr size_t firstReadBytes = 4096;
+    if (connection.buffer.size() > 0)
+        co_return true;
+    setTimeout(connection, state.limits.idleTimeoutMs);
+    auto [error, size] = co_await connection.stream.async_read_some(connection.buffer.prepare(firstReadBytes), asTuple);
+    connection.buffer.commit(size);
+    co_return !error;
+}
+
+// Answers a request that could not be read, where the client still waits for an answer.
+static Core::Task<void> refuseUnread(Connection& connection, const beast::error_code& error)
+{
+    bool isParseError = error.category() == beast::error_code(http::error::bad_method).category()
+        && error != http::error::end_of_stream && error != http::error::partial_message;
+    if (!isParseError)
+        co_return;
+    static constexpr bool isClosing = true;
+    StreamWriter writer(connection, 11, false, isClosing);
+    Core::Reason ignored;
+    setTimeout(connection, unreadRefusalLimitMs);
+    co_await writer.send(parseFailure(error), ignored);
+}
+
 // Reads and answers one request; false when the connection must be closed.
-static Core::Task<bool> serveOne(Server::State& state, Connection& connection)
+static Core::Task<bool> serveOne(Server::State& state, const std::shared_ptr<Connection>& held)
 {
+    Connection& connection = *held;
+    connection.busy = false;
+    if (!co_await awaitRequest(state, connection))
+        co_return false;
     http::request_parser<http::string_body> parser;
     parser.body_limit(state.limits.maxBodyBytes);
     parser.header_limit(static_cast<std::uint32_t>(state.limits.maxHeaderBytes));
-    connection.busy = false;
+    connection.busy = true;
+    setTimeout(connection, state.limits.requestTimeoutMs);
     auto [error, size] = co_await http::async_read(connection.stream, connection.buffer, parser, asTuple);
-    Core::Reason ignored;
+    connection.stream.expires_never();
     if (error) {
-        bool isParseError = error.category() == beast::error_code(http::error::bad_method).category()
-            && error != http::error::end_of_stream && error != http::error::partial_message;
-        if (isParseError) {
-            StreamWriter writer(connection, 11, false);
-            co_await writer.send(parseFailure(error), ignored);
-        }
+        co_await refuseUnread(connection, error);
         co_return false;
     }
-    bool keepAlive = parser.get().keep_alive() && !state.isStopping;
-    StreamWriter writer(connection, parser.get().version(), keepAlive);
-    connection.busy = true;
+    StreamWriter writer(connection, parser.get().version(), parser.get().keep_alive(), state.isClosing);
     ++state.activeRequests;
+    watchClient(held);
     bool threw = false;
     try {
         co_await state.handler(takeRequest(parser.get()), writer);
     } catch (const std::exception&) {
         threw = true;
     }
+    connection.onGone = {};
+    ++connection.watches;
+    Core::Reason ignored;
     if (threw && !writer.hasStarted()) {
         Response response { 500, { { "Content-Type", "application/json" } },
             R"({"error":{"code":"internal","ran":"unknown","step":"handle request","peer":"daemon","message":"internal error"}})" };
@@ -192,21 +268,22 @@
     }
     --state.activeRequests;
     connection.busy = false;
-    co_return writer.isComplete() && keepAlive && !state.isStopping;
+    co_return writer.isReusable() && !state.isClosing;
 }
 
 static Core::Task<void> serveConnection(std::shared_ptr<Server::State> state, tcp::socket socket)
 {
     beast::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
-    Connection connection(std::move(socket));
-    state->connections.insert(&connection);
+    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledgedLimitMs, sizeof(unacknowledgedLimitMs));
+    std::shared_ptr<Connection> connection = std::make_shared<Connection>(std::move(socket));
+    state->connections.insert(connection.get());
     bool goesOn = true;
     while (goesOn)
         goesOn = co_await serveOne(*state, connection);
-    state->connections.erase(&connection);
-    connection.stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-    connection.close();
+    state->connections.erase(connection.get());
+    connection->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    connection->close();
 }
 
 static Core::Task<void> acceptConnections(std::shared_ptr<Server::State> state)
@@ -257,8 +334,24 @@
 void Server::stopAccepting()
 {
     m_state->isStopping = true;
+    m_state->isClosing = true;
     beast::error_code ignored;
     m_state->acceptor.close(ignored);
+    closeIdle();
+}
+
+void Server::setLimits(ServerLimits limits)
+{
+    m_state->limits = limits;
+}
+
+void Server::closeAfterResponses()
+{
+    m_state->isClosing = true;
+}
+
+void Server::closeIdle()
+{
     for (Connection* connection : m_state->connections) {
         if (!connection->busy)
             connection->close();
--- /dev/null
+++ b/Libraries/LibRelay/include/LibRelay/EndpointDirectory.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "LibCore/Deadline.h"
+#include "LibRelay/Endpoint.h"
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace Relay {
+
+// The endpoints that this daemon believes to serve, from the store's entries. Entries also lapse while the store is
+// away although their endpoints live; these are kept until the endpoints have had time to register again.
+class EndpointDirectory {
+public:
+    // Called with an endpoint that gets no further requests and the reason.
+    using Removed = std::function<void(const Endpoint&, const char* why)>;
+
+    explicit EndpointDirectory(Removed);
+
+    void put(Endpoint);
+    void remove(const std::string& id, Core::SteadyClock::time_point now);
+    // Takes over a whole listing.
+    void replaceAll(std::vector<Endpoint>, Core::SteadyClock::time_point now);
+
+    void storeLost() { m_isStoreLost = true; }
+    void storeRegained(Core::SteadyClock::time_point now);
+    // Removes entries whose time to come back is over.
+    void expire(Core::SteadyClock::time_point now);
+
+    // An endpoint answered that it is not the registered one; its entry is ignored until it changes.
+    void reject(const std::string& id);
+
+    const std::map<std::string, Endpoint>& endpoints() const { return m_endpoints; }
+    const Endpoint* find(const std::string& id) const;
+
+private:
+    bool isInGrace(Core::SteadyClock::time_point now) const { return m_isStoreLost || now < m_graceUntil; }
+    void erase(const std::string& id, const char* why);
+
+    Removed m_removed;
+    std::map<std::string, Endpoint> m_endpoints;
+    std::vector<std::string> m_lapsed;
+    std::map<std::string, Endpoint> m_rejected;
+    bool m_isStoreLost { false };
+    Core::SteadyClock::time_point m_graceUntil {};
+};
+
+}
--- /dev/null
+++ b/Libraries/LibRelay/src/EndpointSelector.cpp
@@ -0,0 +1,148 @@
+#include "LibRelay/EndpointSelector.h"
+
+#include "LibCore/Hash.h"
+#include "LibCore/Random.h"
+#include <algorithm>
+#include <cmath>
+
+namespace Relay {
+
+using TimePoint = Core::SteadyClock::time_point;
+
+// Failures weigh half as much after this time.
+static constexpr double failureHalfLifeSeconds = 2.0;
+// Weight of the newest request in the share of failures.
+static constexpr double failureGain = 0.25;
+// Above this share an endpoint is used only where no other is left.
+static constexpr double failureLimit = 0.3;
+// An endpoint with requests in flight that has sent nothing for this long gets no further ones.
+static constexpr std::chrono::milliseconds silenceLimit(1'000);
+static constexpr std::chrono::milliseconds suspectTime(1'000);
+// An endpoint that refused a request as full is left alone for this long.
+static constexpr std::chrono::milliseconds fullTime(150);
+// Requests of this daemon by which an endpoint may exceed the mean before its prompts go to the next in order.
+static constexpr double affinitySlack = 3;
+
+EndpointSelector::EndpointSelector(const EndpointDirectory& directory, std::string failureDomain)
+    : m_directory(directory)
+    , m_failureDomain(std::move(failureDomain))
+{
+}
+
+const EndpointSelector::Observed* EndpointSelector::find(const std::string& endpoint) const
+{
+    auto it = m_observed.find(endpoint);
+    return it == m_observed.end() ? nullptr : &it->second;
+}
+
+double EndpointSelector::failuresAt(const Observed& observed, TimePoint now)
+{
+    double elapsed = std::chrono::duration<double>(now - observed.failuresAt).count();
+    return observed.failures * std::exp2(-std::min(elapsed, 60.0) / failureHalfLifeSeconds);
+}
+
+bool EndpointSelector::isHealthy(const Endpoint& endpoint, TimePoint now) const
+{
+    const Observed* observed = find(endpoint.id);
+    if (!observed)
+        return true;
+    return now >= observed->suspectUntil && now >= observed->fullUntil && failuresAt(*observed, now) < failureLimit && !isSilent(endpoint.id, now);
+}
+
+bool EndpointSelector::isSilent(const std::string& endpoint, TimePoint now) const
+{
+    const Observed* observed = find(endpoint);
+    return observed && observed->inFlight > 0 && now - observed->lastBytesAt > silenceLimit;
+}
+
+double EndpointSelector::cost(const Endpoint& endpoint, TimePoint now) const
+{
+    const Observed* observed = find(endpoint.id);
+    double cost = observed ? static_cast<double>(observed->inFlight) + 4 * failuresAt(*observed, now) : 0;
+    if (endpoint.failureDomain != m_failureDomain)
+        cost += 0.9;
+    return cost;
+}
+
+const Endpoint* EndpointSelector::choose(const SelectionQuery& query, TimePoint now) const
+{
+    std::vector<const Endpoint*> candidates;
+    std::vector<const Endpoint*> doubtful;
+    for (const auto& [id, endpoint] : m_directory.endpoints()) {
+        if (endpoint.service != query.service || endpoint.isLeaving || query.excluded.contains(id))
+            continue;
+        (isHealthy(endpoint, now) ? candidates : doubtful).push_back(&endpoint);
+    }
+    if (candidates.empty())
+        candidates = std::move(doubtful);
+    if (candidates.empty())
+        return nullptr;
+    if (query.affinity != 0) {
+        std::sort(candidates.begin(), candidates.end(), [&query](const Endpoint* a, const Endpoint* b) {
+            return Core::hash64(a->id, query.affinity) > Core::hash64(b->id, query.affinity);
+        });
+        double total = 0;
+        for (const Endpoint* candidate : candidates)
+            total += static_cast<double>(inFlight(candidate->id));
+        double bound = affinitySlack + 1.5 * total / static_cast<double>(candidates.size());
+        for (const Endpoint* candidate : candidates) {
+            if (static_cast<double>(inFlight(candidate->id)) <= bound)
+                return candidate;
+        }
+    }
+    size_t start = Core::randomBelow(candidates.size());
+    const Endpoint* best = candidates[start];
+    for (size_t i = 1; i < candidates.size(); ++i) {
+        const Endpoint* candidate = candidates[(start + i) % candidates.size()];
+        if (cost(*candidate, now) < cost(*best, now))
+            best = candidate;
+    }
+    return best;
+}
+
+size_t EndpointSelector::inFlight(const std::string& endpoint) const
+{
+    const Observed* observed = find(endpoint);
+    return observed ? observed->inFlight : 0;
+}
+
+void EndpointSelector::recordStart(const std::string& endpoint, Tokens promptTokens, TimePoint now)
+{
+    Observed& observed = m_observed[endpoint];
+    if (observed.inFlight == 0)
+        observed.lastBytesAt = now;
+    ++observed.inFlight;
+    observed.promptTokens += promptTokens;
+}
+
+void EndpointSelector::recordBytes(const std::string& endpoint, TimePoint now)
+{
+    m_observed[endpoint].lastBytesAt = now;
+}
+
+void EndpointSelector::recordEnd(const std::string& endpoint, Tokens promptTokens, End end, TimePoint now)
+{
+    Observed& observed = m_observed[endpoint];
+    if (observed.inFlight > 0)
+        --observed.inFlight;
+    observed.promptTokens -= promptTokens;
+    if (end == End::Neutral)
+        return;
+    bool failed = end == End::Failure;
+    observed.failures = failuresAt(observed, now) * (1 - failureGain) + (failed ? failureGain : 0);
+    observed.failuresAt = now;
+    if (failed && now - observed.lastBytesAt > silenceLimit)
+        observed.suspectUntil = now + suspectTime;
+}
+
+void EndpointSelector::recordFull(const std::string& endpoint, TimePoint now)
+{
+    m_observed[endpoint].fullUntil = now + fullTime;
+}
+
+void EndpointSelector::forget(const std::string& endpoint)
+{
+    m_observed.erase(endpoint);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRelay/src/EventStream.cpp
@@ -0,0 +1,54 @@
+#include "LibRelay/EventStream.h"
+
+#include <charconv>
+
+namespace Relay {
+
+static std::optional<uint64_t> readId(std::string_view event)
+{
+    static constexpr std::string_view field = "id:";
+    while (!event.empty()) {
+        size_t end = event.find('\n');
+        std::string_view line = event.substr(0, end);
+        event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
+        if (!line.starts_with(field))
+            continue;
+        line.remove_prefix(field.size());
+        if (line.starts_with(' '))
+            line.remove_prefix(1);
+        if (line.ends_with('\r'))
+            line.remove_suffix(1);
+        uint64_t id = 0;
+        std::from_chars_result result = std::from_chars(line.data(), line.data() + line.size(), id);
+        if (result.ec != std::errc() || result.ptr != line.data() + line.size())
+            return std::nullopt;
+        return id;
+    }
+    return std::nullopt;
+}
+
+// The length of the first whole event in the bytes, 0 when there is none.
+static size_t eventLength(std::string_view bytes)
+{
+    size_t lf = bytes.find("\n\n");
+    size_t crlf = bytes.find("\r\n\r\n");
+    if (lf == std::string_view::npos && crlf == std::string_view::npos)
+        return 0;
+    return lf < crlf ? lf + 2 : crlf + 4;
+}
+
+std::vector<StreamEvent> EventStreamReader::feed(std::string_view bytes)
+{
+    std::vector<StreamEvent> events;
+    m_pending += bytes;
+    for (size_t length = eventLength(m_pending); length > 0; length = eventLength(m_pending)) {
+        StreamEvent event;
+        event.bytes = m_pending.substr(0, length);
+        event.id = readId(event.bytes);
+        m_pending.erase(0, length);
+        events.push_back(std::move(event));
+    }
+    return events;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRelay/src/Events.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "LibCore/EventLog.h"
+
+namespace Relay::Events {
+
+inline constexpr Core::Event requestRefused { 1721, Core::Severity::Info, "request_refused" };
+inline constexpr Core::Event requestSent { 1722, Core::Severity::Info, "request_sent" };
+inline constexpr Core::Event attemptFailed { 1723, Core::Severity::Info, "attempt_failed" };
+inline constexpr Core::Event requestEnded { 1724, Core::Severity::Info, "request_ended" };
+inline constexpr Core::Event grantChanged { 1731, Core::Severity::Info, "grant_changed" };
+inline constexpr Core::Event ledgerUnavailable { 1732, Core::Severity::Warning, "ledger_unavailable" };
+
+}
--- /dev/null
+++ b/Libraries/LibRelay/src/RequestHandler.cpp
@@ -0,0 +1,37 @@
+#include "LibRelay/RequestHandler.h"
+
+#include "Run.h"
+
+namespace Relay {
+
+// Daemons that are assumed to share the fleet's retries before the ledgers show more.
+static constexpr size_t fewestDaemons = 8;
+
+RequestHandler::RequestHandler(const boost::asio::any_io_executor& executor, WireCodec codec, HandlerHooks hooks, HandlerSettings settings,
+    std::shared_ptr<HTTP::Client> client, EndpointSelector& selector, BudgetKeeper& budgets, Telemetry::Metrics& metrics)
+    : m_executor(executor)
+    , m_codec(std::move(codec))
+    , m_hooks(std::move(hooks))
+    , m_settings(settings)
+    , m_client(std::move(client))
+    , m_selector(selector)
+    , m_budgets(budgets)
+    , m_metrics(metrics)
+{
+}
+
+Core::Task<void> RequestHandler::handle(HTTP::Request request, HTTP::ResponseWriter& writer)
+{
+    Run run(*this, writer);
+    co_await run.serve(std::move(request));
+}
+
+Routing::RetryBudget& RequestHandler::retryBudget(const std::string& service)
+{
+    Routing::RetryBudget& budget = m_retryBudgets.try_emplace(service, Routing::RetryBudgetSettings { m_settings.retryPercent, 0 }).first->second;
+    // The number is one for the whole fleet.
+    budget.setMinimum(m_settings.retryExtra / static_cast<int64_t>(std::max(m_budgets.knownDaemons(), fewestDaemons)));
+    return budget;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRelay/src/Run.cpp
@@ -0,0 +1,405 @@
+#include "Run.h"
+
+#include "Events.h"
+#include "LibCore/Hash.h"
+#include "LibCore/Random.h"
+#include <nlohmann/json.hpp>
+
+namespace Relay {
+
+using Core::Deadline;
+using Core::Reason;
+
+// Requests that state no deadline and whose route has no time limit end after this time.
+static constexpr std::chrono::milliseconds longestRequest(120'000);
+// Whole answers up to this size are read before they are passed on, so that a broken one can be asked for again.
+static constexpr size_t maxWholeAnswerBytes = 8 * 1024 * 1024;
+// A request waits for a grant at most for this share of its objective.
+static constexpr int64_t grantWaitDivisor = 3;
+static constexpr int64_t shortestGrantWaitMs = 150;
+static constexpr int64_t retryAfterFullMs = 400;
+static constexpr int64_t retryAfterStoreMs = 700;
+
+Run::Run(RequestHandler& handler, HTTP::ResponseWriter& writer)
+    : m_handler(handler)
+    , m_writer(writer)
+{
+}
+
+Run::~Run()
+{
+    m_writer.onClientGone({});
+    settleTokens();
+}
+
+int64_t Run::elapsedMs() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(Core::SteadyClock::now() - m_startedAt).count();
+}
+
+Core::Task<void> Run::serve(HTTP::Request message)
+{
+    Reason reason;
+    std::optional<CallerRequest> request
+        = m_handler.m_codec.decodeRequest(std::move(message), Deadline(m_startedAt + longestRequest), reason);
+    if (!request) {
+        co_await refuse({ 400, "bad_request", reason.message, std::nullopt });
+        co_return;
+    }
+    m_request = std::move(*request);
+    m_writer.onClientGone([this, isGone = m_isCallerGone] {
+        *isGone = true;
+        if (m_cancellation)
+            m_cancellation->cancel();
+    });
+    std::optional<Refusal> refusal = co_await authorise();
+    if (!refusal)
+        refusal = co_await holdTokens();
+    if (refusal) {
+        co_await refuse(std::move(*refusal));
+        co_return;
+    }
+    co_await dispatch();
+}
+
+Core::Task<std::optional<Refusal>> Run::authorise()
+{
+    for (bool isSecondLook = false;; isSecondLook = true) {
+        m_configuration = m_handler.m_hooks.configuration();
+        if (std::optional<Refusal> refusal = m_handler.m_hooks.unservable())
+            co_return refusal;
+        const Route* route = m_configuration->findRoute(m_request.host, HTTP::pathOf(m_request.message.target));
+        const Workspace* workspace = m_request.key ? m_configuration->findWorkspace(*m_request.key) : nullptr;
+        bool needsKey = route && m_configuration->requiresKeys() && !route->isPublic;
+        if (route && (workspace || !needsKey)) {
+            m_route = *route;
+            if (workspace && needsKey)
+                m_workspace = *workspace;
+            break;
+        }
+        // The store may have a newer configuration that knows the route or the key.
+        if (!isSecondLook && co_await m_handler.m_hooks.refreshConfiguration())
+            continue;
+        if (!isSecondLook)
+            co_return Refusal { 503, "configuration_unconfirmed", "the store did not confirm that the route or key is unknown", retryAfterStoreMs };
+        if (!route)
+            co_return Refusal { 404, "unknown_route", "no route has this host and path", std::nullopt };
+        co_return Refusal { 401, "unauthorized", "the key is missing or unknown", std::nullopt };
+    }
+    m_deadline = m_request.deadline;
+    if (m_route.timeoutMs > 0)
+        m_deadline = std::min(m_deadline, Deadline(m_startedAt + std::chrono::milliseconds(m_route.timeoutMs)));
+    co_return std::nullopt;
+}
+
+Core::Task<std::optional<Refusal>> Run::holdTokens()
+{
+    if (!m_workspace || !m_workspace->budget || !m_request.tokens)
+        co_return std::nullopt;
+    Tokens tokens = m_request.tokens->total();
+    int64_t waitMs = std::max(shortestGrantWaitMs, m_route.objectiveMs / grantWaitDivisor);
+    Deadline deadline = std::min(m_deadline, Deadline(m_startedAt + std::chrono::milliseconds(waitMs)));
+    Reason reason;
+    HoldResult result = co_await m_handler.m_budgets.hold(m_workspace->name, tokens, deadline, reason);
+    if (result == HoldResult::Granted) {
+        m_heldTokens = tokens;
+        m_isHolding = m_workspace->budget.has_value();
+        co_return std::nullopt;
+    }
+    if (result == HoldResult::Exhausted)
+        co_return Refusal { 402, "budget_exhausted", reason.message, std::nullopt };
+    co_return Refusal { 503, "budget_unavailable", reason.text() + "; " + m_handler.m_budgets.describe(m_workspace->name), retryAfterStoreMs };
+}
+
+// Tokens of a request that may have run count at the prompt and the events that arrived.
+void Run::settleTokens()
+{
+    if (!m_isHolding)
+        return;
+    m_isHolding = false;
+    Tokens used = 0;
+    if (m_possibleRuns > 0)
+        used = std::min(m_heldTokens, m_request.tokens->prompt + static_cast<Tokens>(m_events) * m_tokensPerEvent);
+    m_handler.m_budgets.settle(m_workspace->name, m_heldTokens, used);
+}
+
+std::string Run::pickService() const
+{
+    int64_t total = 0;
+    for (const ServiceShare& share : m_route.split)
+        total += std::max<int64_t>(0, share.weight);
+    if (total == 0)
+        return m_route.split.empty() ? "" : m_route.split.front().service;
+    int64_t pick = static_cast<int64_t>(Core::randomBelow(static_cast<uint64_t>(total)));
+    for (const ServiceShare& share : m_route.split) {
+        pick -= std::max<int64_t>(0, share.weight);
+        if (pick < 0)
+            return share.service;
+    }
+    return m_route.split.back().service;
+}
+
+// The session's part of the prompt, or the longest part before it where there is no other.
+uint64_t Run::affinity() const
+{
+    if (m_request.promptParts.empty())
+        return 0;
+    return Core::hash64(m_request.promptParts.back().id) | 1;
+}
+
+const Endpoint* Run::pickEndpoint(const std::string& service)
+{
+    return m_handler.m_selector.choose({ service, m_isEngine, affinity(), m_excluded }, Core::SteadyClock::now());
+}
+
+bool Run::mayTryAgain(Outcome outcome) const
+{
+    if (*m_isCallerGone || m_deadline.hasPassed() || m_sends >= m_route.attempts)
+        return false;
+    return outcome == Outcome::NotRun || m_route.mayRunAgain();
+}
+
+Core::Task<void> Run::dispatch()
+{
+    std::string service = pickService();
+    if (const Service* known = m_configuration->findService(service); known && known->engine) {
+        m_isEngine = true;
+        m_tokensPerEvent = known->engine->tokensPerEvent;
+    }
+    Routing::RetryBudget& retries = m_handler.retryBudget(service);
+    retries.recordRequest(Core::SteadyClock::now());
+    Outcome last = Outcome::NotRun;
+    for (;;) {
+        const Endpoint* endpoint = pickEndpoint(service);
+        if (!endpoint) {
+            m_lastFailure += m_lastFailure.empty() ? "no endpoint of " + service : "; no other endpoint";
+            break;
+        }
+        if (m_sends > 0 && !retries.takeRetry(Core::SteadyClock::now())) {
+            m_lastFailure += "; the retry budget of " + service + " is used up";
+            break;
+        }
+        last = co_await attempt(*endpoint);
+        if (last == Outcome::Finished)
+            co_return;
+        if (!mayTryAgain(last))
+            break;
+    }
+    co_await giveUp(last);
+}
+
+Deadline Run::readDeadline() const
+{
+    if (!m_route.isStream || !m_route.isResumable || m_sends >= m_route.attempts)
+        return m_deadline;
+    int64_t silenceMs = m_events > 0 ? m_handler.m_settings.silenceMs : m_handler.m_settings.firstEventSilenceMs;
+    return std::min(m_deadline, Deadline::after(std::chrono::milliseconds(silenceMs)));
+}
+
+Core::Task<Run::Outcome> Run::attempt(Endpoint endpoint)
+{
+    Core::SteadyClock::time_point now = Core::SteadyClock::now();
+    EndpointSelector& selector = m_handler.m_selector;
+    Tokens prompt = m_request.tokens ? m_request.tokens->prompt : 0;
+    m_excluded.insert(endpoint.id);
+    Dispatch dispatch;
+    dispatch.endpointId = endpoint.id;
+    dispatch.workspace = m_workspace ? m_workspace->name : "";
+    dispatch.deadline = m_deadline;
+    dispatch.lastEvent = m_lastEvent;
+    bool wasSent = false;
+    HTTP::CallOptions options;
+    options.cancellation = m_cancellation = std::make_shared<HTTP::Cancellation>();
+    options.connectDeadline = Deadline::after(std::chrono::milliseconds(m_handler.m_settings.connectTimeoutMs));
+    options.mayResend = m_route.mayRunAgain();
+    options.guard = [this, &wasSent] {
+        if (*m_isCallerGone)
+            return false;
+        if (!wasSent) {
+            ++m_sends;
+            ++m_possibleRuns;
+        }
+        return wasSent = true;
+    };
+    options.isExpected = [this](unsigned status, const HTTP::Headers& headers) {
+        return m_handler.m_codec.readMarks(status, headers).requestId == m_request.id;
+    };
+    selector.recordStart(endpoint.id, prompt, now);
+    Core::logEvent(Events::requestSent, "request=" + m_request.id + " endpoint=" + endpoint.id + " service=" + endpoint.service + " in_flight=" + std::to_string(selector.inFlight(endpoint.id)) + " left_ms=" + std::to_string(m_deadline.remaining().count()) + " configuration=" + std::to_string(m_configuration->version()) + " after_event=" + std::to_string(m_lastEvent.value_or(0)));
+    Reason reason;
+    std::optional<std::unique_ptr<HTTP::ResponseStream>> stream = co_await m_handler.m_client->call(
+        endpoint.address, m_handler.m_codec.encodeDispatch(m_request, dispatch), readDeadline(), std::move(options), reason);
+    if (stream) {
+        Outcome outcome = co_await readAnswer(endpoint, std::move(*stream));
+        co_return outcome;
+    }
+    bool isOwnEnd = *m_isCallerGone || m_deadline.hasPassed();
+    selector.recordEnd(endpoint.id, prompt, isOwnEnd ? EndpointSelector::End::Neutral : EndpointSelector::End::Failure, Core::SteadyClock::now());
+    m_lastFailure = reason.text();
+    Core::logEvent(Events::attemptFailed, "request=" + m_request.id + " endpoint=" + endpoint.id + " sent=" + std::to_string(wasSent) + " reason=\"" + reason.text() + "\"");
+    if (*m_isCallerGone) {
+        logEnd("caller_gone", "");
+        co_return Outcome::Finished;
+    }
+    co_return wasSent ? Outcome::Unknown : Outcome::NotRun;
+}
+
+Core::Task<Run::Outcome> Run::readAnswer(const Endpoint& endpoint, std::unique_ptr<HTTP::ResponseStream> stream)
+{
+    EndpointSelector& selector = m_handler.m_selector;
+    Tokens prompt = m_request.tokens ? m_request.tokens->prompt : 0;
+    selector.recordBytes(endpoint.id, Core::SteadyClock::now());
+    ReplyMarks marks = m_handler.m_codec.readMarks(stream->status(), stream->headers());
+    Outcome outcome = Outcome::Unknown;
+    EndpointSelector::End end = EndpointSelector::End::Neutral;
+    if (marks.isNotRun) {
+        --m_possibleRuns;
+        outcome = Outcome::NotRun;
+        m_lastFailure = "endpoint " + endpoint.id + " refused with status " + std::to_string(stream->status());
+        if (stream->status() == 421) {
+            m_handler.m_hooks.rejectEndpoint(endpoint.id);
+        } else {
+            m_wasFull = true;
+            selector.recordFull(endpoint.id, Core::SteadyClock::now());
+        }
+        Reason ignored;
+        co_await stream->readAll(maxWholeAnswerBytes, Deadline::after(std::chrono::milliseconds(50)), ignored);
+    } else if (m_route.isStream && stream->status() / 100 == 2) {
+        outcome = co_await passStream(endpoint, *stream);
+        end = outcome == Outcome::Finished ? EndpointSelector::End::Success : EndpointSelector::End::Failure;
+    } else {
+        bool isFailure = stream->status() >= 500;
+        outcome = co_await passWhole(endpoint, *stream, marks.isSealed);
+        end = outcome == Outcome::Finished && !isFailure ? EndpointSelector::End::Success : EndpointSelector::End::Failure;
+    }
+    if (*m_isCallerGone || m_deadline.hasPassed())
+        end = EndpointSelector::End::Neutral;
+    selector.recordEnd(endpoint.id, prompt, end, Core::SteadyClock::now());
+    if (outcome == Outcome::Finished)
+        co_return outcome;
+    Core::logEvent(Events::attemptFailed, "request=" + m_request.id + " endpoint=" + endpoint.id + " sent=1 not_run=" + std::to_string(marks.isNotRun) + " events=" + std::to_string(m_events) + " reason=\"" + m_lastFailure + "\"");
+    if (*m_isCallerGone) {
+        logEnd("caller_gone", "");
+        co_return Outcome::Finished;
+    }
+    co_return outcome;
+}
+
+Core::Task<Run::Outcome> Run::passWhole(const Endpoint& endpoint, HTTP::ResponseStream& stream, bool isSealed)
+{
+    Reason reason;
+    std::optional<std::string> body = co_await stream.readAll(maxWholeAnswerBytes, m_deadline, reason);
+    if (!body) {
+        m_lastFailure = reason.text();
+        co_return Outcome::Unknown;
+    }
+    if (!isSealed) {
+        m_lastFailure = "endpoint " + endpoint.id + " sent an answer without its seal, status " + std::to_string(stream.status());
+        co_return Outcome::Unknown;
+    }
+    // A failure of the endpoint may be another one's success.
+    if (stream.status() >= 500 && m_route.mayRunAgain() && mayTryAgain(Outcome::Unknown)) {
+        m_lastFailure = "endpoint " + endpoint.id + " failed with status " + std::to_string(stream.status());
+        co_return Outcome::Unknown;
+    }
+    m_firstByteMs = elapsedMs();
+    HTTP::Response response { stream.status(), m_handler.m_codec.callerHeaders(stream.headers()), std::move(*body) };
+    bool isSent = co_await m_writer.send(std::move(response), reason);
+    logEnd(isSent ? "answered" : "caller_gone", "status=" + std::to_string(stream.status()) + " endpoint=" + endpoint.id);
+    co_return Outcome::Finished;
+}
+
+Core::Task<bool> Run::passEvent(const StreamEvent& event, const HTTP::ResponseStream& stream)
+{
+    Reason reason;
+    if (!m_writer.hasStarted()) {
+        m_firstByteMs = elapsedMs();
+        if (!co_await m_writer.startStream(stream.status(), m_handler.m_codec.callerHeaders(stream.headers()), reason))
+            co_return false;
+    }
+    co_return co_await m_writer.writeChunk(event.bytes, reason);
+}
+
+Core::Task<Run::Outcome> Run::passStream(const Endpoint& endpoint, HTTP::ResponseStream& stream)
+{
+    EventStreamReader reader;
+    Reason reason;
+    for (;;) {
+        std::optional<std::string> piece = co_await stream.readSome(readDeadline(), reason);
+        if (!piece) {
+            m_lastFailure = reason.text();
+            co_return Outcome::Unknown;
+        }
+        m_handler.m_selector.recordBytes(endpoint.id, Core::SteadyClock::now());
+        if (piece->empty())
+            break;
+        for (const StreamEvent& event : reader.feed(*piece)) {
+            std::optional<uint64_t> before = m_lastEvent ? m_lastEvent : m_request.lastEvent;
+            if (!event.id || (before && *event.id != *before + 1)) {
+                m_lastFailure = "endpoint " + endpoint.id + " sent event " + (event.id ? std::to_string(*event.id) : "without id") + " after " + std::to_string(before.value_or(0));
+                co_return Outcome::Unknown;
+            }
+            ++m_events;
+            m_lastEvent = event.id;
+            if (!co_await passEvent(event, stream)) {
+                *m_isCallerGone = true;
+                logEnd("caller_gone", "endpoint=" + endpoint.id);
+                co_return Outcome::Finished;
+            }
+        }
+    }
+    if (reader.isInsideEvent() || !m_writer.hasStarted()) {
+        m_lastFailure = "endpoint " + endpoint.id + " ended its stream in the middle of an event";
+        co_return Outcome::Unknown;
+    }
+    bool isSent = co_await m_writer.finishStream(reason);
+    logEnd(isSent ? "answered" : "caller_gone", "status=" + std::to_string(stream.status()) + " endpoint=" + endpoint.id);
+    co_return Outcome::Finished;
+}
+
+Core::Task<void> Run::giveUp(Outcome last)
+{
+    if (m_writer.hasStarted()) {
+        m_writer.abort();
+        logEnd("broken_off", "reason=\"" + m_lastFailure + "\"");
+        co_return;
+    }
+    if (m_possibleRuns > 0) {
+        bool isLate = m_deadline.hasPassed();
+        co_await refuse({ isLate ? 504u : 502u, isLate ? "deadline" : "endpoint_failed", m_lastFailure, std::nullopt });
+        co_return;
+    }
+    (void)last;
+    co_await refuse({ 503, m_wasFull ? "overloaded" : "no_endpoint", m_lastFailure, retryAfterFullMs });
+}
+
+Core::Task<void> Run::refuse(Refusal refusal)
+{
+    HTTP::Response response;
+    response.status = refusal.status;
+    response.headers.push_back({ "Content-Type", "application/json" });
+    if (refusal.retryAfterMs) {
+        std::string seconds = std::to_string(*refusal.retryAfterMs / 1'000) + "." + std::to_string(1'000 + *refusal.retryAfterMs % 1'000).substr(1);
+        response.headers.push_back({ "Retry-After", seconds });
+    }
+    response.body = nlohmann::json { { "error", { { "code", refusal.code }, { "ran", m_possibleRuns > 0 ? "unknown" : "not_run" }, { "message", refusal.message } } } }.dump();
+    settleTokens();
+    Reason reason;
+    bool isSent = co_await m_writer.send(std::move(response), reason);
+    m_isLogged = true;
+    m_handler.m_metrics.counter("jujuberelay_relay_refusals_total", "Requests refused by the daemon, by code.", { { "code", refusal.code } }).add();
+    Core::logEvent(Events::requestRefused, "request=" + m_request.id + " status=" + std::to_string(refusal.status) + " code=" + refusal.code + " route=" + m_route.name + " workspace=" + (m_workspace ? m_workspace->name : "-") + " sends=" + std::to_string(m_sends) + " possible_runs=" + std::to_string(m_possibleRuns) + " configuration=" + std::to_string(m_configuration ? m_configuration->version() : 0) + " elapsed_ms=" + std::to_string(elapsedMs()) + " delivered=" + std::to_string(isSent) + " reason=\"" + refusal.message + "\"");
+}
+
+void Run::logEnd(const char* outcome, const std::string& detail)
+{
+    if (std::exchange(m_isLogged, true))
+        return;
+    m_handler.m_metrics.counter("jujuberelay_relay_requests_total", "Requests that ended without a refusal, by outcome.", { { "outcome", outcome } }).add();
+    if (m_firstByteMs)
+        m_handler.m_metrics.histogram("jujuberelay_relay_first_byte_seconds", "Time to the first byte of the answer.", Telemetry::HistogramAxis::latencySeconds())
+            .observe(static_cast<double>(*m_firstByteMs) / 1'000);
+    Core::logEvent(Events::requestEnded, "request=" + m_request.id + " outcome=" + outcome + " route=" + m_route.name + " workspace=" + (m_workspace ? m_workspace->name : "-") + " sends=" + std::to_string(m_sends) + " events=" + std::to_string(m_events) + " first_ms=" + std::to_string(m_firstByteMs.value_or(-1)) + " elapsed_ms=" + std::to_string(elapsedMs()) + " " + detail);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRelay/src/Run.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "LibRelay/EventStream.h"
+#include "LibRelay/RequestHandler.h"
+
+namespace Relay {
+
+// One caller's request from its decoding to its final answer.
+class Run {
+public:
+    Run(RequestHandler&, HTTP::ResponseWriter&);
+    ~Run();
+    Run(const Run&) = delete;
+    Run& operator=(const Run&) = delete;
+
+    Core::Task<void> serve(HTTP::Request);
+
+private:
+    // How one attempt at an endpoint ended.
+    enum class Outcome {
+        // The final answer has been sent or the caller is gone.
+        Finished,
+        // The endpoint did not run the request and never will.
+        NotRun,
+        // The request may have run.
+        Unknown,
+    };
+
+    Core::Task<std::optional<Refusal>> authorise();
+    Core::Task<std::optional<Refusal>> holdTokens();
+    Core::Task<void> dispatch();
+    std::string pickService() const;
+    uint64_t affinity() const;
+    const Endpoint* pickEndpoint(const std::string& service);
+    Core::Task<Outcome> attempt(Endpoint);
+    Core::Task<Outcome> readAnswer(const Endpoint&, std::unique_ptr<HTTP::ResponseStream>);
+    Core::Task<Outcome> passWhole(const Endpoint&, HTTP::ResponseStream&, bool isSealed);
+    Core::Task<Outcome> passStream(const Endpoint&, HTTP::ResponseStream&);
+    Core::Task<bool> passEvent(const StreamEvent&, const HTTP::ResponseStream&);
+    Core::Deadline readDeadline() const;
+    bool mayTryAgain(Outcome) const;
+    Core::Task<void> refuse(Refusal);
+    Core::Task<void> giveUp(Outcome last);
+    void settleTokens();
+    void logEnd(const char* outcome, const std::string& detail);
+    int64_t elapsedMs() const;
+
+    RequestHandler& m_handler;
+    HTTP::ResponseWriter& m_writer;
+    Core::SteadyClock::time_point m_startedAt { Core::SteadyClock::now() };
+    std::shared_ptr<const Configuration> m_configuration;
+    CallerRequest m_request;
+    Route m_route;
+    std::optional<Workspace> m_workspace;
+    Core::Deadline m_deadline { Core::Deadline::never() };
+    Tokens m_heldTokens { 0 };
+    bool m_isHolding { false };
+    Tokens m_tokensPerEvent { 1 };
+    bool m_isEngine { false };
+
+    std::set<std::string> m_excluded;
+    // Endpoints that the request was sent to.
+    int m_sends { 0 };
+    // Sends after which it is not certain that the request did not run.
+    int m_possibleRuns { 0 };
+    uint64_t m_events { 0 };
+    std::optional<uint64_t> m_lastEvent;
+    std::shared_ptr<HTTP::Cancellation> m_cancellation;
+    std::shared_ptr<bool> m_isCallerGone { std::make_shared<bool>(false) };
+    std::optional<int64_t> m_firstByteMs;
+    std::string m_lastFailure;
+    bool m_wasFull { false };
+    bool m_isLogged { false };
+};
+
+}
--- a/Libraries/LibRouting/include/LibRouting/RetryBudget.h
+++ b/Libraries/LibRouting/include/LibRouting/RetryBudget.h
@@ -20,6 +20,8 @@
 
     explicit RetryBudget(RetryBudgetSettings);
 
+    // Replaces the retries that are allowed without any requests.
+    void setMinimum(int64_t retries) { m_settings.minimum = retries; }
     void recordRequest(TimePoint now);
     // Takes one retry from the budget; false when it is used up.
     bool takeRetry(TimePoint now);
--- /dev/null
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -0,0 +1,266 @@
+#include "RelayDaemon.h"
+
+#include "LibCore/Random.h"
+#include "PlatformAdapter/Adapter.h"
+#include "RelayEvents.h"
+
+using Core::Deadline;
+using Core::Reason;
+
+// Part of the allowance for repeats that is used: hosts come and go, and a new process has forgotten what the one before
+// it sent.
+static constexpr double retryUse = 0.75;
+// Time in which the balancer notices that a host is not ready and sends it no new connections.
+static constexpr std::chrono::milliseconds balancerNoticeTime(2'600);
+// Time kept at the end of a stop for returning grants.
+static constexpr std::chrono::milliseconds returnTime(900);
+static constexpr std::chrono::milliseconds idlePoll(20);
+static constexpr std::chrono::milliseconds expiryPause(250);
+// A request with an unknown route or key causes a read of the configuration at most this often.
+static constexpr std::chrono::milliseconds refreshPause(250);
+static constexpr std::chrono::milliseconds refreshTimeout(500);
+// Kept below the age at which an answer may contradict the store, for the time that a request takes to be handled.
+static constexpr int64_t staleMarginMs = 600;
+static constexpr int64_t retryAfterStartMs = 500;
+static constexpr size_t incarnationDigits = 10;
+
+static Relay::HandlerSettings handlerSettingsOf(const RelaySettings& settings)
+{
+    Relay::HandlerSettings result;
+    result.retryPercent = static_cast<int>(settings.retryShare * 100 * retryUse);
+    result.retryExtra = static_cast<int64_t>(static_cast<double>(settings.retryExtra) * retryUse);
+    return result;
+}
+
+static HTTP::ServerLimits limitsOf(const Relay::CallerLimits& limits)
+{
+    HTTP::ServerLimits result;
+    if (limits.maxBodyBytes > 0)
+        result.maxBodyBytes = static_cast<size_t>(limits.maxBodyBytes);
+    if (limits.maxHeaderBytes > 0)
+        result.maxHeaderBytes = static_cast<size_t>(limits.maxHeaderBytes);
+    result.requestTimeoutMs = limits.requestTimeoutMs;
+    result.idleTimeoutMs = limits.idleTimeoutMs;
+    return result;
+}
+
+RelayDaemon::RelayDaemon(const boost::asio::any_io_executor& executor, RelaySettings settings)
+    : m_executor(executor)
+    , m_settings(std::move(settings))
+    , m_incarnation(Core::randomIdentifier().substr(0, incarnationDigits))
+    , m_client(std::make_shared<HTTP::Client>(executor))
+    , m_store(PlatformAdapter::makeStore(m_client, m_settings.storeAddress))
+    , m_endpoints([this](const Relay::Endpoint& endpoint, const char* why) {
+        m_selector.forget(endpoint.id);
+        Core::logEvent(RelayEvents::endpointRemoved, "endpoint=" + endpoint.id + " service=" + endpoint.service + " reason=\"" + why + "\"");
+    })
+    , m_selector(m_endpoints, m_settings.failureDomain)
+    , m_budgets(executor, m_store, { m_settings.host, m_incarnation })
+    , m_configurationFollower(executor, m_store, PlatformAdapter::configurationPrefix, {}, makeConfigurationHooks())
+    , m_endpointFollower(executor, m_store, PlatformAdapter::endpointPrefix, {}, makeEndpointHooks())
+    , m_handler(executor, PlatformAdapter::makeCodec(), makeHandlerHooks(), handlerSettingsOf(m_settings), m_client, m_selector, m_budgets, m_metrics)
+    , m_callerServer(executor, [this](HTTP::Request request, HTTP::ResponseWriter& writer) { return m_handler.handle(std::move(request), writer); })
+    , m_readinessServer(executor, [this](HTTP::Request request, HTTP::ResponseWriter& writer) { return answerReadiness(std::move(request), writer); })
+    , m_metricsServer(executor, [this](HTTP::Request request, HTTP::ResponseWriter& writer) { return answerMetrics(std::move(request), writer); })
+{
+    m_metrics.observe("jujuberelay_relay_configuration_age_seconds", "Time since the store last confirmed the configuration.",
+        [this] { return static_cast<double>(configurationAgeMs()) / 1'000; });
+    m_metrics.observe("jujuberelay_relay_endpoints", "Endpoints that are believed to serve or to leave.",
+        [this] { return static_cast<double>(m_endpoints.endpoints().size()); });
+    m_metrics.observe("jujuberelay_relay_active_requests", "Requests in progress.", [this] { return static_cast<double>(m_callerServer.activeRequests()); });
+    m_metrics.observeCounter("jujuberelay_relay_connections_opened_total", "Connections opened to endpoints and the store.",
+        [this] { return m_client->connectionsOpened(); });
+    m_metrics.observeCounter("jujuberelay_relay_ledger_writes_total", "Writes of budget ledgers.", [this] { return m_budgets.storeWrites(); });
+}
+
+bool RelayDaemon::start(Reason& reason)
+{
+    if (!m_callerServer.listen(m_settings.callerAddress, reason) || !m_readinessServer.listen(m_settings.readinessAddress, reason)
+        || !m_metricsServer.listen(m_settings.metricsAddress, reason))
+        return false;
+    Core::logEvent(RelayEvents::started, "host=" + m_settings.host + " incarnation=" + m_incarnation + " callers=" + m_settings.callerAddress.text() + " readiness=" + m_settings.readinessAddress.text() + " metrics=" + m_settings.metricsAddress.text() + " store=" + m_settings.storeAddress.text());
+    Core::spawn(m_executor, "follow configuration", m_configurationFollower.run());
+    Core::spawn(m_executor, "follow endpoints", m_endpointFollower.run());
+    Core::spawn(m_executor, "expire endpoints", expireEndpoints());
+    Core::spawn(m_executor, "maintain budgets", m_budgets.maintain());
+    return true;
+}
+
+void RelayDaemon::noteStore(const char* what, bool isLost, const std::string& detail)
+{
+    Core::logEvent(isLost ? RelayEvents::storeLost : RelayEvents::storeRegained, std::string("following=") + what + " configuration_age_ms=" + std::to_string(configurationAgeMs()) + detail);
+}
+
+Relay::FollowerHooks RelayDaemon::makeConfigurationHooks()
+{
+    Relay::FollowerHooks hooks;
+    hooks.listed = [this](const std::vector<Platform::Object>& objects) {
+        for (const Platform::Object& object : objects)
+            adoptConfiguration(object);
+    };
+    hooks.changed = [this](const Platform::Change& change) {
+        if (!change.isDeleted)
+            adoptConfiguration(change.object);
+    };
+    hooks.lost = [this](const Reason& reason) { noteStore("configuration", true, " reason=\"" + reason.text() + "\""); };
+    hooks.regained = [this] { noteStore("configuration", false, ""); };
+    return hooks;
+}
+
+Relay::FollowerHooks RelayDaemon::makeEndpointHooks()
+{
+    Relay::FollowerHooks hooks;
+    hooks.listed = [this](const std::vector<Platform::Object>& objects) {
+        std::vector<Relay::Endpoint> endpoints;
+        for (const Platform::Object& object : objects) {
+            if (std::optional<Relay::Endpoint> endpoint = readEndpoint(object))
+                endpoints.push_back(std::move(*endpoint));
+        }
+        m_endpoints.replaceAll(std::move(endpoints), Core::SteadyClock::now());
+    };
+    hooks.changed = [this](const Platform::Change& change) {
+        if (change.isDeleted)
+            m_endpoints.remove(change.object.name.substr(change.object.name.find('/') + 1), Core::SteadyClock::now());
+        else
+            adoptEndpoint(change.object);
+    };
+    hooks.lost = [this](const Reason& reason) {
+        m_endpoints.storeLost();
+        noteStore("endpoints", true, " reason=\"" + reason.text() + "\"");
+    };
+    hooks.regained = [this] {
+        m_endpoints.storeRegained(Core::SteadyClock::now());
+        noteStore("endpoints", false, "");
+    };
+    return hooks;
+}
+
+void RelayDaemon::adoptConfiguration(const Platform::Object& object)
+{
+    if (object.name != PlatformAdapter::configurationName)
+        return;
+    Reason reason;
+    std::optional<Relay::Configuration> configuration = PlatformAdapter::decodeConfiguration(object.value, reason);
+    if (!configuration) {
+        Core::logEvent(RelayEvents::objectIgnored, "object=" + object.name + " store_version=" + std::to_string(object.version) + " reason=\"" + reason.text() + "\"");
+        return;
+    }
+    // Answers may overtake each other; an older version never replaces a newer one.
+    uint64_t current = m_configuration ? m_configuration->version() : 0;
+    if (m_configuration && configuration->version() <= current)
+        return;
+    m_configuration = std::make_shared<const Relay::Configuration>(std::move(*configuration));
+    m_callerServer.setLimits(limitsOf(m_configuration->callerLimits()));
+    m_budgets.adopt(*m_configuration);
+    Core::logEvent(RelayEvents::configurationAdopted, "version=" + std::to_string(m_configuration->version()) + " before=" + std::to_string(current) + " store_version=" + std::to_string(object.version) + " routes=" + std::to_string(m_configuration->routes().size()) + " workspaces=" + std::to_string(m_configuration->workspaces().size()));
+}
+
+std::optional<Relay::Endpoint> RelayDaemon::readEndpoint(const Platform::Object& object)
+{
+    Reason reason;
+    std::optional<Relay::Endpoint> endpoint = PlatformAdapter::decodeEndpoint(object.name, object.value, reason);
+    if (!endpoint) {
+        Core::logEvent(RelayEvents::objectIgnored, "object=" + object.name + " store_version=" + std::to_string(object.version) + " reason=\"" + reason.text() + "\"");
+        return std::nullopt;
+    }
+    const Relay::Endpoint* known = m_endpoints.find(endpoint->id);
+    std::string detail = "endpoint=" + endpoint->id + " service=" + endpoint->service + " address=" + endpoint->address.text() + " store_version=" + std::to_string(object.version);
+    if (!known)
+        Core::logEvent(RelayEvents::endpointAdded, detail);
+    if (endpoint->isLeaving && (!known || !known->isLeaving))
+        Core::logEvent(RelayEvents::endpointLeaving, detail);
+    return endpoint;
+}
+
+void RelayDaemon::adoptEndpoint(const Platform::Object& object)
+{
+    if (std::optional<Relay::Endpoint> endpoint = readEndpoint(object))
+        m_endpoints.put(std::move(*endpoint));
+}
+
+Relay::HandlerHooks RelayDaemon::makeHandlerHooks()
+{
+    Relay::HandlerHooks hooks;
+    hooks.configuration = [this] { return m_configuration; };
+    hooks.unservable = [this] { return unservable(); };
+    hooks.refreshConfiguration = [this] { return refreshConfiguration(); };
+    hooks.rejectEndpoint = [this](const std::string& endpoint) { m_endpoints.reject(endpoint); };
+    return hooks;
+}
+
+Core::Task<bool> RelayDaemon::refreshConfiguration()
+{
+    Core::SteadyClock::time_point now = Core::SteadyClock::now();
+    if (now - std::max(m_refreshedAt, m_configurationFollower.confirmedAt()) < refreshPause && !m_configurationFollower.isLost())
+        co_return true;
+    m_refreshedAt = now;
+    Reason reason;
+    co_return co_await m_configurationFollower.refresh(Deadline::after(refreshTimeout), reason);
+}
+
+int64_t RelayDaemon::configurationAgeMs() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(Core::SteadyClock::now() - m_configurationFollower.confirmedAt()).count();
+}
+
+std::optional<Relay::Refusal> RelayDaemon::unservable() const
+{
+    if (!m_configuration || !m_endpointFollower.hasListed())
+        return Relay::Refusal { 503, "not_started", "no configuration or no list of endpoints has been read yet", retryAfterStartMs };
+    int64_t limitMs = m_settings.configurationBoundMs + m_settings.disturbanceExtensionMs - staleMarginMs;
+    if (configurationAgeMs() > limitMs)
+        return Relay::Refusal { 503, "stale_configuration", "the store last confirmed the configuration " + std::to_string(configurationAgeMs()) + " ms ago", retryAfterStartMs };
+    return std::nullopt;
+}
+
+bool RelayDaemon::isReady() const
+{
+    return !m_isStopping && !unservable();
+}
+
+Core::Task<void> RelayDaemon::answerReadiness(HTTP::Request, HTTP::ResponseWriter& writer)
+{
+    Reason ignored;
+    co_await writer.send({ isReady() ? 200u : 503u, {}, {} }, ignored);
+}
+
+Core::Task<void> RelayDaemon::answerMetrics(HTTP::Request, HTTP::ResponseWriter& writer)
+{
+    Reason ignored;
+    co_await writer.send({ 200, { { "Content-Type", Telemetry::Metrics::contentType } }, m_metrics.text() }, ignored);
+}
+
+Core::Task<void> RelayDaemon::expireEndpoints()
+{
+    while (!m_isStopping) {
+        co_await Core::sleepUntil(Deadline::after(expiryPause));
+        m_endpoints.expire(Core::SteadyClock::now());
+    }
+}
+
+Core::Task<bool> RelayDaemon::stop()
+{
+    m_isStopping = true;
+    Deadline limit = Deadline::after(std::chrono::milliseconds(m_settings.stopLimitMs) - returnTime);
+    Core::logEvent(RelayEvents::stopping, "active_requests=" + std::to_string(m_callerServer.activeRequests()) + " limit_ms=" + std::to_string(m_settings.stopLimitMs));
+    m_callerServer.closeAfterResponses();
+    co_await Core::sleepUntil(std::min(limit, Deadline::after(balancerNoticeTime)));
+    m_callerServer.stopAccepting();
+    while (m_callerServer.activeRequests() > 0 && !limit.hasPassed())
+        co_await Core::sleepUntil(Deadline::after(idlePoll));
+    size_t cutOff = m_callerServer.activeRequests();
+    m_configurationFollower.stop();
+    m_endpointFollower.stop();
+    co_await m_budgets.returnAll(Deadline::after(returnTime / 2));
+    m_budgets.stop();
+    Core::logEvent(RelayEvents::stopped, "requests_cut_off=" + std::to_string(cutOff));
+    co_return cutOff == 0;
+}
+
+void RelayDaemon::reload(const RelaySettings& settings)
+{
+    m_settings.configurationBoundMs = settings.configurationBoundMs;
+    m_settings.disturbanceExtensionMs = settings.disturbanceExtensionMs;
+    m_settings.stopLimitMs = settings.stopLimitMs;
+    Core::logEvent(RelayEvents::reloaded, "configuration_bound_ms=" + std::to_string(settings.configurationBoundMs) + " stop_limit_ms=" + std::to_string(settings.stopLimitMs));
+}
--- /dev/null
+++ b/Services/jujuberelayd/src/RelayDaemon.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "LibHTTP/Server.h"
+#include "LibRelay/RequestHandler.h"
+#include "LibRelay/StoreFollower.h"
+#include "RelaySettings.h"
+
+// One relay: follows the store's configuration and endpoints, and serves callers.
+class RelayDaemon {
+public:
+    RelayDaemon(const boost::asio::any_io_executor&, RelaySettings);
+
+    // Binds the addresses and starts to follow the store. Fails when an address is in use.
+    bool start(Core::Reason&);
+
+    // Leaves the balancer's rotation, finishes requests in progress and returns unused grants. False when the limit cut
+    // something off.
+    Core::Task<bool> stop();
+
+    // Takes over settings that may change while the process runs.
+    void reload(const RelaySettings&);
+
+private:
+    Relay::HandlerHooks makeHandlerHooks();
+    Relay::FollowerHooks makeConfigurationHooks();
+    Relay::FollowerHooks makeEndpointHooks();
+    void adoptConfiguration(const Platform::Object&);
+    void adoptEndpoint(const Platform::Object&);
+    std::optional<Relay::Endpoint> readEndpoint(const Platform::Object&);
+    Core::Task<bool> refreshConfiguration();
+    std::optional<Relay::Refusal> unservable() const;
+    bool isReady() const;
+    int64_t configurationAgeMs() const;
+    Core::Task<void> answerReadiness(HTTP::Request, HTTP::ResponseWriter&);
+    Core::Task<void> answerMetrics(HTTP::Request, HTTP::ResponseWriter&);
+    Core::Task<void> expireEndpoints();
+    void noteStore(const char* what, bool isLost, const std::string& detail);
+
+    boost::asio::any_io_executor m_executor;
+    RelaySettings m_settings;
+    std::string m_incarnation;
+    Telemetry::Metrics m_metrics;
+    std::shared_ptr<HTTP::Client> m_client;
+    Platform::ObjectStore m_store;
+    std::shared_ptr<const Relay::Configuration> m_configuration;
+    Relay::EndpointDirectory m_endpoints;
+    Relay::EndpointSelector m_selector;
+    Relay::BudgetKeeper m_budgets;
+    Relay::StoreFollower m_configurationFollower;
+    Relay::StoreFollower m_endpointFollower;
+    Relay::RequestHandler m_handler;
+    HTTP::Server m_callerServer;
+    HTTP::Server m_readinessServer;
+    HTTP::Server m_metricsServer;
+    Core::SteadyClock::time_point m_refreshedAt {};
+    bool m_isStopping { false };
+};
--- /dev/null
+++ b/Services/jujuberelayd/src/RelayEvents.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "LibCore/EventLog.h"
+
+namespace RelayEvents {
+
+inline constexpr Core::Event started { 1701, Core::Severity::Info, "relay_started" };
+inline constexpr Core::Event stopping { 1702, Core::Severity::Info, "relay_stopping" };
+inline constexpr Core::Event stopped { 1703, Core::Severity::Info, "relay_stopped" };
+inline constexpr Core::Event reloaded { 1704, Core::Severity::Info, "relay_reloaded" };
+inline constexpr Core::Event storeLost { 1705, Core::Severity::Warning, "store_lost" };
+inline constexpr Core::Event storeRegained { 1706, Core::Severity::Info, "store_regained" };
+inline constexpr Core::Event configurationAdopted { 1707, Core::Severity::Info, "configuration_adopted" };
+inline constexpr Core::Event objectIgnored { 1708, Core::Severity::Warning, "object_ignored" };
+inline constexpr Core::Event endpointAdded { 1709, Core::Severity::Info, "endpoint_added" };
+inline constexpr Core::Event endpointLeaving { 1710, Core::Severity::Info, "endpoint_leaving" };
+inline constexpr Core::Event endpointRemoved { 1711, Core::Severity::Info, "endpoint_removed" };
+
+}
--- /dev/null
+++ b/Services/jujuberelayd/src/RelaySettings.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "LibCore/Address.h"
+#include "LibCore/Reason.h"
+#include <cstdint>
+#include <optional>
+#include <string>
+
+// The settings file of a daemon that relays for a deployment with its own store (`jujuberelayd --relay`). The keys are
+// the members' names in snake case; docs/OPERATIONS.md is the reference.
+struct RelaySettings {
+    std::string host;
+    std::string failureDomain;
+    Core::Address callerAddress;
+    Core::Address readinessAddress;
+    Core::Address metricsAddress;
+    Core::Address storeAddress;
+
+    // A configuration must be in force this long after the store has accepted it, and at most so much later while the
+    // store is disturbed. A daemon whose configuration was confirmed longer ago refuses requests.
+    int64_t configurationBoundMs { 2'000 };
+    int64_t disturbanceExtensionMs { 5'000 };
+    // Time from SIGTERM to SIGKILL.
+    int64_t stopLimitMs { 8'000 };
+    // Repeats that all daemons together may send to one service in 10 s: a share of its requests and a fixed number.
+    double retryShare { 0.2 };
+    int64_t retryExtra { 50 };
+    // One of debug, info, warning, error.
+    std::string logLevel { "info" };
+
+    bool operator==(const RelaySettings&) const = default;
+};
+
+// Reads and checks a settings file. The reason names the file, the line, the key and what was expected.
+std::optional<RelaySettings> loadRelaySettings(const std::string& path, Core::Reason&);
+std::optional<RelaySettings> parseRelaySettings(const std::string& text, const std::string& fileName, Core::Reason&);
--- a/Services/jujuberelayd/src/main.cpp
+++ b/Services/jujuberelayd/src/main.cpp
@@ -1,6 +1,8 @@
 #include "Daemon.h"
+#include "ExitCode.h"
 #include "LibCore/EventLog.h"
 #include "LibTelemetry/Exporters.h"
+#include "RelayMain.h"
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
@@ -8,28 +10,11 @@
 #include <gflags/gflags.h>
 
 DEFINE_string(settings, "", "the settings file; see docs/operations.md");
+DEFINE_bool(relay, false, "relay for a deployment with its own store; see docs/OPERATIONS.md");
 DEFINE_bool(check, false, "read and check the settings file, then exit");
 
 namespace {
 
-enum ExitCode {
-    Success = 0,
-    // The drain limit or a second signal cut something off.
-    CutOff = 1,
-    InvalidSettings = 2,
-    // An address is in use, or no peer and no platform answered.
-    StartFailed = 4,
-};
-
-Core::Severity severityOf(const std::string& level)
-{
-    if (level == "debug")
-        return Core::Severity::Debug;
-    if (level == "warning")
-        return Core::Severity::Warning;
-    return level == "error" ? Core::Severity::Error : Core::Severity::Info;
-}
-
 // Without a trace file the spans are not recorded, and the export is never called.
 std::optional<Telemetry::Export> makeSpanExport(const Settings& settings, Core::Reason& reason)
 {
@@ -81,6 +66,8 @@
     gflags::SetUsageMessage("Daemon of jujuberelay, one for each entry host.\n\nusage: jujuberelayd --settings=FILE [--check]\n\n"
                             "exit codes: 0 stopped gracefully, 1 something was cut off, 2 invalid settings, 4 start failed");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (FLAGS_relay)
+        return runRelay(FLAGS_settings, FLAGS_check);
     Core::Reason reason;
     std::optional<Settings> settings = loadSettings(FLAGS_settings, reason);
     if (!settings) {
--- a/Tests/LibEndpoint/TestEngineClient.cpp
+++ b/Tests/LibEndpoint/TestEngineClient.cpp
@@ -76,7 +76,7 @@
 
     static Core::Deadline soon() { return Core::Deadline::after(std::chrono::seconds(30)); }
 
-    std::optional<std::unique_ptr<EngineStream>> dispatch(Endpoint::Dispatch dispatch, HTTP::Client::SendGuard guard = {})
+    std::optional<std::unique_ptr<EngineStream>> dispatch(Endpoint::Dispatch dispatch, HTTP::SendGuard guard = {})
     {
         return TestSupport::runTask(context, engines.dispatch(address, std::move(dispatch), soon(), std::move(guard), reason));
     }
--- a/Tests/LibEndpoint/TestServiceClient.cpp
+++ b/Tests/LibEndpoint/TestServiceClient.cpp
@@ -15,7 +15,7 @@
     Core::Reason reason;
     Core::Address address { service.listen({ "127.0.0.1", 0 }, reason).value() };
 
-    std::optional<HTTP::Response> call(const std::string& key, std::chrono::milliseconds limit = std::chrono::seconds(30), HTTP::Client::SendGuard guard = {})
+    std::optional<HTTP::Response> call(const std::string& key, std::chrono::milliseconds limit = std::chrono::seconds(30), HTTP::SendGuard guard = {})
     {
         HTTP::Request request { "POST", "/confirm", { { "Idempotency-Key", key } }, "order" };
         return TestSupport::runTask(context, services.call(address, std::move(request), Core::Deadline::after(limit), std::move(guard), reason));
