Run: send a prompt to the endpoint of its last shared part

Cause: the affinity followed the last part of the prompt, which belongs to the request alone, so that shared parts were read again at endpoint after endpoint.

--- a/Libraries/LibRelay/src/Run.cpp
+++ b/Libraries/LibRelay/src/Run.cpp
@@ -139,12 +139,13 @@
     return m_route.split.back().service;
 }
 
-// The session's part of the prompt, or the longest part before it where there is no other.
+// The last part of the prompt that other requests may share. The last part of all is the request's own.
 uint64_t Run::affinity() const
 {
-    if (m_request.promptParts.empty())
+    const std::vector<PromptPart>& parts = m_request.promptParts;
+    if (parts.empty())
         return 0;
-    return Core::hash64(m_request.promptParts.back().id) | 1;
+    return Core::hash64(parts[parts.size() >= 2 ? parts.size() - 2 : 0].id) | 1;
 }
 
 const Endpoint* Run::pickEndpoint(const std::string& service)
@@ -196,6 +197,16 @@
     return std::min(m_deadline, Deadline::after(std::chrono::milliseconds(silenceMs)));
 }
 
+static std::string describeTokens(const CallerRequest& request)
+{
+    if (!request.tokens)
+        return "";
+    std::string text = " prompt_tokens=" + std::to_string(request.tokens->prompt) + " max_output_tokens=" + std::to_string(request.tokens->maxOutput) + " parts=";
+    for (const PromptPart& part : request.promptParts)
+        text += part.id + ":" + std::to_string(part.tokens) + ",";
+    return text;
+}
+
 Core::Task<Run::Outcome> Run::attempt(Endpoint endpoint)
 {
     Core::SteadyClock::time_point now = Core::SteadyClock::now();
@@ -225,7 +236,7 @@
         return m_handler.m_codec.readMarks(status, headers).requestId == m_request.id;
     };
     selector.recordStart(endpoint.id, prompt, now);
-    Core::logEvent(Events::requestSent, "request=" + m_request.id + " endpoint=" + endpoint.id + " service=" + endpoint.service + " in_flight=" + std::to_string(selector.inFlight(endpoint.id)) + " left_ms=" + std::to_string(m_deadline.remaining().count()) + " configuration=" + std::to_string(m_configuration->version()) + " after_event=" + std::to_string(m_lastEvent.value_or(0)));
+    Core::logEvent(Events::requestSent, "request=" + m_request.id + " endpoint=" + endpoint.id + " service=" + endpoint.service + " in_flight=" + std::to_string(selector.inFlight(endpoint.id)) + " left_ms=" + std::to_string(m_deadline.remaining().count()) + " configuration=" + std::to_string(m_configuration->version()) + " after_event=" + std::to_string(m_lastEvent.value_or(0)) + describeTokens(m_request));
     Reason reason;
     std::optional<std::unique_ptr<HTTP::ResponseStream>> stream = co_await m_handler.m_client->call(
         endpoint.address, m_handler.m_codec.encodeDispatch(m_request, dispatch), readDeadline(), std::move(options), reason);
