--- a/Libraries/LibRelay/include/LibRelay/BudgetKeeper.h
+++ b/Libraries/LibRelay/include/LibRelay/BudgetKeeper.h
@@ -12,9 +12,9 @@
     std::string host;
     std::string incarnation;
     // Seconds of recent demand that a daemon keeps granted ahead, so that requests go on while the store is away.
-    double reserveSeconds { 5 };
+    double reserveSeconds { 10 };
     // Share of the ungranted remainder that all daemons together may keep ahead.
-    double reserveShare { 0.3 };
+    double reserveShare { 0.6 };
     // Time that a request waits for other requests to settle before it is refused as over budget.
     int64_t exhaustedWaitMs { 250 };
     // Time for one call to the store.
@@ -87,6 +87,8 @@
     Account& account(const std::string& workspace);
     void recordDemand(Account&, Tokens);
     Tokens reserveTarget(const Account&) const;
+    // This daemon's part of what all daemons may keep ahead, by its part of the grants so far.
+    double shareOf(const Account&) const;
     void startRefill(const std::shared_ptr<Account>&);
     Core::Task<void> refill(std::shared_ptr<Account>);
     // Reads the ledger; a missing one is empty.
--- a/Libraries/LibRelay/src/BudgetKeeper.cpp
+++ b/Libraries/LibRelay/src/BudgetKeeper.cpp
@@ -71,14 +71,26 @@
 {
     if (!account.ledger)
         return 0;
-    double daemons = static_cast<double>(std::max(m_knownDaemons, fewestDaemons));
-    double most = static_cast<double>(account.ledger->remaining()) * m_settings.reserveShare / daemons;
+    double most = static_cast<double>(account.ledger->remaining()) * m_settings.reserveShare * shareOf(account);
     double elapsed = std::chrono::duration<double>(Core::SteadyClock::now() - account.demandAt).count();
     double rate = account.demandRate * std::exp(-std::min(elapsed, 60.0) / demandSeconds);
     double wished = std::max(rate * m_settings.reserveSeconds, elapsed < demandSeconds ? static_cast<double>(account.largestHold) : 0.0);
     return std::max<Tokens>(0, static_cast<Tokens>(std::min(wished, most)));
 }
 
+double BudgetKeeper::shareOf(const Account& account) const
+{
+    double equalShare = 1.0 / static_cast<double>(std::max(m_knownDaemons, fewestDaemons));
+    Tokens granted = 0;
+    for (const auto& [host, row] : account.ledger->rows)
+        granted += row.granted;
+    const LedgerRow* own = account.ledger->findRow(m_settings.host, m_settings.incarnation);
+    if (!own || granted <= 0)
+        return equalShare;
+    double ownShare = static_cast<double>(own->granted) / static_cast<double>(granted);
+    return (equalShare + ownShare) / 2;
+}
+
 Core::Task<HoldResult> BudgetKeeper::hold(std::string workspace, Tokens tokens, Deadline deadline, Reason& reason)
 {
     std::shared_ptr<Account> held = m_accounts[workspace];
