PeerStore: reach the store through other daemons, and outlive outages with the configuration at hand

A single host that the store refuses is the case that the limit was for: such a host now calls the store through a peer, so its view stays fresh, and the limit becomes one for outages (60 s). Ruled out: a longer limit alone, which would keep revoked keys in use on hosts that the store refuses.

--- a/Libraries/LibRelay/include/LibRelay/StoreFollower.h
+++ b/Libraries/LibRelay/include/LibRelay/StoreFollower.h
@@ -9,8 +9,7 @@
 
 struct FollowerSettings {
     // Longest wait of one watch. A connection that died silently is noticed this long and a margin after.
-    int64_t watchMs { 800 };
-    int64_t answerMarginMs { 350 };
+    int64_t watchMs { 1'500 };
     // Time for one listing.
     int64_t listTimeoutMs { 1'500 };
     int64_t retryPauseMs { 80 };
--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -19,8 +19,8 @@
 // A request with an unknown route or key causes a read of the configuration at most this often.
 static constexpr std::chrono::milliseconds refreshPause(250);
 static constexpr std::chrono::milliseconds refreshTimeout(500);
-// Kept below the age at which an answer may contradict the store, for the time that a request takes to be handled.
-static constexpr int64_t staleMarginMs = 600;
+// The type of calls between daemons that ask for the store.
+static constexpr const char* storeCall = "store";
 static constexpr int64_t retryAfterStartMs = 500;
 static constexpr size_t incarnationDigits = 10;
 
@@ -49,7 +49,10 @@
     , m_settings(std::move(settings))
     , m_incarnation(Core::randomIdentifier().substr(0, incarnationDigits))
     , m_client(std::make_shared<HTTP::Client>(executor))
-    , m_store(PlatformAdapter::makeStore(m_client, m_settings.storeAddress))
+    , m_network(executor, { { m_settings.host, 0, m_settings.failureDomain }, m_settings.peerAddress, m_settings.peerKey, {}, {}, {} })
+    , m_peerStore(executor, PlatformAdapter::makeStore(m_client, m_settings.storeAddress), Relay::PeerDirectory::nameOf(m_settings.host), {}, makePeerStoreHooks())
+    , m_store(m_peerStore.hooks())
+    , m_peers(m_store, m_settings.host, m_settings.peerAddress, [this](std::vector<Core::Address> peers) { m_peerStore.setPeers(std::move(peers)); })
     , m_endpoints([this](const Relay::Endpoint& endpoint, const char* why) {
         m_selector.forget(endpoint.id);
         Core::logEvent(RelayEvents::endpointRemoved, "endpoint=" + endpoint.id + " service=" + endpoint.service + " reason=\"" + why + "\"");
@@ -75,17 +78,30 @@
 
 bool RelayDaemon::start(Reason& reason)
 {
-    if (!m_callerServer.listen(m_settings.callerAddress, reason) || !m_readinessServer.listen(m_settings.readinessAddress, reason)
+    m_network.onCall(storeCall, [this](Peer::Identity, std::string body, Reason& failure) { return m_peerStore.serve(std::move(body), failure); });
+    if (!m_network.listen(reason) || !m_callerServer.listen(m_settings.callerAddress, reason) || !m_readinessServer.listen(m_settings.readinessAddress, reason)
         || !m_metricsServer.listen(m_settings.metricsAddress, reason))
         return false;
     Core::logEvent(RelayEvents::started, "host=" + m_settings.host + " incarnation=" + m_incarnation + " callers=" + m_settings.callerAddress.text() + " readiness=" + m_settings.readinessAddress.text() + " metrics=" + m_settings.metricsAddress.text() + " store=" + m_settings.storeAddress.text());
     Core::spawn(m_executor, "follow configuration", m_configurationFollower.run());
     Core::spawn(m_executor, "follow endpoints", m_endpointFollower.run());
+    Core::spawn(m_executor, "follow peers", m_peers.run());
     Core::spawn(m_executor, "expire endpoints", expireEndpoints());
     Core::spawn(m_executor, "maintain budgets", m_budgets.maintain());
     return true;
 }
 
+Relay::PeerStoreHooks RelayDaemon::makePeerStoreHooks()
+{
+    Relay::PeerStoreHooks hooks;
+    hooks.callPeer = [this](Core::Address peer, std::string body, Deadline deadline, Reason& reason) {
+        return m_network.call(std::move(peer), storeCall, std::move(body), deadline, reason);
+    };
+    hooks.lost = [this](const Reason& reason) { noteStore("store", true, " reason=\"" + reason.text() + "\""); };
+    hooks.regained = [this] { noteStore("store", false, ""); };
+    return hooks;
+}
+
 void RelayDaemon::noteStore(const char* what, bool isLost, const std::string& detail)
 {
     Core::logEvent(isLost ? RelayEvents::storeLost : RelayEvents::storeRegained, std::string("following=") + what + " configuration_age_ms=" + std::to_string(configurationAgeMs()) + detail);
@@ -207,8 +223,7 @@
 {
     if (!m_configuration || !m_endpointFollower.hasListed())
         return Relay::Refusal { 503, "not_started", "no configuration or no list of endpoints has been read yet", retryAfterStartMs };
-    int64_t limitMs = m_settings.configurationBoundMs + m_settings.disturbanceExtensionMs - staleMarginMs;
-    if (configurationAgeMs() > limitMs)
+    if (configurationAgeMs() > m_settings.outageLimitMs)
         return Relay::Refusal { 503, "stale_configuration", "the store last confirmed the configuration " + std::to_string(configurationAgeMs()) + " ms ago", retryAfterStartMs };
     return std::nullopt;
 }
@@ -251,7 +266,10 @@
     size_t cutOff = m_callerServer.activeRequests();
     m_configurationFollower.stop();
     m_endpointFollower.stop();
+    m_peers.stop();
     co_await m_budgets.returnAll(Deadline::after(returnTime / 2));
+    co_await m_peers.withdraw(Deadline::after(returnTime / 4));
+    m_peerStore.stop();
     m_budgets.stop();
     Core::logEvent(RelayEvents::stopped, "requests_cut_off=" + std::to_string(cutOff));
     co_return cutOff == 0;
@@ -259,8 +277,7 @@
 
 void RelayDaemon::reload(const RelaySettings& settings)
 {
-    m_settings.configurationBoundMs = settings.configurationBoundMs;
-    m_settings.disturbanceExtensionMs = settings.disturbanceExtensionMs;
+    m_settings.outageLimitMs = settings.outageLimitMs;
     m_settings.stopLimitMs = settings.stopLimitMs;
-    Core::logEvent(RelayEvents::reloaded, "configuration_bound_ms=" + std::to_string(settings.configurationBoundMs) + " stop_limit_ms=" + std::to_string(settings.stopLimitMs));
+    Core::logEvent(RelayEvents::reloaded, "outage_limit_ms=" + std::to_string(settings.outageLimitMs) + " stop_limit_ms=" + std::to_string(settings.stopLimitMs));
 }
--- a/Services/jujuberelayd/src/RelayDaemon.h
+++ b/Services/jujuberelayd/src/RelayDaemon.h
@@ -1,6 +1,9 @@
 #pragma once
 
 #include "LibHTTP/Server.h"
+#include "LibPeer/Network.h"
+#include "LibRelay/PeerDirectory.h"
+#include "LibRelay/PeerStore.h"
 #include "LibRelay/RequestHandler.h"
 #include "LibRelay/StoreFollower.h"
 #include "RelaySettings.h"
@@ -22,6 +25,7 @@
 
 private:
     Relay::HandlerHooks makeHandlerHooks();
+    Relay::PeerStoreHooks makePeerStoreHooks();
     Relay::FollowerHooks makeConfigurationHooks();
     Relay::FollowerHooks makeEndpointHooks();
     void adoptConfiguration(const Platform::Object&);
@@ -41,7 +45,10 @@
     std::string m_incarnation;
     Telemetry::Metrics m_metrics;
     std::shared_ptr<HTTP::Client> m_client;
+    Peer::Network m_network;
+    Relay::PeerStore m_peerStore;
     Platform::ObjectStore m_store;
+    Relay::PeerDirectory m_peers;
     std::shared_ptr<const Relay::Configuration> m_configuration;
     Relay::EndpointDirectory m_endpoints;
     Relay::EndpointSelector m_selector;
--- a/Services/jujuberelayd/src/RelaySettings.cpp
+++ b/Services/jujuberelayd/src/RelaySettings.cpp
@@ -16,8 +16,9 @@
     fields["readiness_address"] = { Need::Required, addressReader(settings.readinessAddress) };
     fields["metrics_address"] = { Need::Required, addressReader(settings.metricsAddress) };
     fields["store_address"] = { Need::Required, addressReader(settings.storeAddress) };
-    fields["configuration_bound_ms"] = { Need::Optional, numberReader(settings.configurationBoundMs, 100, hourMs) };
-    fields["disturbance_extension_ms"] = { Need::Optional, numberReader(settings.disturbanceExtensionMs, 0, hourMs) };
+    fields["peer_address"] = { Need::Required, addressReader(settings.peerAddress) };
+    fields["peer_key"] = { Need::Required, textReader(settings.peerKey) };
+    fields["outage_limit_ms"] = { Need::Optional, numberReader(settings.outageLimitMs, 1'000, hourMs) };
     fields["stop_limit_ms"] = { Need::Optional, numberReader(settings.stopLimitMs, 100, hourMs) };
     fields["retry_share"] = { Need::Optional, fractionReader(settings.retryShare, 0, 1) };
     fields["retry_extra"] = { Need::Optional, numberReader(settings.retryExtra, 0, mostRetries) };
--- a/Services/jujuberelayd/src/RelaySettings.h
+++ b/Services/jujuberelayd/src/RelaySettings.h
@@ -15,11 +15,13 @@
     Core::Address readinessAddress;
     Core::Address metricsAddress;
     Core::Address storeAddress;
+    Core::Address peerAddress;
+    // Shared by all daemons of the fleet; authenticates links between them.
+    std::string peerKey;
 
-    // A configuration must be in force this long after the store has accepted it, and at most so much later while the
-    // store is disturbed. A daemon whose configuration was confirmed longer ago refuses requests.
-    int64_t configurationBoundMs { 2'000 };
-    int64_t disturbanceExtensionMs { 5'000 };
+    // A daemon that can reach the store neither itself nor through another daemon goes on for this long with the
+    // configuration that it has.
+    int64_t outageLimitMs { 60'000 };
     // Time from SIGTERM to SIGKILL.
     int64_t stopLimitMs { 8'000 };
     // Repeats that all daemons together may send to one service in 10 s: a share of its requests and a fixed number.
