Grants are changed through one writer for each ledger shard

Changes now go to the daemon that is first in rendezvous order, which gathers them into one conditional write; a change has a sequence number and takes effect once, whoever writes it. Incarnations are the store's revisions of the announcement, so that a late change of a dead process cannot replace a newer row.

--- a/Libraries/LibRelay/include/LibRelay/BudgetKeeper.h
+++ b/Libraries/LibRelay/include/LibRelay/BudgetKeeper.h
@@ -1,24 +1,23 @@
 #pragma once
 
 #include "LibCore/Async.h"
-#include "LibPlatform/ObjectStore.h"
 #include "LibRelay/WorkspaceLedger.h"
-#include <deque>
+#include <functional>
 #include <memory>
+#include <set>
 
 namespace Relay {
 
 struct BudgetSettings {
     std::string host;
-    std::string incarnation;
     // Seconds of recent demand that a daemon keeps granted ahead, so that requests go on while the store is away.
     double reserveSeconds { 10 };
     // Share of the ungranted remainder that all daemons together may keep ahead.
     double reserveShare { 0.6 };
     // Time that a request waits for other requests to settle before it is refused as over budget.
     int64_t exhaustedWaitMs { 250 };
-    // Time for one call to the store.
-    int64_t storeTimeoutMs { 1'000 };
+    // Time for one change of a grant.
+    int64_t changeTimeoutMs { 1'500 };
 };
 
 enum class HoldResult {
@@ -29,11 +28,17 @@
     Unavailable,
 };
 
+// Changes this daemon's grant; see LedgerWriter::submit.
+using SubmitChange = std::function<Core::Task<std::optional<GrantState>>(GrantChange, bool isUrgent, Core::Deadline, Core::Reason&)>;
+
 // One daemon's grants from the budgets of all workspaces. A hold covers a request at its most; settling it frees what the
 // request did not use.
 class BudgetKeeper {
 public:
-    BudgetKeeper(const boost::asio::any_io_executor&, Platform::ObjectStore, BudgetSettings);
+    BudgetKeeper(const boost::asio::any_io_executor&, SubmitChange, BudgetSettings);
+
+    // No grant can be taken before the incarnation is known.
+    void setIncarnation(uint64_t);
 
     // Takes over the budgets of a configuration.
     void adopt(const Configuration&);
@@ -51,7 +56,6 @@
 
     // Daemons that hold grants, as far as the ledgers show.
     size_t knownDaemons() const { return m_knownDaemons; }
-    uint64_t storeWrites() const { return m_storeWrites; }
     std::string describe(const std::string& workspace) const;
 
 private:
@@ -63,25 +67,26 @@
         std::string workspace;
         uint64_t configurationVersion { 0 };
         std::optional<Tokens> budget;
-        // The ledger as last read or written, and the store's version of it.
-        std::optional<WorkspaceLedger> ledger;
-        Platform::Version version { 0 };
-        Core::SteadyClock::time_point readAt {};
-        // This process's row, less a return that is being written.
-        Tokens granted { 0 };
+        // The answer to the last change and the time at which it was asked for.
+        std::optional<GrantState> state;
+        Core::SteadyClock::time_point stateAt {};
+        // Tokens whose return is on its way.
+        Tokens returning { 0 };
         Tokens spent { 0 };
         Tokens held { 0 };
-        // Tokens that waiting requests need.
+        // Tokens that waiting requests need, in sum and each.
         Tokens wanted { 0 };
+        std::multiset<Tokens> waiting;
         // Held tokens a second, averaged.
         double demandRate { 0 };
         Tokens largestHold { 0 };
         Core::SteadyClock::time_point demandAt {};
-        bool isWriting { false };
+        bool isChanging { false };
         std::optional<Core::Reason> lastFailure;
         Core::Signal changed;
 
-        Tokens available() const { return granted - spent - held; }
+        Tokens granted() const { return state ? state->granted : 0; }
+        Tokens available() const { return granted() - returning - spent - held; }
     };
 
     Account& account(const std::string& workspace);
@@ -91,26 +96,16 @@
     double shareOf(const Account&) const;
     void startRefill(const std::shared_ptr<Account>&);
     Core::Task<void> refill(std::shared_ptr<Account>);
-    // Reads the ledger; a missing one is empty.
-    Core::Task<bool> read(Account&, Core::Reason&);
-    // Changes this process's row by the tokens. Empty when the store did not answer.
-    enum class Written {
-        Done,
-        // Another daemon wrote first; the ledger has been read again.
-        Conflict,
-        Failed,
-    };
-    Core::Task<Written> write(Account&, Tokens change, Core::Reason&);
-    Core::Task<Written> resolve(Account&, const WorkspaceLedger& next, Core::Reason&);
-    void adoptWritten(Account&, WorkspaceLedger, Platform::Version);
     Core::Task<void> giveBack(std::shared_ptr<Account>, Tokens);
+    // Sends one change until it is known whether it took effect.
+    Core::Task<bool> change(Account&, Tokens wanted, Tokens least, bool isUrgent, Core::Reason&);
 
     boost::asio::any_io_executor m_executor;
-    Platform::ObjectStore m_store;
+    SubmitChange m_submit;
     BudgetSettings m_settings;
+    std::optional<uint64_t> m_incarnation;
     std::map<std::string, std::shared_ptr<Account>> m_accounts;
     size_t m_knownDaemons { 1 };
-    uint64_t m_storeWrites { 0 };
     bool m_isStopping { false };
 };
 
--- a/Libraries/LibRelay/include/LibRelay/PeerDirectory.h
+++ b/Libraries/LibRelay/include/LibRelay/PeerDirectory.h
@@ -11,9 +11,13 @@
 // Announces this daemon in the store and learns the addresses of the others from it.
 class PeerDirectory {
 public:
-    using Changed = std::function<void(std::vector<Core::Address>)>;
+    struct Hooks {
+        // The announcement's revision in the store, higher for each later process on a host.
+        std::function<void(uint64_t)> announced;
+        std::function<void(std::vector<Core::Address>)> changed;
+    };
 
-    PeerDirectory(Platform::ObjectStore, std::string host, Core::Address self, Changed);
+    PeerDirectory(Platform::ObjectStore, std::string host, Core::Address self, Hooks);
 
     // The name of the object that announces a host.
     static std::string nameOf(const std::string& host);
@@ -32,7 +36,9 @@
     Platform::ObjectStore m_store;
     std::string m_host;
     Core::Address m_self;
-    Changed m_changed;
+    Hooks m_hooks;
+    // Makes the announcements of two processes on one host differ.
+    std::string m_nonce;
     Platform::Version m_version { 0 };
     bool m_isAnnounced { false };
     bool m_isStopping { false };
--- a/Libraries/LibRelay/include/LibRelay/WorkspaceLedger.h
+++ b/Libraries/LibRelay/include/LibRelay/WorkspaceLedger.h
@@ -10,17 +10,49 @@
 
 // What one daemon has taken from a budget.
 struct LedgerRow {
-    // Differs between successive processes on a host.
-    std::string incarnation;
-    // Number of the writes to this row by this incarnation; tells whether a write whose reply was lost took effect.
+    // The store's revision at which the process announced itself; a later process on a host has a higher one.
+    uint64_t incarnation { 0 };
+    // Number of the changes to this row by this incarnation; makes a change that is sent again take effect once.
     uint64_t sequence { 0 };
     // Tokens granted less tokens returned. All of it counts as spent.
     Tokens granted { 0 };
     bool operator==(const LedgerRow&) const = default;
 };
 
-// The object in the platform's store that holds one workspace's budget. Only conditional writes change it, so the sum
-// of all grants never exceeds the budget.
+// A daemon's request to change its row.
+struct GrantChange {
+    std::string workspace;
+    std::string host;
+    uint64_t incarnation { 0 };
+    // One above that of the daemon's last change to this workspace that took effect.
+    uint64_t sequence { 0 };
+    // Tokens to grant, or below 0 to return.
+    Tokens wanted { 0 };
+    // Fewest tokens that are of use; a smaller remainder grants nothing.
+    Tokens least { 0 };
+    // The budget that the daemon knows and the configuration it is from.
+    uint64_t configurationVersion { 0 };
+    Tokens budget { 0 };
+    bool operator==(const GrantChange&) const = default;
+};
+
+// The state of a daemon's grant after a change.
+struct GrantState {
+    // Whether the change took effect, now or before. Otherwise the remainder was below the least that was wanted.
+    bool isApplied { false };
+    // A later process runs on the host; the rest of the state is that of its row.
+    bool isSuperseded { false };
+    uint64_t sequence { 0 };
+    Tokens granted { 0 };
+    Tokens remaining { 0 };
+    // Granted to all daemons that have a row.
+    Tokens grantedToAll { 0 };
+    uint64_t daemons { 0 };
+    bool operator==(const GrantState&) const = default;
+};
+
+// One workspace's budget. Only conditional writes to the store change it, so the sum of all grants never exceeds the
+// budget.
 struct WorkspaceLedger {
     // Configuration version that the budget is from.
     uint64_t configurationVersion { 0 };
@@ -34,15 +66,24 @@
     // Tokens that are not granted; negative after the operator lowered the budget below the grants.
     Tokens remaining() const;
 
-    // The row of a host's process. Moves what an earlier process on the host was granted to `closed`.
-    LedgerRow& rowOf(const std::string& host, const std::string& incarnation);
-    const LedgerRow* findRow(const std::string& host, const std::string& incarnation) const;
+    // Takes over a newer budget and applies the change once. A change of a process that a later one on its host has
+    // replaced has no effect.
+    GrantState apply(const GrantChange&);
 
-    // Takes over the budget of a newer configuration.
-    void adoptBudget(uint64_t version, Tokens);
+private:
+    GrantState stateOf(const std::string& host, bool isApplied) const;
 };
 
-std::string encodeLedger(const WorkspaceLedger&);
-std::optional<WorkspaceLedger> decodeLedger(const std::string& text, Core::Reason&);
+// The object in the store that holds the ledgers of the workspaces of one shard.
+using LedgerShard = std::map<std::string, WorkspaceLedger>;
+
+std::string encodeShard(const LedgerShard&);
+std::optional<LedgerShard> decodeShard(const std::string& text, Core::Reason&);
+
+// CBOR messages between daemons.
+std::string encodeChange(const GrantChange&);
+std::optional<GrantChange> decodeChange(const std::string& bytes, Core::Reason&);
+std::string encodeState(const GrantState&);
+std::optional<GrantState> decodeState(const std::string& bytes, Core::Reason&);
 
 }
--- /dev/null
+++ b/Libraries/LibRelay/src/LedgerWriter.cpp
@@ -0,0 +1,150 @@
+#include "LibRelay/LedgerWriter.h"
+
+#include "Events.h"
+
+namespace Relay {
+
+using Core::Deadline;
+using Core::FailureKind;
+using Core::Reason;
+
+LedgerWriter::LedgerWriter(const boost::asio::any_io_executor& executor, Platform::ObjectStore store, std::string objectName, LedgerWriterSettings settings)
+    : m_executor(executor)
+    , m_store(std::move(store))
+    , m_name(std::move(objectName))
+    , m_settings(settings)
+    , m_urgent(executor)
+{
+}
+
+Core::Task<std::optional<GrantState>> LedgerWriter::submit(GrantChange change, bool isUrgent, Deadline deadline, Reason& reason)
+{
+    std::shared_ptr<Pending> pending = std::make_shared<Pending>(m_executor, std::move(change), deadline);
+    m_queue.push_back(pending);
+    if (isUrgent) {
+        m_hasUrgent = true;
+        m_urgent.notifyAll();
+    }
+    if (!std::exchange(m_isRunning, true))
+        Core::spawn(m_executor, "write ledger", run());
+    while (!pending->isDone)
+        co_await pending->decided.wait(Deadline::never());
+    reason = pending->reason;
+    co_return pending->state;
+}
+
+void LedgerWriter::finish(Pending& pending, std::optional<GrantState> state, const Reason& reason)
+{
+    pending.isDone = true;
+    pending.state = state;
+    pending.reason = reason;
+    if (!state && pending.mayBeWritten)
+        pending.reason.kind = FailureKind::OutcomeUnknown;
+    pending.decided.notifyAll();
+}
+
+// Ends the changes that need not be tried again: those that certainly are not written, and those whose time is over.
+void LedgerWriter::failUnwritten(Batch& batch, const Reason& reason)
+{
+    bool isConflict = reason.kind == FailureKind::Conflict;
+    std::erase_if(batch, [this, &reason, isConflict](const std::shared_ptr<Pending>& pending) {
+        if (!pending->deadline.hasPassed() && (isConflict || pending->mayBeWritten))
+            return false;
+        finish(*pending, std::nullopt, reason);
+        return true;
+    });
+}
+
+bool LedgerWriter::isFresh() const
+{
+    return m_shard && Core::SteadyClock::now() - m_readAt <= std::chrono::milliseconds(m_settings.freshMs);
+}
+
+Core::Task<void> LedgerWriter::gather()
+{
+    Deadline deadline = Deadline::after(std::chrono::milliseconds(m_settings.gatherMs));
+    while (!m_hasUrgent && !deadline.hasPassed())
+        co_await m_urgent.wait(deadline);
+}
+
+Core::Task<void> LedgerWriter::run()
+{
+    while (!m_queue.empty()) {
+        co_await gather();
+        m_hasUrgent = false;
+        Batch batch = std::exchange(m_queue, {});
+        while (!batch.empty()) {
+            if (co_await commit(batch))
+                break;
+            co_await Core::sleepUntil(Deadline::after(std::chrono::milliseconds(m_settings.retryPauseMs)));
+        }
+    }
+    m_isRunning = false;
+}
+
+Core::Task<bool> LedgerWriter::read(Reason& reason)
+{
+    Core::SteadyClock::time_point askedAt = Core::SteadyClock::now();
+    std::optional<Platform::Object> object
+        = co_await m_store.get(m_name, Deadline::after(std::chrono::milliseconds(m_settings.storeTimeoutMs)), reason);
+    if (!object && reason.kind != FailureKind::NotFound)
+        co_return false;
+    std::optional<LedgerShard> shard = object ? decodeShard(object->value, reason) : LedgerShard {};
+    if (!shard)
+        co_return false;
+    m_shard = std::move(*shard);
+    m_version = object ? object->version : 0;
+    m_readAt = askedAt;
+    co_return true;
+}
+
+Core::Task<bool> LedgerWriter::commit(Batch& batch)
+{
+    Reason reason;
+    if (!m_shard && !co_await read(reason)) {
+        Core::logEvent(Events::ledgerUnavailable, "object=" + m_name + " changes=" + std::to_string(batch.size()) + " reason=\"" + reason.text() + "\"");
+        failUnwritten(batch, reason);
+        co_return batch.empty();
+    }
+    LedgerShard next = *m_shard;
+    std::vector<GrantState> states;
+    bool hasTurnedDown = false;
+    for (const std::shared_ptr<Pending>& pending : batch) {
+        states.push_back(next[pending->change.workspace].apply(pending->change));
+        hasTurnedDown = hasTurnedDown || !states.back().isApplied;
+    }
+    if (hasTurnedDown && !isFresh()) {
+        m_shard = std::nullopt;
+        co_return co_await commit(batch);
+    }
+    if (next != *m_shard) {
+        ++m_writes;
+        std::optional<Platform::Version> version
+            = co_await m_store.put(m_name, encodeShard(next), m_version, Deadline::after(std::chrono::milliseconds(m_settings.storeTimeoutMs)), reason);
+        if (!version) {
+            // Reading again shows which changes have taken effect.
+            m_shard = std::nullopt;
+            bool mayBeWritten = reason.kind == FailureKind::OutcomeUnknown || reason.kind == FailureKind::TimedOut;
+            for (const std::shared_ptr<Pending>& pending : batch)
+                pending->mayBeWritten = pending->mayBeWritten || mayBeWritten;
+            if (reason.kind != FailureKind::Conflict)
+                Core::logEvent(Events::ledgerUnavailable, "object=" + m_name + " version=" + std::to_string(m_version) + " changes=" + std::to_string(batch.size()) + " reason=\"" + reason.text() + "\"");
+            failUnwritten(batch, reason);
+            co_return batch.empty();
+        }
+        m_version = *version;
+        m_shard = std::move(next);
+        m_readAt = Core::SteadyClock::now();
+    }
+    for (size_t i = 0; i < batch.size(); ++i) {
+        const GrantChange& change = batch[i]->change;
+        if (states[i].isApplied)
+            Core::logEvent(Events::grantChanged, "workspace=" + change.workspace + " host=" + change.host + " sequence=" + std::to_string(change.sequence) + " wanted=" + std::to_string(change.wanted)
+                    + " granted=" + std::to_string(states[i].granted) + " remaining=" + std::to_string(states[i].remaining) + " version=" + std::to_string(m_version));
+        finish(*batch[i], states[i], {});
+    }
+    batch.clear();
+    co_return true;
+}
+
+}
--- a/Libraries/LibRelay/src/PeerDirectory.cpp
+++ b/Libraries/LibRelay/src/PeerDirectory.cpp
@@ -1,5 +1,6 @@
 #include "LibRelay/PeerDirectory.h"
 
+#include "LibCore/Random.h"
 #include <nlohmann/json.hpp>
 
 namespace Relay {
@@ -17,11 +18,12 @@
 // The others announce themselves at about the same time as this daemon.
 static constexpr std::chrono::milliseconds firstLookPause(2'000);
 
-PeerDirectory::PeerDirectory(Platform::ObjectStore store, std::string host, Core::Address self, Changed changed)
+PeerDirectory::PeerDirectory(Platform::ObjectStore store, std::string host, Core::Address self, Hooks hooks)
     : m_store(std::move(store))
     , m_host(std::move(host))
     , m_self(std::move(self))
-    , m_changed(std::move(changed))
+    , m_hooks(std::move(hooks))
+    , m_nonce(Core::randomIdentifier())
 {
 }
 
@@ -32,17 +34,22 @@
 
 Core::Task<bool> PeerDirectory::announce(Reason& reason)
 {
-    std::string value = json { { "address", m_self.text() } }.dump();
+    std::string value = json { { "address", m_self.text() }, { "process", m_nonce } }.dump();
     std::optional<Platform::Object> object = co_await m_store.get(nameOf(m_host), Deadline::after(callTimeout), reason);
     if (!object && reason.kind != FailureKind::NotFound)
         co_return false;
     m_version = object ? object->version : 0;
-    if (object && object->value == value)
+    // The write of an earlier try may have taken effect without an answer.
+    if (object && json::parse(object->value, nullptr, false) == json::parse(value)) {
+        m_hooks.announced(m_version);
         co_return true;
+    }
     std::optional<Platform::Version> version = co_await m_store.put(nameOf(m_host), value, m_version, Deadline::after(callTimeout), reason);
-    if (version)
-        m_version = *version;
-    co_return version.has_value();
+    if (!version)
+        co_return false;
+    m_version = *version;
+    m_hooks.announced(m_version);
+    co_return true;
 }
 
 Core::Task<bool> PeerDirectory::look(Reason& reason)
@@ -60,7 +67,7 @@
         if (address && *address != m_self)
             peers.push_back(*address);
     }
-    m_changed(std::move(peers));
+    m_hooks.changed(std::move(peers));
     co_return true;
 }
 
--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -1,6 +1,5 @@
 #include "RelayDaemon.h"
 
-#include "LibCore/Random.h"
 #include "PlatformAdapter/Adapter.h"
 #include "RelayEvents.h"
 
@@ -21,8 +20,9 @@
 static constexpr std::chrono::milliseconds refreshTimeout(500);
 // The type of calls between daemons that ask for the store.
 static constexpr const char* storeCall = "store";
+// The type of calls between daemons that change a grant.
+static constexpr const char* grantCall = "grant";
 static constexpr int64_t retryAfterStartMs = 500;
-static constexpr size_t incarnationDigits = 10;
 
 static Relay::HandlerSettings handlerSettingsOf(const RelaySettings& settings)
 {
@@ -47,18 +47,20 @@
 RelayDaemon::RelayDaemon(const boost::asio::any_io_executor& executor, RelaySettings settings)
     : m_executor(executor)
     , m_settings(std::move(settings))
-    , m_incarnation(Core::randomIdentifier().substr(0, incarnationDigits))
     , m_client(std::make_shared<HTTP::Client>(executor))
     , m_network(executor, { { m_settings.host, 0, m_settings.failureDomain }, m_settings.peerAddress, m_settings.peerKey, {}, {}, {} })
     , m_peerStore(executor, PlatformAdapter::makeStore(m_client, m_settings.storeAddress), Relay::PeerDirectory::nameOf(m_settings.host), {}, makePeerStoreHooks())
     , m_store(m_peerStore.hooks())
-    , m_peers(m_store, m_settings.host, m_settings.peerAddress, [this](std::vector<Core::Address> peers) { m_peerStore.setPeers(std::move(peers)); })
+    , m_peers(m_store, m_settings.host, m_settings.peerAddress, makePeerHooks())
+    , m_grants(executor, m_store, m_settings.peerAddress, peerCall(grantCall), {})
     , m_endpoints([this](const Relay::Endpoint& endpoint, const char* why) {
         m_selector.forget(endpoint.id);
         Core::logEvent(RelayEvents::endpointRemoved, "endpoint=" + endpoint.id + " service=" + endpoint.service + " reason=\"" + why + "\"");
     })
     , m_selector(m_endpoints, m_settings.failureDomain)
-    , m_budgets(executor, m_store, { m_settings.host, m_incarnation })
+    , m_budgets(
+          executor, [this](Relay::GrantChange change, bool isUrgent, Deadline deadline, Reason& reason) { return m_grants.submit(std::move(change), isUrgent, deadline, reason); },
+          { m_settings.host })
     , m_configurationFollower(executor, m_store, PlatformAdapter::configurationPrefix, {}, makeConfigurationHooks())
     , m_endpointFollower(executor, m_store, PlatformAdapter::endpointPrefix, {}, makeEndpointHooks())
     , m_handler(executor, PlatformAdapter::makeCodec(), makeHandlerHooks(), handlerSettingsOf(m_settings), m_client, m_selector, m_budgets, m_metrics)
@@ -73,16 +75,17 @@
     m_metrics.observe("jujuberelay_relay_active_requests", "Requests in progress.", [this] { return static_cast<double>(m_callerServer.activeRequests()); });
     m_metrics.observeCounter("jujuberelay_relay_connections_opened_total", "Connections opened to endpoints and the store.",
         [this] { return m_client->connectionsOpened(); });
-    m_metrics.observeCounter("jujuberelay_relay_ledger_writes_total", "Writes of budget ledgers.", [this] { return m_budgets.storeWrites(); });
+    m_metrics.observeCounter("jujuberelay_relay_ledger_writes_total", "Writes of budget ledgers.", [this] { return m_grants.writes(); });
 }
 
 bool RelayDaemon::start(Reason& reason)
 {
     m_network.onCall(storeCall, [this](Peer::Identity, std::string body, Reason& failure) { return m_peerStore.serve(std::move(body), failure); });
+    m_network.onCall(grantCall, [this](Peer::Identity, std::string body, Reason& failure) { return m_grants.serve(std::move(body), failure); });
     if (!m_network.listen(reason) || !m_callerServer.listen(m_settings.callerAddress, reason) || !m_readinessServer.listen(m_settings.readinessAddress, reason)
         || !m_metricsServer.listen(m_settings.metricsAddress, reason))
         return false;
-    Core::logEvent(RelayEvents::started, "host=" + m_settings.host + " incarnation=" + m_incarnation + " callers=" + m_settings.callerAddress.text() + " readiness=" + m_settings.readinessAddress.text() + " metrics=" + m_settings.metricsAddress.text() + " store=" + m_settings.storeAddress.text());
+    Core::logEvent(RelayEvents::started, "host=" + m_settings.host + " callers=" + m_settings.callerAddress.text() + " readiness=" + m_settings.readinessAddress.text() + " metrics=" + m_settings.metricsAddress.text() + " store=" + m_settings.storeAddress.text());
     Core::spawn(m_executor, "follow configuration", m_configurationFollower.run());
     Core::spawn(m_executor, "follow endpoints", m_endpointFollower.run());
     Core::spawn(m_executor, "follow peers", m_peers.run());
@@ -91,12 +94,31 @@
     return true;
 }
 
+Relay::CallPeer RelayDaemon::peerCall(const char* type)
+{
+    return [this, type](Core::Address peer, std::string body, Deadline deadline, Reason& reason) {
+        return m_network.call(std::move(peer), type, std::move(body), deadline, reason);
+    };
+}
+
+Relay::PeerDirectory::Hooks RelayDaemon::makePeerHooks()
+{
+    Relay::PeerDirectory::Hooks hooks;
+    hooks.announced = [this](uint64_t revision) {
+        m_budgets.setIncarnation(revision);
+        Core::logEvent(RelayEvents::announced, "incarnation=" + std::to_string(revision));
+    };
+    hooks.changed = [this](std::vector<Core::Address> peers) {
+        m_grants.setPeers(peers);
+        m_peerStore.setPeers(std::move(peers));
+    };
+    return hooks;
+}
+
 Relay::PeerStoreHooks RelayDaemon::makePeerStoreHooks()
 {
     Relay::PeerStoreHooks hooks;
-    hooks.callPeer = [this](Core::Address peer, std::string body, Deadline deadline, Reason& reason) {
-        return m_network.call(std::move(peer), storeCall, std::move(body), deadline, reason);
-    };
+    hooks.callPeer = peerCall(storeCall);
     hooks.lost = [this](const Reason& reason) { noteStore("store", true, " reason=\"" + reason.text() + "\""); };
     hooks.regained = [this] { noteStore("store", false, ""); };
     return hooks;
--- a/Services/jujuberelayd/src/RelayDaemon.h
+++ b/Services/jujuberelayd/src/RelayDaemon.h
@@ -2,6 +2,7 @@
 
 #include "LibHTTP/Server.h"
 #include "LibPeer/Network.h"
+#include "LibRelay/GrantRouter.h"
 #include "LibRelay/PeerDirectory.h"
 #include "LibRelay/PeerStore.h"
 #include "LibRelay/RequestHandler.h"
@@ -26,6 +27,8 @@
 private:
     Relay::HandlerHooks makeHandlerHooks();
     Relay::PeerStoreHooks makePeerStoreHooks();
+    Relay::PeerDirectory::Hooks makePeerHooks();
+    Relay::CallPeer peerCall(const char* type);
     Relay::FollowerHooks makeConfigurationHooks();
     Relay::FollowerHooks makeEndpointHooks();
     void adoptConfiguration(const Platform::Object&);
@@ -42,13 +45,13 @@
 
     boost::asio::any_io_executor m_executor;
     RelaySettings m_settings;
-    std::string m_incarnation;
     Telemetry::Metrics m_metrics;
     std::shared_ptr<HTTP::Client> m_client;
     Peer::Network m_network;
     Relay::PeerStore m_peerStore;
     Platform::ObjectStore m_store;
     Relay::PeerDirectory m_peers;
+    Relay::GrantRouter m_grants;
     std::shared_ptr<const Relay::Configuration> m_configuration;
     Relay::EndpointDirectory m_endpoints;
     Relay::EndpointSelector m_selector;
