Stop: return all grants at once, and try until the limit

Cause: a stopping daemon returned its grants one after the other, each gathered for 250 ms, within 450 ms, so that most of them stayed out for good; rolling restarts of all hosts exhausted budgets. Refusals that are known to be over budget now say 402 also when the grant's wait ends first.

--- a/Libraries/LibRelay/src/BudgetKeeper.cpp
+++ b/Libraries/LibRelay/src/BudgetKeeper.cpp
@@ -105,7 +105,7 @@
     while (account.available() < tokens) {
         bool isFresh = account.state && account.stateAt >= askedAt;
         Tokens reachable = account.state ? account.available() + account.state->remaining : 0;
-        if (isFresh && reachable < tokens && exhaustedAt.hasPassed()) {
+        if (isFresh && reachable < tokens && (exhaustedAt.hasPassed() || deadline.hasPassed())) {
             reason = { FailureKind::Refused, "hold tokens", workspace, "needs " + std::to_string(tokens) + " tokens; " + describe(workspace) };
             co_return HoldResult::Exhausted;
         }
@@ -202,7 +202,7 @@
     // The tokens are not available while their return is on its way.
     account.returning = tokens;
     Reason reason;
-    co_await change(account, -tokens, 0, false, reason);
+    co_await change(account, -tokens, 0, true, reason);
     account.returning = 0;
     account.isChanging = false;
     account.changed.notifyAll();
@@ -210,12 +210,16 @@
 
 Core::Task<void> BudgetKeeper::returnAll(Deadline deadline)
 {
-    for (const auto& [name, account] : m_accounts) {
-        while (account->isChanging && !deadline.hasPassed())
-            co_await account->changed.wait(std::min(deadline, Deadline::after(retryPause)));
-        if (deadline.hasPassed())
-            co_return;
-        co_await giveBack(account, account->available());
+    // All at once, so that the ledger's writer takes them into one write.
+    bool isAnyLeft = true;
+    while (isAnyLeft && !deadline.hasPassed()) {
+        isAnyLeft = false;
+        for (const auto& [name, account] : m_accounts) {
+            isAnyLeft = isAnyLeft || account->isChanging || account->available() > 0;
+            if (!account->isChanging && account->available() > 0)
+                Core::spawn(m_executor, "return grant", giveBack(account, account->available()));
+        }
+        co_await Core::sleepUntil(std::min(deadline, Deadline::after(retryPause)));
     }
 }
 
--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -289,7 +289,7 @@
     m_configurationFollower.stop();
     m_endpointFollower.stop();
     m_peers.stop();
-    co_await m_budgets.returnAll(Deadline::after(returnTime / 2));
+    co_await m_budgets.returnAll(std::max(limit, Deadline::after(returnTime / 2)));
     co_await m_peers.withdraw(Deadline::after(returnTime / 4));
     m_peerStore.stop();
     m_budgets.stop();
