--- a/Libraries/LibCore/src/NonBlockingAppender.cpp
+++ b/Libraries/LibCore/src/NonBlockingAppender.cpp
@@ -1,5 +1,6 @@
 #include "NonBlockingAppender.h"
 
+#include "LibCore/EventLog.h"
 #include <fcntl.h>
 #include <log4cplus/layout.h>
 #include <sstream>
@@ -8,6 +9,7 @@
 
 namespace Core {
 
+static constexpr Event linesDropped { 1002, Severity::Warning, "log_lines_dropped" };
 // Lines are dropped while this many bytes wait for the reader.
 static constexpr size_t maxPendingBytes = 256 * 1024;
 
@@ -39,7 +41,7 @@
         return;
     }
     if (m_dropped > 0)
-        m_pending += "E1002 log_lines_dropped: " + std::to_string(std::exchange(m_dropped, 0)) + " lines, because the reader of the log did not keep up\n";
+        m_pending += "WARN E" + std::to_string(linesDropped.number) + " " + linesDropped.name + ": " + std::to_string(std::exchange(m_dropped, 0)) + " lines, because the reader of the log did not keep up\n";
     std::ostringstream line;
     layout->formatAndAppend(line, event);
     m_pending += line.str();
--- a/Libraries/LibRelay/src/BudgetKeeper.cpp
+++ b/Libraries/LibRelay/src/BudgetKeeper.cpp
@@ -156,6 +156,11 @@
             reason = { FailureKind::Refused, "change grant", "store", "a later process runs on this host" };
             co_return false;
         }
+        // The answer of a writer whose copy is behind says nothing of this daemon's grant.
+        if (state && account.state && state->sequence < account.state->sequence) {
+            reason = { FailureKind::Unavailable, "change grant", "store", "the writer's copy is behind" };
+            state = std::nullopt;
+        }
         if (state) {
             account.state = *state;
             account.stateAt = askedAt;
--- a/Libraries/LibRelay/src/LedgerWriter.cpp
+++ b/Libraries/LibRelay/src/LedgerWriter.cpp
@@ -101,6 +101,7 @@
 Core::Task<bool> LedgerWriter::commit(Batch& batch)
 {
     Reason reason;
+    bool hasRead = !m_shard;
     if (!m_shard && !co_await read(reason)) {
         Core::logEvent(Events::ledgerUnavailable, "object=" + m_name + " changes=" + std::to_string(batch.size()) + " reason=\"" + reason.text() + "\"");
         failUnwritten(batch, reason);
@@ -109,11 +110,15 @@
     LedgerShard next = *m_shard;
     std::vector<GrantState> states;
     bool hasTurnedDown = false;
+    bool isBehind = false;
     for (const std::shared_ptr<Pending>& pending : batch) {
         states.push_back(next[pending->change.workspace].apply(pending->change));
         hasTurnedDown = hasTurnedDown || !states.back().isApplied;
+        // The daemon has changed its row through another writer since the copy was read.
+        isBehind = isBehind || states.back().sequence + 1 < pending->change.sequence;
     }
-    if (hasTurnedDown && !isFresh()) {
+    // A copy that was just read is as fresh as the store allows, however long the store took to answer.
+    if (!hasRead && (isBehind || (hasTurnedDown && !isFresh()))) {
         m_shard = std::nullopt;
         co_return co_await commit(batch);
     }
@@ -139,8 +144,7 @@
     for (size_t i = 0; i < batch.size(); ++i) {
         const GrantChange& change = batch[i]->change;
         if (states[i].isApplied)
-            Core::logEvent(Events::grantChanged, "workspace=" + change.workspace + " host=" + change.host + " sequence=" + std::to_string(change.sequence) + " wanted=" + std::to_string(change.wanted)
-                    + " granted=" + std::to_string(states[i].granted) + " remaining=" + std::to_string(states[i].remaining) + " version=" + std::to_string(m_version));
+            Core::logEvent(Events::grantChanged, "workspace=" + change.workspace + " host=" + change.host + " sequence=" + std::to_string(change.sequence) + " wanted=" + std::to_string(change.wanted) + " granted=" + std::to_string(states[i].granted) + " remaining=" + std::to_string(states[i].remaining) + " version=" + std::to_string(m_version));
         finish(*batch[i], states[i], {});
     }
     batch.clear();
--- a/Libraries/LibRelay/src/WorkspaceLedger.cpp
+++ b/Libraries/LibRelay/src/WorkspaceLedger.cpp
@@ -100,7 +100,7 @@
     return std::string(bytes.begin(), bytes.end());
 }
 
-template<typename Build>
+template <typename Build>
 static auto unpack(const std::string& bytes, Core::Reason& reason, Build build) -> std::optional<decltype(build(json()))>
 {
     try {
--- a/Meta/check_docs.py
+++ b/Meta/check_docs.py
@@ -9,8 +9,9 @@
 import re
 import sys
 
-SETTINGS_CODE = "Services/jujuberelayd/src/Settings.cpp"
-SETTINGS_PAGE = "docs/operations.md"
+# The code that reads each kind of settings file, and the heading of its reference.
+SETTINGS = {"Services/jujuberelayd/src/Settings.cpp": "## Settings", "Services/jujuberelayd/src/RelaySettings.cpp": "## Relay settings"}
+SETTINGS_PAGE = "docs/OPERATIONS.md"
 EVENTS_PAGE = "docs/events.md"
 SCRIPT = "Meta/jujuberelay.sh"
 COMMANDS_FOLDER = "Utilities/jujuberelay/src/"
@@ -55,28 +56,28 @@
 
     # Settings.
 
-    def check_settings(self):
-        in_code = {key: line for line, text in self.lines(SETTINGS_CODE) for key in SETTING_IN_CODE.findall(text)}
+    def check_settings(self, code, heading):
+        in_code = {key: line for line, text in self.lines(code) for key in SETTING_IN_CODE.findall(text)}
         in_page = {}
-        for line, text in self.settings_section():
+        for line, text in self.settings_section(heading):
             match = SETTING_IN_PAGE.match(text)
             if match and match.group(1) in in_page:
                 self.fail(SETTINGS_PAGE, line, "the settings key %s is listed twice" % match.group(1))
             elif match:
                 in_page[match.group(1)] = line
         if not in_code:
-            self.fail(SETTINGS_CODE, 1, "no settings key was found")
+            self.fail(code, 1, "no settings key was found")
         for key in in_code.keys() - in_page.keys():
-            self.fail(SETTINGS_CODE, in_code[key], "the settings key %s is missing in %s" % (key, SETTINGS_PAGE))
+            self.fail(code, in_code[key], "the settings key %s is missing in %s" % (key, SETTINGS_PAGE))
         for key in in_page.keys() - in_code.keys():
-            self.fail(SETTINGS_PAGE, in_page[key], "the settings key %s does not exist in %s" % (key, SETTINGS_CODE))
+            self.fail(SETTINGS_PAGE, in_page[key], "the settings key %s does not exist in %s" % (key, code))
 
-    def settings_section(self):
-        """The lines below the heading "Settings" up to the next heading of its level."""
+    def settings_section(self, heading):
+        """The lines below the heading up to the next heading of its level."""
         is_inside = False
         for line, text in self.lines(SETTINGS_PAGE):
             if text.startswith("## "):
-                is_inside = text == "## Settings"
+                is_inside = text == heading
             elif is_inside:
                 yield line, text
 
@@ -185,7 +186,8 @@
         sys.stderr.write(__doc__)
         return 2
     check = Check(arguments[0] if arguments else os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
-    check.check_settings()
+    for code, heading in SETTINGS.items():
+        check.check_settings(code, heading)
     check.check_events()
     check.check_links()
     check.check_commands()
--- a/Services/jujuberelayd/src/Settings.h
+++ b/Services/jujuberelayd/src/Settings.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-// The daemon's settings file. The keys are the members' names in snake case; docs/operations.md is the reference.
+// The daemon's settings file. The keys are the members' names in snake case; docs/OPERATIONS.md is the reference.
 struct Settings {
     std::string host;
     std::string failureDomain;
--- a/Services/jujuberelayd/src/main.cpp
+++ b/Services/jujuberelayd/src/main.cpp
@@ -9,7 +9,7 @@
 #include <cstdio>
 #include <gflags/gflags.h>
 
-DEFINE_string(settings, "", "the settings file; see docs/operations.md");
+DEFINE_string(settings, "", "the settings file; see docs/OPERATIONS.md");
 DEFINE_bool(relay, false, "relay for a deployment with its own store; see docs/OPERATIONS.md");
 DEFINE_bool(check, false, "read and check the settings file, then exit");
 
--- /dev/null
+++ b/Tests/LibRelay/RelayFixture.h
@@ -0,0 +1,160 @@
+#pragma once
+
+#include "LibHTTP/Server.h"
+#include "LibPlatform/InMemoryObjectStore.h"
+#include "LibRelay/LedgerWriter.h"
+#include "LibRelay/RequestHandler.h"
+#include "RunTask.h"
+
+// A relay with endpoints and callers on loopback, and a codec of its own.
+namespace RelayTest {
+
+// "Id" is the request's identity, "Not-Run" and "Seal" the marks of an endpoint, "Tokens" a token demand.
+inline Relay::WireCodec makeCodec()
+{
+    Relay::WireCodec codec;
+    codec.decodeRequest = [](HTTP::Request message, Core::Deadline limit, Core::Reason& reason) -> std::optional<Relay::CallerRequest> {
+        Relay::CallerRequest request;
+        request.id = HTTP::findHeader(message.headers, "Id").value_or("");
+        request.host = "test";
+        request.key = HTTP::findHeader(message.headers, "Key");
+        request.deadline = limit;
+        if (std::optional<std::string> text = HTTP::findHeader(message.headers, "Timeout"))
+            request.deadline = Core::Deadline::after(std::chrono::milliseconds(std::stoi(*text)));
+        if (std::optional<std::string> text = HTTP::findHeader(message.headers, "Tokens"))
+            request.tokens = Relay::TokenDemand { std::stoi(*text), 10 };
+        request.message = std::move(message);
+        if (request.id.empty()) {
+            reason = { Core::FailureKind::Invalid, "decode request", "caller", "no id" };
+            return std::nullopt;
+        }
+        return request;
+    };
+    codec.encodeDispatch = [](const Relay::CallerRequest& request, const Relay::Dispatch& dispatch) {
+        HTTP::Request message { request.message.method, request.message.target, { { "Id", request.id }, { "Expect-Endpoint", dispatch.endpointId } }, request.message.body };
+        if (dispatch.lastEvent)
+            message.headers.push_back({ "Last-Event", std::to_string(*dispatch.lastEvent) });
+        return message;
+    };
+    codec.readMarks = [](unsigned, const HTTP::Headers& headers) {
+        Relay::ReplyMarks marks;
+        marks.requestId = HTTP::findHeader(headers, "Id").value_or("");
+        marks.isNotRun = HTTP::findHeader(headers, "Not-Run").has_value();
+        marks.isSealed = HTTP::findHeader(headers, "Seal").has_value();
+        return marks;
+    };
+    codec.callerHeaders = [](const HTTP::Headers& headers) {
+        HTTP::Headers kept;
+        for (const HTTP::Header& header : headers) {
+            if (header.name == "Seal")
+                kept.push_back(header);
+        }
+        return kept;
+    };
+    return codec;
+}
+
+inline Relay::Route makeRoute(const std::string& prefix, bool isStream, bool isRepeatable, bool isResumable, int attempts)
+{
+    Relay::Route route;
+    route.name = prefix;
+    route.host = "test";
+    route.pathPrefix = prefix;
+    route.isStream = isStream;
+    route.isRepeatable = isRepeatable;
+    route.isResumable = isResumable;
+    route.objectiveMs = 2'000;
+    route.attempts = attempts;
+    route.split = { { "service", 1 } };
+    return route;
+}
+
+inline std::shared_ptr<const Relay::Configuration> makeConfiguration()
+{
+    Relay::Workspace workspace;
+    workspace.name = "w";
+    workspace.budget = 1'000;
+    workspace.keys = { "key" };
+    std::vector<Relay::Route> routes { makeRoute("/once/", false, false, false, 2), makeRoute("/again/", false, true, false, 2),
+        makeRoute("/stream/", true, false, true, 2), makeRoute("/single/", true, false, false, 1) };
+    Relay::Service service;
+    service.name = "service";
+    return std::make_shared<const Relay::Configuration>(1, routes, std::vector { service }, std::vector { workspace }, true, Relay::CallerLimits {});
+}
+
+struct Fixture {
+    using Answer = std::function<Core::Task<void>(const HTTP::Request&, HTTP::ResponseWriter&)>;
+
+    boost::asio::io_context context;
+    Platform::InMemoryObjectStore store { context.get_executor() };
+    std::shared_ptr<HTTP::Client> client { std::make_shared<HTTP::Client>(context.get_executor()) };
+    Telemetry::Metrics metrics;
+    Relay::EndpointDirectory directory { {} };
+    Relay::EndpointSelector selector { directory, "zone-a" };
+    Relay::LedgerWriter writer { context.get_executor(), store.hooks(), "relay-ledgers/shard-0", { 1, 1'000, 0, 1 } };
+    Relay::BudgetKeeper budgets { context.get_executor(),
+        [this](Relay::GrantChange change, bool isUrgent, Core::Deadline deadline, Core::Reason& reason) { return writer.submit(std::move(change), isUrgent, deadline, reason); },
+        { "host", 5, 0.3, 30, 300 } };
+    std::shared_ptr<const Relay::Configuration> configuration { makeConfiguration() };
+    bool isStoreAnswering { true };
+    std::vector<std::string> rejected;
+    Relay::RequestHandler handler { context.get_executor(), makeCodec(), makeHooks(), {}, client, selector, budgets, metrics };
+    HTTP::Server relay { context.get_executor(), [this](HTTP::Request request, HTTP::ResponseWriter& response) { return handler.handle(std::move(request), response); } };
+    Core::Address address;
+    std::vector<std::unique_ptr<HTTP::Server>> endpoints;
+    // Requests that reached endpoints.
+    std::vector<HTTP::Request> arrivals;
+    Answer answer;
+
+    // Every endpoint answers by the current `answer`.
+    explicit Fixture(size_t endpointCount = 2)
+    {
+        Core::Reason reason;
+        budgets.setIncarnation(1);
+        budgets.adopt(*configuration);
+        address = relay.listen({ "127.0.0.1", 0 }, reason).value();
+        for (size_t i = 0; i < endpointCount; ++i) {
+            endpoints.push_back(std::make_unique<HTTP::Server>(context.get_executor(), [this](HTTP::Request request, HTTP::ResponseWriter& response) -> Core::Task<void> {
+                arrivals.push_back(request);
+                co_await answer(request, response);
+            }));
+            Relay::Endpoint endpoint;
+            endpoint.id = "e" + std::to_string(i);
+            endpoint.service = "service";
+            endpoint.address = endpoints.back()->listen({ "127.0.0.1", 0 }, reason).value();
+            directory.put(endpoint);
+        }
+    }
+
+    Relay::HandlerHooks makeHooks()
+    {
+        Relay::HandlerHooks hooks;
+        hooks.configuration = [this] { return configuration; };
+        hooks.unservable = []() -> std::optional<Relay::Refusal> { return std::nullopt; };
+        hooks.refreshConfiguration = [this]() -> Core::Task<bool> { co_return isStoreAnswering; };
+        hooks.rejectEndpoint = [this](const std::string& endpoint) { rejected.push_back(endpoint); };
+        return hooks;
+    }
+
+    HTTP::Request makeRequest(const std::string& target, HTTP::Headers more = {})
+    {
+        HTTP::Request request { "POST", target, { { "Id", "r1" }, { "Key", "key" } }, "body" };
+        request.headers.insert(request.headers.end(), more.begin(), more.end());
+        return request;
+    }
+
+    std::optional<HTTP::Response> call(HTTP::Request request)
+    {
+        Core::Reason reason;
+        HTTP::Client caller(context.get_executor());
+        return TestSupport::runTask(context, caller.roundTrip(address, std::move(request), Core::Deadline::after(std::chrono::seconds(20)), reason));
+    }
+};
+
+// The headers of an endpoint's proper answer.
+inline HTTP::Headers sealed(const HTTP::Request& request)
+{
+    return { { "Id", HTTP::findHeader(request.headers, "Id").value_or("") }, { "Seal", "s" } };
+}
+
+}
--- /dev/null
+++ b/Tests/LibRelay/TestLedgerWriter.cpp
@@ -0,0 +1,132 @@
+#include "LibPlatform/InMemoryObjectStore.h"
+#include "LibRelay/LedgerWriter.h"
+#include "RunTask.h"
+#include <random>
+
+using namespace Relay;
+
+static const char* const objectName = "relay-ledgers/shard-0";
+static constexpr Tokens budget = 10'000;
+
+static GrantChange makeChange(const std::string& host, uint64_t sequence, Tokens wanted)
+{
+    return { "w", host, 1, sequence, wanted, 1, 1, budget };
+}
+
+static LedgerWriterSettings quickSettings()
+{
+    LedgerWriterSettings settings;
+    settings.gatherMs = 1;
+    settings.retryPauseMs = 1;
+    return settings;
+}
+
+struct WriterFixture {
+    boost::asio::io_context context;
+    Platform::InMemoryObjectStore store { context.get_executor() };
+    LedgerWriter writer { context.get_executor(), store.hooks(), objectName, quickSettings() };
+    LedgerWriter other { context.get_executor(), store.hooks(), objectName, quickSettings() };
+
+    std::optional<GrantState> submit(LedgerWriter& through, GrantChange change, Core::Reason& reason)
+    {
+        return TestSupport::runTask(context, through.submit(std::move(change), true, Core::Deadline::after(std::chrono::seconds(20)), reason));
+    }
+
+    LedgerShard stored()
+    {
+        Core::Reason reason;
+        return decodeShard(store.table().get(objectName, reason).value().value, reason).value();
+    }
+};
+
+// Guards against a grant that is written twice when the store's answer is lost after the write.
+Test(LedgerWriter, lostReplyGrantsOnce)
+{
+    WriterFixture fixture;
+    Core::Reason reason;
+    fixture.submit(fixture.writer, makeChange("a", 1, 100), reason);
+    fixture.store.loseReplies(1);
+    std::optional<GrantState> state = fixture.submit(fixture.writer, makeChange("a", 2, 200), reason);
+    cr_assert(state && state->isApplied);
+    cr_assert_eq(state->granted, 300);
+    cr_assert_eq(fixture.stored()["w"].remaining(), budget - 300);
+}
+
+// Guards against a grant that is believed although the store never saw its write.
+Test(LedgerWriter, lostRequestIsWrittenAgain)
+{
+    WriterFixture fixture;
+    Core::Reason reason;
+    fixture.submit(fixture.writer, makeChange("a", 1, 100), reason);
+    fixture.store.loseRequests(1);
+    std::optional<GrantState> state = fixture.submit(fixture.writer, makeChange("a", 2, 200), reason);
+    cr_assert(state && state->isApplied);
+    cr_assert_eq(fixture.stored()["w"].rows["a"].granted, 300);
+}
+
+// Guards against a refusal, or a grant, that rests on a copy which another writer has made old.
+Test(LedgerWriter, twoWritersSeeEachOther)
+{
+    WriterFixture fixture;
+    Core::Reason reason;
+    fixture.submit(fixture.writer, makeChange("a", 1, 4'000), reason);
+    fixture.submit(fixture.other, makeChange("b", 1, 5'000), reason);
+    std::optional<GrantState> state = fixture.submit(fixture.writer, makeChange("a", 2, 3'000), reason);
+    cr_assert(state && state->isApplied);
+    cr_assert_eq(state->granted, 5'000);
+    cr_assert_eq(state->remaining, 0);
+}
+
+// Guards against a change that hangs while the store is away, instead of failing as certainly not written.
+Test(LedgerWriter, outageFailsAtOnce)
+{
+    WriterFixture fixture;
+    Core::Reason reason;
+    fixture.store.setOutage(true);
+    cr_assert_not(fixture.submit(fixture.writer, makeChange("a", 1, 100), reason));
+    cr_assert_eq(reason.kind, Core::FailureKind::Unavailable);
+}
+
+// Guards against more granted than the budget, or a belief that differs from the store, under any mix of two writers,
+// lost replies, lost requests, conflicts and repeated changes.
+Test(LedgerWriter, randomFaultsNeverGrantTooMuch)
+{
+    for (uint64_t seed = 1; seed <= 30; ++seed) {
+        std::mt19937_64 random(seed);
+        WriterFixture fixture;
+        std::map<std::string, GrantState> believed;
+        for (int step = 0; step < 60; ++step) {
+            std::string host(1, static_cast<char>('a' + random() % 4));
+            switch (random() % 6) {
+            case 0:
+                fixture.store.loseReplies(1);
+                break;
+            case 1:
+                fixture.store.loseRequests(1);
+                break;
+            case 2:
+                fixture.store.failWithConflict(1);
+                break;
+            default:
+                break;
+            }
+            GrantChange change = makeChange(host, believed[host].sequence + 1, static_cast<Tokens>(random() % 900) + 1);
+            if (random() % 4 == 0 && believed[host].granted > 0)
+                change.wanted = -static_cast<Tokens>(random() % static_cast<uint64_t>(believed[host].granted) + 1);
+            LedgerWriter& first = random() % 2 ? fixture.writer : fixture.other;
+            Core::Reason reason;
+            std::optional<GrantState> state = fixture.submit(first, change, reason);
+            cr_assert(state, "seed %lu: %s", seed, reason.text().c_str());
+            // The caller did not hear the answer and sends the same change through the other writer.
+            if (random() % 3 == 0)
+                state = fixture.submit(&first == &fixture.writer ? fixture.other : fixture.writer, change, reason);
+            believed[host] = state.value();
+            WorkspaceLedger ledger = fixture.stored()["w"];
+            cr_assert_geq(ledger.remaining(), 0, "seed %lu", seed);
+            // A change that was turned down by a copy of the ledger may not show this change's own earlier effect; it is
+            // found when the daemon sends the sequence number again. Until then the daemon believes in less.
+            cr_assert_leq(state->granted, ledger.rows[host].granted, "seed %lu", seed);
+            cr_assert(!state->isApplied || state->granted == ledger.rows[host].granted, "seed %lu", seed);
+        }
+    }
+}
--- /dev/null
+++ b/Tests/LibRelay/TestPeerStore.cpp
@@ -0,0 +1,122 @@
+#include "LibPlatform/InMemoryObjectStore.h"
+#include "LibRelay/PeerStore.h"
+#include "RunTask.h"
+
+using namespace Relay;
+
+static PeerStoreSettings quickSettings()
+{
+    PeerStoreSettings settings;
+    settings.probePauseMs = 1;
+    settings.failureThreshold = 1;
+    return settings;
+}
+
+// A daemon that the store refuses and one that it serves. Both reach the same objects.
+struct PeerFixture {
+    boost::asio::io_context context;
+    Platform::InMemoryObjectStore served { context.get_executor() };
+    Platform::InMemoryObjectStore refused { context.get_executor() };
+    bool losesAnswers { false };
+    int lost { 0 };
+    int regained { 0 };
+    PeerStore helper { context.get_executor(), served.hooks(), "probe", quickSettings(), { {}, [](const Core::Reason&) {}, [] {} } };
+    PeerStore store { context.get_executor(), refused.hooks(), "probe", quickSettings(),
+        { [this](Core::Address, std::string body, Core::Deadline, Core::Reason& reason) { return callHelper(std::move(body), reason); },
+            [this](const Core::Reason&) { ++lost; }, [this] { ++regained; } } };
+
+    PeerFixture()
+    {
+        store.setPeers({ { "10.0.0.2", 1 } });
+        refused.setOutage(true);
+    }
+    ~PeerFixture()
+    {
+        store.stop();
+        helper.stop();
+    }
+
+    Core::Task<std::optional<std::string>> callHelper(std::string body, Core::Reason& reason)
+    {
+        std::optional<std::string> answer = co_await helper.serve(std::move(body), reason);
+        if (answer && losesAnswers) {
+            reason.kind = Core::FailureKind::TimedOut;
+            co_return std::nullopt;
+        }
+        co_return answer;
+    }
+
+    static Core::Deadline soon() { return Core::Deadline::after(std::chrono::seconds(5)); }
+};
+
+// Guards against a host that the store refuses going on with an old configuration while other hosts are served.
+Test(PeerStore, everyCallGoesThroughAPeer)
+{
+    PeerFixture fixture;
+    Core::Reason reason;
+    Platform::ObjectStore hooks = fixture.store.hooks();
+    std::optional<Platform::Version> version = TestSupport::runTask(fixture.context, hooks.put("k/a", "1", 0, fixture.soon(), reason));
+    cr_assert(version, "%s", reason.text().c_str());
+    cr_assert_eq(TestSupport::runTask(fixture.context, hooks.get("k/a", fixture.soon(), reason))->value, "1");
+    cr_assert_eq(TestSupport::runTask(fixture.context, hooks.list("k/", fixture.soon(), reason))->objects.size(), 1);
+    cr_assert_eq(TestSupport::runTask(fixture.context, hooks.watch("k/", 0, fixture.soon(), reason))->changes.size(), 1);
+    cr_assert(TestSupport::runTask(fixture.context, hooks.remove("k/a", *version, fixture.soon(), reason)));
+    cr_assert_eq(fixture.lost, 1);
+}
+
+// Guards against what the store says of a call being taken for an outage of the peer.
+Test(PeerStore, answersOfTheStoreKeepTheirKind)
+{
+    PeerFixture fixture;
+    Core::Reason reason;
+    Platform::ObjectStore hooks = fixture.store.hooks();
+    cr_assert_not(TestSupport::runTask(fixture.context, hooks.get("k/none", fixture.soon(), reason)));
+    cr_assert_eq(reason.kind, Core::FailureKind::NotFound);
+    TestSupport::runTask(fixture.context, hooks.put("k/a", "1", 0, fixture.soon(), reason));
+    cr_assert_not(TestSupport::runTask(fixture.context, hooks.put("k/a", "2", 0, fixture.soon(), reason)));
+    cr_assert_eq(reason.kind, Core::FailureKind::Conflict);
+}
+
+// Guards against a write whose answer the peer could not deliver being taken as not done.
+Test(PeerStore, lostAnswerOfAWriteIsUnknown)
+{
+    PeerFixture fixture;
+    fixture.losesAnswers = true;
+    Core::Reason reason;
+    cr_assert_not(TestSupport::runTask(fixture.context, fixture.store.hooks().put("k/a", "1", 0, fixture.soon(), reason)));
+    cr_assert_eq(reason.kind, Core::FailureKind::OutcomeUnknown);
+}
+
+// Guards against calls that are passed from daemon to daemon while none has the store.
+Test(PeerStore, daemonWithoutTheStoreServesNobody)
+{
+    PeerFixture fixture;
+    fixture.served.setOutage(true);
+    Core::Reason reason;
+    cr_assert_not(TestSupport::runTask(fixture.context, fixture.store.hooks().get("k/a", fixture.soon(), reason)));
+    cr_assert_eq(reason.kind, Core::FailureKind::Unavailable);
+    cr_assert_not(TestSupport::runTask(fixture.context, fixture.store.serve("x", reason)));
+}
+
+// Guards against a daemon that never goes back to the store itself.
+Test(PeerStore, returnsToTheStore)
+{
+    PeerFixture fixture;
+    Core::Reason reason;
+    TestSupport::runTask(fixture.context, fixture.store.hooks().get("k/a", fixture.soon(), reason));
+    cr_assert(fixture.store.isLost());
+    fixture.refused.setOutage(false);
+    TestSupport::runUntil(fixture.context, [&fixture] { return fixture.regained == 1; });
+    cr_assert_not(fixture.store.isLost());
+}
+
+// Guards against a malformed call of a peer ending the process.
+Test(PeerStore, malformedCallsAreRefused)
+{
+    PeerFixture fixture;
+    Core::Reason reason;
+    for (const std::string& body : { std::string(), std::string("\xa1"), std::string("\x80"), std::string("\xa1\x61\x61\x01", 4) }) {
+        cr_assert_not(TestSupport::runTask(fixture.context, fixture.helper.serve(body, reason)));
+        cr_assert_eq(reason.kind, Core::FailureKind::Invalid);
+    }
+}
--- /dev/null
+++ b/Tests/LibRelay/TestRequestHandler.cpp
@@ -0,0 +1,185 @@
+#include "RelayFixture.h"
+
+using namespace RelayTest;
+
+static Core::Task<void> send(HTTP::ResponseWriter& writer, HTTP::Response response)
+{
+    Core::Reason ignored;
+    co_await writer.send(std::move(response), ignored);
+}
+
+// Guards against an answer that is changed on its way.
+Test(RequestHandler, passesTheAnswerOn)
+{
+    Fixture fixture;
+    fixture.answer = [](const HTTP::Request& request, HTTP::ResponseWriter& writer) { return send(writer, { 200, sealed(request), "answer to " + request.body }); };
+    std::optional<HTTP::Response> response = fixture.call(fixture.makeRequest("/once/a?b=c"));
+    cr_assert_eq(response->status, 200);
+    cr_assert_eq(response->body, "answer to body");
+    cr_assert_eq(HTTP::findHeader(response->headers, "Seal").value(), "s");
+    cr_assert_eq(fixture.arrivals.at(0).target, "/once/a?b=c");
+}
+
+// Guards against a request that may have run being sent again, or refused as if it had not run.
+Test(RequestHandler, requestThatMayHaveRunIsNeverRepeated)
+{
+    Fixture fixture;
+    fixture.answer = [](const HTTP::Request&, HTTP::ResponseWriter& writer) -> Core::Task<void> {
+        writer.abort();
+        co_return;
+    };
+    std::optional<HTTP::Response> response = fixture.call(fixture.makeRequest("/once/a"));
+    cr_assert_eq(response->status, 502);
+    cr_assert_eq(fixture.arrivals.size(), 1);
+    cr_assert(response->body.find("\"ran\":\"unknown\"") != std::string::npos);
+}
+
+// Guards against an endpoint's refusal ending a request that another endpoint can serve.
+Test(RequestHandler, refusedRequestGoesToAnotherEndpoint)
+{
+    Fixture fixture;
+    fixture.answer = [&fixture](const HTTP::Request& request, HTTP::ResponseWriter& writer) -> Core::Task<void> {
+        if (fixture.arrivals.size() == 1)
+            co_await send(writer, { 503, { { "Id", "r1" }, { "Not-Run", "1" } }, "" });
+        else
+            co_await send(writer, { 200, sealed(request), "ok" });
+    };
+    cr_assert_eq(fixture.call(fixture.makeRequest("/once/a"))->status, 200);
+    cr_assert_eq(fixture.arrivals.size(), 2);
+}
+
+// Guards against more endpoints being tried than the route allows, and a refusal without the time to come back.
+Test(RequestHandler, attemptsAreLimited)
+{
+    Fixture fixture(4);
+    fixture.answer = [](const HTTP::Request&, HTTP::ResponseWriter& writer) { return send(writer, { 503, { { "Id", "r1" }, { "Not-Run", "1" } }, "" }); };
+    std::optional<HTTP::Response> response = fixture.call(fixture.makeRequest("/once/a"));
+    cr_assert_eq(response->status, 503);
+    cr_assert(HTTP::findHeader(response->headers, "Retry-After").has_value());
+    cr_assert_eq(fixture.arrivals.size(), 2);
+}
+
+// Guards against an endpoint's failure reaching the caller of a repeatable request while another endpoint is well.
+Test(RequestHandler, repeatableRequestIsRepeatedAfterAFailure)
+{
+    Fixture fixture;
+    fixture.answer = [&fixture](const HTTP::Request& request, HTTP::ResponseWriter& writer) {
+        return send(writer, { fixture.arrivals.size() == 1 ? 500u : 200u, sealed(request), "x" });
+    };
+    cr_assert_eq(fixture.call(fixture.makeRequest("/again/a"))->status, 200);
+}
+
+// Guards against an answer to another request, or one without the endpoint's seal, being passed on.
+Test(RequestHandler, foreignAnswersAreNotPassedOn)
+{
+    Fixture fixture(1);
+    fixture.answer = [](const HTTP::Request&, HTTP::ResponseWriter& writer) { return send(writer, { 200, { { "Id", "r1" } }, "unsealed" }); };
+    cr_assert_eq(fixture.call(fixture.makeRequest("/once/a"))->status, 502);
+    fixture.answer = [](const HTTP::Request&, HTTP::ResponseWriter& writer) { return send(writer, { 200, { { "Id", "other" }, { "Seal", "s" } }, "foreign" }); };
+    cr_assert_eq(fixture.call(fixture.makeRequest("/once/a", { { "Timeout", "300" } }))->status, 504);
+}
+
+// Guards against pieces that are lost or come twice when a stream goes on at another endpoint.
+Test(RequestHandler, streamGoesOnAtAnotherEndpoint)
+{
+    Fixture fixture;
+    fixture.answer = [&fixture](const HTTP::Request& request, HTTP::ResponseWriter& writer) -> Core::Task<void> {
+        Core::Reason reason;
+        bool isFirst = fixture.arrivals.size() == 1;
+        cr_assert_eq(HTTP::findHeader(request.headers, "Last-Event").value_or(""), isFirst ? "" : "2");
+        co_await writer.startStream(200, sealed(request), reason);
+        co_await writer.writeChunk(isFirst ? "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda" : "id: 3\ndata: c\n\n", reason);
+        if (isFirst)
+            writer.abort();
+        else
+            co_await writer.finishStream(reason);
+    };
+    std::optional<HTTP::Response> response = fixture.call(fixture.makeRequest("/stream/a"));
+    cr_assert_eq(response->body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+}
+
+// Guards against a broken stream that looks complete where it cannot be resumed.
+Test(RequestHandler, brokenStreamIsVisiblyBroken)
+{
+    Fixture fixture;
+    fixture.answer = [](const HTTP::Request& request, HTTP::ResponseWriter& writer) -> Core::Task<void> {
+        Core::Reason reason;
+        co_await writer.startStream(200, sealed(request), reason);
+        co_await writer.writeChunk("id: 1\ndata: a\n\n", reason);
+        writer.abort();
+    };
+    cr_assert_not(fixture.call(fixture.makeRequest("/single/a")).has_value());
+    cr_assert_eq(fixture.arrivals.size(), 1);
+}
+
+// Guards against a stream with a missing event being passed on as whole.
+Test(RequestHandler, missingEventEndsTheStream)
+{
+    Fixture fixture;
+    fixture.answer = [](const HTTP::Request& request, HTTP::ResponseWriter& writer) {
+        return send(writer, { 200, sealed(request), "id: 1\ndata: a\n\nid: 3\ndata: c\n\n" });
+    };
+    cr_assert_not(fixture.call(fixture.makeRequest("/single/a")).has_value());
+}
+
+// Guards against endpoints working on for callers that have left.
+Test(RequestHandler, callerThatLeavesEndsTheWork)
+{
+    Fixture fixture;
+    bool isEndpointTold = false;
+    fixture.answer = [&isEndpointTold](const HTTP::Request&, HTTP::ResponseWriter& writer) -> Core::Task<void> {
+        writer.onClientGone([&isEndpointTold] { isEndpointTold = true; });
+        while (!isEndpointTold)
+            co_await Core::sleepUntil(Core::Deadline::after(std::chrono::milliseconds(5)));
+    };
+    Core::Reason reason;
+    HTTP::Client caller(fixture.context.get_executor());
+    cr_assert_not(TestSupport::runTask(
+        fixture.context, caller.roundTrip(fixture.address, fixture.makeRequest("/once/a"), Core::Deadline::after(std::chrono::milliseconds(200)), reason)));
+    TestSupport::runUntil(fixture.context, [&isEndpointTold] { return isEndpointTold; });
+}
+
+// Guards against a route or key that is newer than this daemon's configuration being refused for good.
+Test(RequestHandler, unknownRouteIsOnlyDeniedWhenTheStoreConfirmsIt)
+{
+    Fixture fixture;
+    cr_assert_eq(fixture.call(fixture.makeRequest("/none/"))->status, 404);
+    HTTP::Request request { "POST", "/once/a", { { "Id", "r1" }, { "Key", "unknown" } }, "" };
+    cr_assert_eq(fixture.call(request)->status, 401);
+    fixture.isStoreAnswering = false;
+    cr_assert_eq(fixture.call(fixture.makeRequest("/none/"))->status, 503);
+    cr_assert_eq(fixture.call(request)->status, 503);
+    cr_assert(fixture.arrivals.empty());
+}
+
+// Guards against requests beyond the budget reaching an endpoint, and against unused tokens being kept.
+Test(RequestHandler, budgetIsHeldAndSettled)
+{
+    Fixture fixture;
+    fixture.answer = [](const HTTP::Request& request, HTTP::ResponseWriter& writer) { return send(writer, { 200, sealed(request), "id: 1\ndata: a\n\n" }); };
+    cr_assert_eq(fixture.call(fixture.makeRequest("/single/a", { { "Tokens", "2000" } }))->status, 402);
+    cr_assert(fixture.arrivals.empty());
+    cr_assert_eq(fixture.call(fixture.makeRequest("/single/a", { { "Tokens", "600" } }))->status, 200);
+    // 601 of 1,000 tokens are spent: the prompt and one event.
+    cr_assert_eq(fixture.call(fixture.makeRequest("/single/a", { { "Tokens", "390" } }))->status, 402);
+    cr_assert_eq(fixture.call(fixture.makeRequest("/single/a", { { "Tokens", "389" } }))->status, 200);
+}
+
+// Guards against a request at an address that another endpoint has taken over.
+Test(RequestHandler, misdirectedRequestRejectsTheEntry)
+{
+    Fixture fixture;
+    fixture.answer = [&fixture](const HTTP::Request& request, HTTP::ResponseWriter& writer) {
+        bool isFirst = fixture.arrivals.size() == 1;
+        return send(writer, isFirst ? HTTP::Response { 421, { { "Id", "r1" }, { "Not-Run", "1" } }, "" } : HTTP::Response { 200, sealed(request), "" });
+    };
+    cr_assert_eq(fixture.call(fixture.makeRequest("/once/a"))->status, 200);
+    cr_assert_eq(fixture.rejected.size(), 1);
+}
+
+// Guards against malformed requests that end without an answer.
+Test(RequestHandler, malformedRequestIsRefused)
+{
+    Fixture fixture;
+    cr_assert_eq(fixture.call({ "GET", "/once/a", {}, "" })->status, 400);
+}
--- /dev/null
+++ b/Tests/LibRelay/TestWorkspaceLedger.cpp
@@ -0,0 +1,85 @@
+#include "LibRelay/WorkspaceLedger.h"
+
+#include <criterion/criterion.h>
+
+using namespace Relay;
+
+static GrantChange makeChange(const std::string& host, uint64_t incarnation, uint64_t sequence, Tokens wanted, Tokens least = 1)
+{
+    return { "w", host, incarnation, sequence, wanted, least, 1, 1'000 };
+}
+
+// Guards against a change that is sent again after a lost answer being granted twice.
+Test(WorkspaceLedger, repeatedChangeTakesEffectOnce)
+{
+    WorkspaceLedger ledger;
+    cr_assert_eq(ledger.apply(makeChange("a", 5, 1, 300)).granted, 300);
+    GrantState again = ledger.apply(makeChange("a", 5, 1, 300));
+    cr_assert(again.isApplied);
+    cr_assert_eq(again.granted, 300);
+    cr_assert_eq(ledger.remaining(), 700);
+}
+
+// Guards against tokens that a dead process may have spent being granted again.
+Test(WorkspaceLedger, laterProcessClosesTheRowOfTheEarlierOne)
+{
+    WorkspaceLedger ledger;
+    ledger.apply(makeChange("a", 5, 1, 300));
+    GrantState state = ledger.apply(makeChange("a", 9, 1, 100));
+    cr_assert_eq(state.granted, 100);
+    cr_assert_eq(ledger.closed, 300);
+    cr_assert_eq(ledger.remaining(), 600);
+}
+
+// Guards against a delayed change of a dead process replacing the row of its successor.
+Test(WorkspaceLedger, lateChangeOfAnEarlierProcessHasNoEffect)
+{
+    WorkspaceLedger ledger;
+    ledger.apply(makeChange("a", 9, 1, 100));
+    WorkspaceLedger before = ledger;
+    GrantState state = ledger.apply(makeChange("a", 5, 1, 300));
+    cr_assert(state.isSuperseded);
+    cr_assert_not(state.isApplied);
+    cr_assert(ledger == before);
+}
+
+// Guards against a grant that is too small to serve the request that waits for it.
+Test(WorkspaceLedger, smallRemainderGrantsNothing)
+{
+    WorkspaceLedger ledger;
+    ledger.apply(makeChange("a", 5, 1, 900));
+    cr_assert_not(ledger.apply(makeChange("b", 6, 1, 500, 200)).isApplied);
+    cr_assert_eq(ledger.apply(makeChange("b", 6, 1, 500, 100)).granted, 100);
+    cr_assert_eq(ledger.remaining(), 0);
+}
+
+// Guards against a daemon with an older configuration bringing an older budget back.
+Test(WorkspaceLedger, olderBudgetDoesNotReplaceANewerOne)
+{
+    WorkspaceLedger ledger;
+    GrantChange lowered = makeChange("a", 5, 1, 100);
+    lowered.configurationVersion = 4;
+    lowered.budget = 400;
+    ledger.apply(lowered);
+    ledger.apply(makeChange("b", 6, 1, 1'000));
+    cr_assert_eq(ledger.budget, 400);
+    cr_assert_eq(ledger.remaining(), 0);
+}
+
+// Guards against fields lost or crossed on the way to the store and to peers.
+Test(WorkspaceLedger, codecsKeepEveryField)
+{
+    LedgerShard shard;
+    shard["w"].apply(makeChange("a", 5, 1, 300));
+    shard["w"].apply(makeChange("b", 6, 1, 200));
+    shard["v"].apply(makeChange("a", 5, 1, 50));
+    Core::Reason reason;
+    cr_assert(decodeShard(encodeShard(shard), reason) == shard, "%s", reason.text().c_str());
+    GrantChange change = makeChange("a", 5, 7, -30, 2);
+    cr_assert(decodeChange(encodeChange(change), reason) == change);
+    GrantState state = shard["w"].apply(makeChange("a", 5, 2, 10));
+    cr_assert(decodeState(encodeState(state), reason) == state);
+    cr_assert_not(decodeShard("[1]", reason));
+    cr_assert_not(decodeChange("garbage", reason));
+    cr_assert_not(decodeState(std::string("\xff\x00", 2), reason));
+}
--- /dev/null
+++ b/Tests/PlatformAdapter/TestCodec.cpp
@@ -0,0 +1,142 @@
+#include "PlatformAdapter/Adapter.h"
+
+#include <criterion/criterion.h>
+#include <random>
+
+using namespace PlatformAdapter;
+
+static std::optional<Relay::CallerRequest> decode(HTTP::Headers headers, Core::Reason& reason)
+{
+    HTTP::Request message { "POST", "/a/b", std::move(headers), "body" };
+    return makeCodec().decodeRequest(std::move(message), Core::Deadline::after(std::chrono::seconds(60)), reason);
+}
+
+static HTTP::Headers minimal()
+{
+    return { { "Host", "a.example" }, { "X-Attempt-Id", "r1" } };
+}
+
+// Guards against a caller that sets what only the daemon may set, or that has its key passed on.
+Test(Codec, daemonHeadersOfCallersAreDropped)
+{
+    HTTP::Headers headers = minimal();
+    for (const char* name : { "X-Tenant", "x-expect-instance", "X-Request-Urgency", "X-Expect-Version", "X-Hold", "X-Pin-Ms", "X-Kv-Backup", "Kv-From", "Kv-Fetch" })
+        headers.push_back({ name, "forged" });
+    headers.push_back({ "Authorization", "Bearer secret" });
+    headers.push_back({ "X-Length-Hint", "40" });
+    Core::Reason reason;
+    std::optional<Relay::CallerRequest> request = decode(headers, reason);
+    cr_assert_eq(request->key.value(), "secret");
+    Relay::Dispatch dispatch;
+    dispatch.endpointId = "i-1";
+    dispatch.workspace = "w";
+    dispatch.deadline = Core::Deadline::after(std::chrono::seconds(1));
+    HTTP::Request sent = makeCodec().encodeDispatch(*request, dispatch);
+    for (const HTTP::Header& header : sent.headers)
+        cr_assert(header.value.find("forged") == std::string::npos && header.value.find("secret") == std::string::npos, "%s", header.name.c_str());
+    cr_assert_eq(HTTP::findHeader(sent.headers, "X-Tenant").value(), "w");
+    cr_assert_eq(HTTP::findHeader(sent.headers, "X-Expect-Instance").value(), "i-1");
+    cr_assert_eq(HTTP::findHeader(sent.headers, "X-Length-Hint").value(), "40");
+    cr_assert_eq(HTTP::findHeader(sent.headers, "X-Attempt-Id").value(), "r1");
+}
+
+// Guards against headers of one connection travelling on, and against a caller having its identity dropped with them.
+Test(Codec, connectionHeadersStayOnTheirConnection)
+{
+    HTTP::Headers headers = minimal();
+    headers.push_back({ "Connection", "keep-alive, X-Private, X-Attempt-Id" });
+    headers.push_back({ "X-Private", "1" });
+    headers.push_back({ "Keep-Alive", "timeout=4" });
+    headers.push_back({ "Transfer-Encoding", "chunked" });
+    Core::Reason reason;
+    HTTP::Headers kept = decode(headers, reason)->message.headers;
+    cr_assert_eq(kept.size(), 2);
+    cr_assert_eq(HTTP::findHeader(kept, "X-Attempt-Id").value(), "r1");
+}
+
+// Guards against malformed numbers being taken for zero.
+Test(Codec, malformedNumbersAreRefused)
+{
+    Core::Reason reason;
+    for (const HTTP::Header& bad : { HTTP::Header { "X-Deadline-Ms", "12x" }, HTTP::Header { "X-Deadline-Ms", "-1" }, HTTP::Header { "X-Token-Counts", "5" },
+             HTTP::Header { "X-Token-Counts", "5,-2" }, HTTP::Header { "X-Token-Counts", "a,b" } }) {
+        HTTP::Headers headers = minimal();
+        headers.push_back(bad);
+        cr_assert_not(decode(headers, reason), "%s: %s", bad.name.c_str(), bad.value.c_str());
+        cr_assert_eq(reason.kind, Core::FailureKind::Invalid);
+    }
+    cr_assert_not(decode({ { "Host", "a" } }, reason));
+}
+
+// Guards against tokens, prompt parts and the last event being misread.
+Test(Codec, requestFieldsAreDecoded)
+{
+    HTTP::Headers headers = minimal();
+    headers.push_back({ "X-Token-Counts", "1460, 80" });
+    headers.push_back({ "X-Prompt-Prefix", "5c1e:800,91bd:410, e440:250" });
+    headers.push_back({ "Last-Event-Id", "12" });
+    Core::Reason reason;
+    std::optional<Relay::CallerRequest> request = decode(headers, reason);
+    cr_assert(request->tokens == (Relay::TokenDemand { 1'460, 80 }));
+    cr_assert_eq(request->promptParts.size(), 3);
+    cr_assert(request->promptParts[2] == (Relay::PromptPart { "e440", 250 }));
+    cr_assert_eq(request->lastEvent.value(), 12);
+}
+
+// Guards against entries of other writers naming an endpoint to use, and against an exception for any of them.
+Test(EndpointDecoder, foreignEntriesNameNoEndpoint)
+{
+    Core::Reason reason;
+    const std::string good = R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1","slots":64,"state":"ready","born":17})";
+    std::optional<Relay::Endpoint> endpoint = decodeEndpoint("servers/i-1", good, reason);
+    cr_assert(endpoint, "%s", reason.text().c_str());
+    cr_assert_eq(endpoint->id, "i-1");
+    cr_assert_eq(endpoint->startedAtMs, 17);
+    for (const char* bad : { "", "[]", "null", "7", "{}", R"({"service":"s"})", R"({"service":5,"address":"10.0.0.9:80","zone":"z","slots":64,"state":"ready"})",
+             R"({"service":"s","address":"nowhere","zone":"z","slots":64,"state":"ready"})", R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":"64","state":"ready"})",
+             R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":64,"state":"resting"})",
+             R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":64,"state":"ready","born":1.5})" })
+        cr_assert_not(decodeEndpoint("servers/i-1", bad, reason), "%s", bad);
+}
+
+static const char* const configurationText = R"({"version":7,"routes":[{"name":"r","host":"h","path-prefix":"/p/","route-kind":"streaming","timeout-ms":12000,
+    "goal-ms":1200,"priority":1,"split":[{"service":"a","weight":90},{"service":"b","weight":10}],"attempts":2,"public":false,"resumable":true}],
+    "services":[{"name":"a","max-conns":370,"engine":{"slots":64,"kv-capacity":444995,"stride":7}},{"name":"b","max-conns":110}],
+    "limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},
+    "tenants":[{"name":"w","api-keys":["k1","k2"],"priority":1,"reserved":3065507}]})";
+
+// Guards against a field of the wire landing in another one of the product.
+Test(ConfigurationDecoder, decodesEveryPart)
+{
+    Core::Reason reason;
+    std::optional<Relay::Configuration> configuration = decodeConfiguration(configurationText, reason);
+    cr_assert(configuration, "%s", reason.text().c_str());
+    const Relay::Route* route = configuration->findRoute("h", "/p/x");
+    cr_assert(route->isStream && route->isResumable && !route->isRepeatable && route->mayRunAgain());
+    cr_assert_eq(route->timeoutMs, 12'000);
+    cr_assert_eq(route->split.size(), 2);
+    cr_assert_eq(configuration->findService("a")->engine->tokensPerEvent, 7);
+    cr_assert_not(configuration->findService("b")->engine.has_value());
+    cr_assert_eq(configuration->findWorkspace("k2")->budget.value(), 3'065'507);
+    cr_assert(configuration->requiresKeys());
+    cr_assert_eq(configuration->callerLimits().idleTimeoutMs, 15'000);
+}
+
+// Guards against any damaged bytes ending the process.
+Test(Decoders, damagedBytesNeverThrow)
+{
+    std::mt19937_64 random(3);
+    Core::Reason reason;
+    for (int round = 0; round < 3'000; ++round) {
+        std::string text = configurationText;
+        for (uint64_t i = 0, count = 1 + random() % 4; i < count; ++i) {
+            size_t at = random() % text.size();
+            if (random() % 2)
+                text[at] = static_cast<char>(random());
+            else
+                text.erase(at, 1 + random() % 20);
+        }
+        decodeConfiguration(text, reason);
+        decodeEndpoint("servers/x", text, reason);
+    }
+}
--- /dev/null
+++ b/Tests/PlatformAdapter/TestStore.cpp
@@ -0,0 +1,99 @@
+#include "LibHTTP/Server.h"
+#include "PlatformAdapter/Adapter.h"
+#include "RunTask.h"
+
+// A stand-in of the platform's store that answers as each test says.
+struct StoreFixture {
+    boost::asio::io_context context;
+    std::function<HTTP::Response(const HTTP::Request&)> answer;
+    std::vector<HTTP::Request> requests;
+    bool losesAnswers { false };
+    HTTP::Server server { context.get_executor(), [this](HTTP::Request request, HTTP::ResponseWriter& writer) -> Core::Task<void> {
+                             requests.push_back(request);
+                             Core::Reason ignored;
+                             if (losesAnswers)
+                                 writer.abort();
+                             else
+                                 co_await writer.send(answer(request), ignored);
+                         } };
+    Platform::ObjectStore store;
+    Core::Reason reason;
+
+    StoreFixture()
+    {
+        Core::Address address = server.listen({ "127.0.0.1", 0 }, reason).value();
+        store = PlatformAdapter::makeStore(std::make_shared<HTTP::Client>(context.get_executor()), address);
+    }
+
+    static Core::Deadline soon() { return Core::Deadline::after(std::chrono::seconds(10)); }
+};
+
+static const char* const object = R"({"metadata":{"name":"a","revision":41,"created":9,"finalizers":[],"deleting":false},"spec":{"x":1},"status":null})";
+
+// Guards against the meaning of the store's answers being confused: what was refused had no effect, what was lost may have.
+Test(Store, statusesMapToFailureKinds)
+{
+    StoreFixture fixture;
+    std::map<unsigned, Core::FailureKind> kinds { { 404, Core::FailureKind::Conflict }, { 409, Core::FailureKind::Conflict }, { 429, Core::FailureKind::RateLimited },
+        { 503, Core::FailureKind::Unavailable }, { 500, Core::FailureKind::OutcomeUnknown }, { 403, Core::FailureKind::Refused } };
+    for (const auto& [status, kind] : kinds) {
+        fixture.answer = [status = status](const HTTP::Request&) { return HTTP::Response { status, {}, object }; };
+        cr_assert_not(TestSupport::runTask(fixture.context, fixture.store.put("k/a", "1", 5, fixture.soon(), fixture.reason)));
+        cr_assert_eq(fixture.reason.kind, kind, "status %u", status);
+    }
+    fixture.answer = [](const HTTP::Request&) { return HTTP::Response { 410, {}, "" }; };
+    cr_assert_not(TestSupport::runTask(fixture.context, fixture.store.watch("k/", 5, Core::Deadline::after(std::chrono::milliseconds(50)), fixture.reason)));
+    cr_assert_eq(fixture.reason.kind, Core::FailureKind::NotFound);
+}
+
+// Guards against a write whose answer was lost being taken as not done.
+Test(Store, lostAnswerOfAWriteIsUnknown)
+{
+    StoreFixture fixture;
+    fixture.losesAnswers = true;
+    cr_assert_not(TestSupport::runTask(fixture.context, fixture.store.put("k/a", "1", 5, fixture.soon(), fixture.reason)));
+    cr_assert_eq(fixture.reason.kind, Core::FailureKind::OutcomeUnknown);
+    cr_assert_not(TestSupport::runTask(fixture.context, fixture.store.get("k/a", fixture.soon(), fixture.reason)));
+    cr_assert_eq(fixture.reason.kind, Core::FailureKind::Unavailable);
+}
+
+// Guards against an unconditional write.
+Test(Store, writesAreConditional)
+{
+    StoreFixture fixture;
+    fixture.answer = [](const HTTP::Request&) { return HTTP::Response { 200, {}, object }; };
+    cr_assert_eq(TestSupport::runTask(fixture.context, fixture.store.put("k/a", "{\"x\":1}", 40, fixture.soon(), fixture.reason)).value(), 41);
+    cr_assert_eq(fixture.requests[0].method, "PUT");
+    cr_assert(fixture.requests[0].body.find("\"revision\":40") != std::string::npos);
+    TestSupport::runTask(fixture.context, fixture.store.put("k/a", "{\"x\":1}", 0, fixture.soon(), fixture.reason));
+    cr_assert_eq(fixture.requests[1].method, "POST");
+    cr_assert_eq(fixture.requests[1].target, "/jujuberelay/objects/k");
+}
+
+// Guards against a listing that ends at its first page or begins its watch too late.
+Test(Store, listsAllPagesAndWatchesFromTheFirst)
+{
+    StoreFixture fixture;
+    fixture.answer = [](const HTTP::Request& request) {
+        bool isFirst = request.target.find("after=") == std::string::npos;
+        std::string item = isFirst ? object : R"({"metadata":{"name":"b","revision":60},"spec":2})";
+        return HTTP::Response { 200, {}, R"({"items":[)" + item + R"(],"more-pages":)" + (isFirst ? "true" : "false") + R"(,"as-of":)" + (isFirst ? "50" : "70") + "}" };
+    };
+    std::optional<Platform::Listing> listing = TestSupport::runTask(fixture.context, fixture.store.list("k/", fixture.soon(), fixture.reason));
+    cr_assert_eq(listing->objects.size(), 2);
+    cr_assert_eq(listing->objects[1].name, "k/b");
+    cr_assert_eq(listing->revision, 50);
+}
+
+// Guards against foreign or damaged answers of the store ending the process.
+Test(Store, damagedAnswersAreFailures)
+{
+    StoreFixture fixture;
+    for (const char* body : { "", "[]", "7", "{\"items\":7}", "{\"items\":[7,{}]}", "{\"metadata\":[]}", "not json" }) {
+        fixture.answer = [body](const HTTP::Request&) { return HTTP::Response { 200, {}, body }; };
+        cr_assert_not(TestSupport::runTask(fixture.context, fixture.store.get("k/a", fixture.soon(), fixture.reason)), "%s", body);
+        cr_assert_not(TestSupport::runTask(fixture.context, fixture.store.put("k/a", "1", 5, fixture.soon(), fixture.reason)), "%s", body);
+        TestSupport::runTask(fixture.context, fixture.store.list("k/", fixture.soon(), fixture.reason));
+        TestSupport::runTask(fixture.context, fixture.store.watch("k/", 1, Core::Deadline::after(std::chrono::milliseconds(10)), fixture.reason));
+    }
+}
