Allocators hand out tokens without a store write for each

The daemon that is first in rendezvous order for a ledger shard now keeps 2 s of the others' demand and hands it over by a call; rows may go below 0 where handed tokens are returned. Failed changes pause, and peers are not asked again at once when none has the store.

--- a/Libraries/LibRelay/include/LibRelay/BudgetKeeper.h
+++ b/Libraries/LibRelay/include/LibRelay/BudgetKeeper.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibCore/Address.h"
 #include "LibCore/Async.h"
 #include "LibRelay/WorkspaceLedger.h"
 #include <functional>
@@ -16,8 +17,13 @@
     double reserveShare { 0.6 };
     // Time that a request waits for other requests to settle before it is refused as over budget.
     int64_t exhaustedWaitMs { 250 };
-    // Time for one change of a grant.
+    // Seconds of the other daemons' demand that an allocator keeps granted ahead.
+    double poolSeconds { 2 };
+    // Time for one change of a grant, and for another daemon to hand over tokens.
     int64_t changeTimeoutMs { 1'500 };
+    int64_t transferTimeoutMs { 350 };
+    // Pause after a change that failed.
+    int64_t failurePauseMs { 250 };
 };
 
 enum class HoldResult {
@@ -28,14 +34,20 @@
     Unavailable,
 };
 
-// Changes this daemon's grant; see LedgerWriter::submit.
-using SubmitChange = std::function<Core::Task<std::optional<GrantState>>(GrantChange, bool isUrgent, Core::Deadline, Core::Reason&)>;
+struct BudgetHooks {
+    // Changes this daemon's row in the ledger; see LedgerWriter::submit.
+    std::function<Core::Task<std::optional<GrantState>>(GrantChange, bool isUrgent, Core::Deadline, Core::Reason&)> submit;
+    // The daemon that hands out the workspace's tokens; none: this one takes them from the ledger.
+    std::function<std::optional<Core::Address>(const std::string& workspace)> allocatorOf;
+    // Asks it. Unavailable: nothing was sent.
+    std::function<Core::Task<std::optional<TransferReply>>(Core::Address, TransferRequest, Core::Deadline, Core::Reason&)> transfer;
+};
 
 // One daemon's grants from the budgets of all workspaces. A hold covers a request at its most; settling it frees what the
 // request did not use.
 class BudgetKeeper {
 public:
-    BudgetKeeper(const boost::asio::any_io_executor&, SubmitChange, BudgetSettings);
+    BudgetKeeper(const boost::asio::any_io_executor&, BudgetHooks, BudgetSettings);
 
     // No grant can be taken before the incarnation is known.
     void setIncarnation(uint64_t);
@@ -54,11 +66,39 @@
     Core::Task<void> maintain();
     void stop() { m_isStopping = true; }
 
-    // Daemons that hold grants, as far as the ledgers show.
-    size_t knownDaemons() const { return m_knownDaemons; }
+    // Hands tokens of this daemon's grant to another daemon, or takes them back.
+    Core::Task<std::optional<TransferReply>> transfer(TransferRequest, Core::Deadline, Core::Reason&);
+
+    // Daemons that share the budgets.
+    void setDaemons(size_t daemons) { m_daemons = daemons; }
+    size_t daemons() const { return m_daemons; }
     std::string describe(const std::string& workspace) const;
 
 private:
+    // Average of a number of tokens a second.
+    class Rate {
+    public:
+        void add(Tokens);
+        double perSecond() const;
+
+    private:
+        double m_rate { 0 };
+        Core::SteadyClock::time_point m_at {};
+    };
+
+    // A transfer whose answer was lost.
+    struct PendingTransfer {
+        Core::Address allocator;
+        TransferRequest request;
+    };
+
+    // The last transfer to a daemon.
+    struct ServedTransfer {
+        uint64_t incarnation { 0 };
+        uint64_t sequence { 0 };
+        Tokens tokens { 0 };
+    };
+
     struct Account {
         explicit Account(const boost::asio::any_io_executor& executor)
             : changed(executor)
@@ -67,9 +107,14 @@
         std::string workspace;
         uint64_t configurationVersion { 0 };
         std::optional<Tokens> budget;
-        // The answer to the last change and the time at which it was asked for.
-        std::optional<GrantState> state;
-        Core::SteadyClock::time_point stateAt {};
+        // This process's row after its last change.
+        std::optional<GrantState> row;
+        // What is left of the budget and what all daemons hold, as last heard, and when that was asked for.
+        std::optional<Tokens> remaining;
+        Tokens grantedToAll { 0 };
+        Core::SteadyClock::time_point heardAt {};
+        // Tokens that other daemons handed to this one, less those handed to others.
+        Tokens transferred { 0 };
         // Tokens whose return is on its way.
         Tokens returning { 0 };
         Tokens spent { 0 };
@@ -77,35 +122,45 @@
         // Tokens that waiting requests need, in sum and each.
         Tokens wanted { 0 };
         std::multiset<Tokens> waiting;
-        // Held tokens a second, averaged.
-        double demandRate { 0 };
+        Rate demand;
+        // Demand of other daemons.
+        Rate pool;
         Tokens largestHold { 0 };
-        Core::SteadyClock::time_point demandAt {};
         bool isChanging { false };
+        Core::Deadline pausedUntil { Core::SteadyClock::time_point {} };
+        uint64_t transfers { 0 };
+        std::optional<PendingTransfer> pending;
+        std::map<std::string, ServedTransfer> served;
         std::optional<Core::Reason> lastFailure;
         Core::Signal changed;
 
-        Tokens granted() const { return state ? state->granted : 0; }
+        Tokens granted() const { return (row ? row->granted : 0) + transferred; }
         Tokens available() const { return granted() - returning - spent - held; }
     };
 
     Account& account(const std::string& workspace);
-    void recordDemand(Account&, Tokens);
+    // Waits until the tokens are available.
+    Core::Task<HoldResult> await(const std::shared_ptr<Account>&, Tokens, Core::Deadline, Core::Reason&);
     Tokens reserveTarget(const Account&) const;
+    Tokens poolTarget(const Account&) const;
     // This daemon's part of what all daemons may keep ahead, by its part of the grants so far.
     double shareOf(const Account&) const;
+    void hear(Account&, Tokens remaining, Tokens grantedToAll, Core::SteadyClock::time_point askedAt);
     void startRefill(const std::shared_ptr<Account>&);
     Core::Task<void> refill(std::shared_ptr<Account>);
     Core::Task<void> giveBack(std::shared_ptr<Account>, Tokens);
-    // Sends one change until it is known whether it took effect.
-    Core::Task<bool> change(Account&, Tokens wanted, Tokens least, bool isUrgent, Core::Reason&);
+    // Changes the row until it is known whether the change took effect.
+    Core::Task<bool> changeRow(Account&, Tokens wanted, Tokens least, bool isUrgent, Core::Reason&);
+    // Asks the allocator for tokens, or gives them back; empty when it did not answer or there is no other daemon to ask.
+    Core::Task<std::optional<Tokens>> askAllocator(Account&, Tokens wanted, Tokens least, Core::Reason&);
 
     boost::asio::any_io_executor m_executor;
-    SubmitChange m_submit;
+    BudgetHooks m_hooks;
     BudgetSettings m_settings;
     std::optional<uint64_t> m_incarnation;
     std::map<std::string, std::shared_ptr<Account>> m_accounts;
-    size_t m_knownDaemons { 1 };
+    size_t m_daemons { 1 };
+    bool m_isReturning { false };
     bool m_isStopping { false };
 };
 
--- a/Libraries/LibRelay/include/LibRelay/PeerStore.h
+++ b/Libraries/LibRelay/include/LibRelay/PeerStore.h
@@ -14,6 +14,8 @@
     int64_t peerTimeoutMs { 350 };
     // Peers asked for one call.
     size_t peerTries { 3 };
+    // Time for which no peer is asked after none could help.
+    int64_t helplessMs { 250 };
     // Pause between looks whether the store answers again, and the time for each.
     int64_t probePauseMs { 400 };
     int64_t probeTimeoutMs { 600 };
@@ -64,6 +66,7 @@
     std::vector<Core::Address> m_peers;
     // The peer that answered last.
     std::optional<Core::Address> m_helper;
+    Core::Deadline m_helplessUntil { Core::SteadyClock::time_point {} };
     int m_failures { 0 };
     bool m_isLost { false };
     bool m_isStopping { false };
--- a/Libraries/LibRelay/include/LibRelay/WorkspaceLedger.h
+++ b/Libraries/LibRelay/include/LibRelay/WorkspaceLedger.h
@@ -14,7 +14,8 @@
     uint64_t incarnation { 0 };
     // Number of the changes to this row by this incarnation; makes a change that is sent again take effect once.
     uint64_t sequence { 0 };
-    // Tokens granted less tokens returned. All of it counts as spent.
+    // Tokens granted less tokens returned; below 0 where a daemon returned what others had handed to it. The sum over
+    // all rows counts as spent.
     Tokens granted { 0 };
     bool operator==(const LedgerRow&) const = default;
 };
@@ -47,10 +48,32 @@
     Tokens remaining { 0 };
     // Granted to all daemons that have a row.
     Tokens grantedToAll { 0 };
-    uint64_t daemons { 0 };
     bool operator==(const GrantState&) const = default;
 };
 
+// A daemon's request for tokens of another daemon's grant.
+struct TransferRequest {
+    std::string workspace;
+    std::string host;
+    uint64_t incarnation { 0 };
+    // Counts the requests of a daemon; one that is sent again after a lost answer gets the same answer.
+    uint64_t sequence { 0 };
+    // Tokens to hand over, or below 0 to take back.
+    Tokens wanted { 0 };
+    // Fewest tokens that are of use.
+    Tokens least { 0 };
+    bool operator==(const TransferRequest&) const = default;
+};
+
+struct TransferReply {
+    // Tokens that have changed hands, in the direction that was wanted; 0 when fewer than the least were left.
+    Tokens tokens { 0 };
+    // Tokens of the workspace that are not granted, and those granted to all daemons.
+    Tokens remaining { 0 };
+    Tokens grantedToAll { 0 };
+    bool operator==(const TransferReply&) const = default;
+};
+
 // One workspace's budget. Only conditional writes to the store change it, so the sum of all grants never exceeds the
 // budget.
 struct WorkspaceLedger {
@@ -81,9 +104,9 @@
 std::optional<LedgerShard> decodeShard(const std::string& text, Core::Reason&);
 
 // CBOR messages between daemons.
-std::string encodeChange(const GrantChange&);
-std::optional<GrantChange> decodeChange(const std::string& bytes, Core::Reason&);
-std::string encodeState(const GrantState&);
-std::optional<GrantState> decodeState(const std::string& bytes, Core::Reason&);
+std::string encodeTransfer(const TransferRequest&);
+std::optional<TransferRequest> decodeTransfer(const std::string& bytes, Core::Reason&);
+std::string encodeReply(const TransferReply&);
+std::optional<TransferReply> decodeReply(const std::string& bytes, Core::Reason&);
 
 }
--- a/Libraries/LibRelay/src/BudgetKeeper.cpp
+++ b/Libraries/LibRelay/src/BudgetKeeper.cpp
@@ -16,12 +16,29 @@
 static constexpr size_t fewestDaemons = 4;
 static constexpr std::chrono::milliseconds retryPause(60);
 static constexpr std::chrono::milliseconds maintenancePause(1'000);
+// Allocators that one change is offered to before the row is changed in the store.
+static constexpr int allocatorTries = 2;
+// Largest part of the remainder that an allocator keeps for other daemons.
+static constexpr double poolShare = 0.1;
 // Below this share of the budget, grants that are not used go back at once.
 static constexpr double scarceShare = 0.25;
 
-BudgetKeeper::BudgetKeeper(const boost::asio::any_io_executor& executor, SubmitChange submit, BudgetSettings settings)
+void BudgetKeeper::Rate::add(Tokens tokens)
+{
+    m_rate = perSecond() + static_cast<double>(tokens) / demandSeconds;
+    m_at = Core::SteadyClock::now();
+}
+
+double BudgetKeeper::Rate::perSecond() const
+{
+    static constexpr double longestSeconds = 60;
+    double elapsed = std::chrono::duration<double>(Core::SteadyClock::now() - m_at).count();
+    return m_rate * std::exp(-std::min(elapsed, longestSeconds) / demandSeconds);
+}
+
+BudgetKeeper::BudgetKeeper(const boost::asio::any_io_executor& executor, BudgetHooks hooks, BudgetSettings settings)
     : m_executor(executor)
-    , m_submit(std::move(submit))
+    , m_hooks(std::move(hooks))
     , m_settings(std::move(settings))
 {
 }
@@ -55,45 +72,61 @@
     }
 }
 
-void BudgetKeeper::recordDemand(Account& account, Tokens tokens)
+void BudgetKeeper::hear(Account& account, Tokens remaining, Tokens grantedToAll, Core::SteadyClock::time_point askedAt)
 {
-    Core::SteadyClock::time_point now = Core::SteadyClock::now();
-    double elapsed = std::chrono::duration<double>(now - account.demandAt).count();
-    double kept = std::exp(-std::min(elapsed, 60.0) / demandSeconds);
-    account.demandRate = account.demandRate * kept + static_cast<double>(tokens) / demandSeconds;
-    account.largestHold = std::max<Tokens>(tokens, static_cast<Tokens>(static_cast<double>(account.largestHold) * kept));
-    account.demandAt = now;
+    account.remaining = remaining;
+    account.grantedToAll = grantedToAll;
+    account.heardAt = askedAt;
 }
 
 Tokens BudgetKeeper::reserveTarget(const Account& account) const
 {
-    if (!account.state)
+    if (!account.remaining)
         return 0;
-    double most = static_cast<double>(account.state->remaining) * m_settings.reserveShare * shareOf(account);
-    double elapsed = std::chrono::duration<double>(Core::SteadyClock::now() - account.demandAt).count();
-    double rate = account.demandRate * std::exp(-std::min(elapsed, 60.0) / demandSeconds);
-    double wished = std::max(rate * m_settings.reserveSeconds, elapsed < demandSeconds ? static_cast<double>(account.largestHold) : 0.0);
+    double most = static_cast<double>(*account.remaining) * m_settings.reserveShare * shareOf(account);
+    double rate = account.demand.perSecond();
+    double wished = std::max(rate * m_settings.reserveSeconds, std::min(rate * demandSeconds * 2, static_cast<double>(account.largestHold)));
     return std::max<Tokens>(0, static_cast<Tokens>(std::min(wished, most)));
 }
 
+Tokens BudgetKeeper::poolTarget(const Account& account) const
+{
+    if (!account.remaining)
+        return 0;
+    double most = static_cast<double>(*account.remaining) * poolShare;
+    return std::max<Tokens>(0, static_cast<Tokens>(std::min(account.pool.perSecond() * m_settings.poolSeconds, most)));
+}
+
 double BudgetKeeper::shareOf(const Account& account) const
 {
-    double equalShare = 1.0 / static_cast<double>(std::max(m_knownDaemons, fewestDaemons));
-    if (account.state->granted <= 0 || account.state->grantedToAll <= 0)
+    double equalShare = 1.0 / static_cast<double>(std::max(m_daemons, fewestDaemons));
+    if (account.granted() <= 0 || account.grantedToAll <= 0)
         return equalShare;
-    double ownShare = static_cast<double>(account.state->granted) / static_cast<double>(account.state->grantedToAll);
-    return (equalShare + ownShare) / 2;
+    double ownShare = static_cast<double>(account.granted()) / static_cast<double>(account.grantedToAll);
+    return (equalShare + std::min(ownShare, 1.0)) / 2;
 }
 
 Core::Task<HoldResult> BudgetKeeper::hold(std::string workspace, Tokens tokens, Deadline deadline, Reason& reason)
 {
-    std::shared_ptr<Account> held = m_accounts[workspace];
-    if (!held || !held->budget)
+    std::shared_ptr<Account> account = m_accounts[workspace];
+    if (!account || !account->budget)
         co_return HoldResult::Granted;
+    account->demand.add(tokens);
+    account->largestHold = std::max<Tokens>(tokens, account->largestHold * 7 / 8);
+    HoldResult result = co_await await(account, tokens, deadline, reason);
+    if (result != HoldResult::Granted)
+        co_return result;
+    account->held += tokens;
+    if (account->available() < (reserveTarget(*account) + poolTarget(*account)) / 2)
+        startRefill(account);
+    co_return HoldResult::Granted;
+}
+
+Core::Task<HoldResult> BudgetKeeper::await(const std::shared_ptr<Account>& held, Tokens tokens, Deadline deadline, Reason& reason)
+{
     Account& account = *held;
-    recordDemand(account, tokens);
-    if (tokens > *account.budget) {
-        reason = { FailureKind::Refused, "hold tokens", workspace, "the request needs " + std::to_string(tokens) + " tokens of a budget of " + std::to_string(*account.budget) };
+    if (tokens > account.budget.value_or(0)) {
+        reason = { FailureKind::Refused, "hold tokens", account.workspace, "the request needs " + std::to_string(tokens) + " tokens of a budget of " + std::to_string(account.budget.value_or(0)) };
         co_return HoldResult::Exhausted;
     }
     if (!m_incarnation) {
@@ -103,10 +136,10 @@
     Deadline exhaustedAt = Deadline::after(std::chrono::milliseconds(m_settings.exhaustedWaitMs));
     Core::SteadyClock::time_point askedAt = Core::SteadyClock::now();
     while (account.available() < tokens) {
-        bool isFresh = account.state && account.stateAt >= askedAt;
-        Tokens reachable = account.state ? account.available() + account.state->remaining : 0;
+        bool isFresh = account.remaining && account.heardAt >= askedAt;
+        Tokens reachable = account.available() + account.remaining.value_or(0);
         if (isFresh && reachable < tokens && (exhaustedAt.hasPassed() || deadline.hasPassed())) {
-            reason = { FailureKind::Refused, "hold tokens", workspace, "needs " + std::to_string(tokens) + " tokens; " + describe(workspace) };
+            reason = { FailureKind::Refused, "hold tokens", account.workspace, "needs " + std::to_string(tokens) + " tokens; " + describe(account.workspace) };
             co_return HoldResult::Exhausted;
         }
         if (deadline.hasPassed()) {
@@ -120,9 +153,6 @@
         account.wanted -= tokens;
         account.waiting.erase(account.waiting.find(tokens));
     }
-    account.held += tokens;
-    if (account.available() < reserveTarget(account) / 2)
-        startRefill(held);
     co_return HoldResult::Granted;
 }
 
@@ -136,42 +166,36 @@
 
 void BudgetKeeper::startRefill(const std::shared_ptr<Account>& account)
 {
-    if (account->isChanging || !m_incarnation)
+    if (account->isChanging || !m_incarnation || !account->pausedUntil.hasPassed())
         return;
     account->isChanging = true;
     Core::spawn(m_executor, "refill grant", refill(account));
 }
 
-Core::Task<bool> BudgetKeeper::change(Account& account, Tokens wanted, Tokens least, bool isUrgent, Reason& reason)
+Core::Task<bool> BudgetKeeper::changeRow(Account& account, Tokens wanted, Tokens least, bool isUrgent, Reason& reason)
 {
-    GrantChange change { account.workspace, m_settings.host, *m_incarnation, (account.state ? account.state->sequence : 0) + 1, wanted, least, 0, 0 };
+    GrantChange change { account.workspace, m_settings.host, *m_incarnation, (account.row ? account.row->sequence : 0) + 1, wanted, least, 0, 0 };
     bool mayBeWritten = false;
     while (!m_isStopping) {
         change.configurationVersion = account.configurationVersion;
         change.budget = account.budget.value_or(0);
         Core::SteadyClock::time_point askedAt = Core::SteadyClock::now();
         std::optional<GrantState> state
-            = co_await m_submit(change, isUrgent, Deadline::after(std::chrono::milliseconds(m_settings.changeTimeoutMs)), reason);
+            = co_await m_hooks.submit(change, isUrgent, Deadline::after(std::chrono::milliseconds(m_settings.changeTimeoutMs)), reason);
         if (state && state->isSuperseded) {
             reason = { FailureKind::Refused, "change grant", "store", "a later process runs on this host" };
             co_return false;
         }
-        // The answer of a writer whose copy is behind says nothing of this daemon's grant.
-        if (state && account.state && state->sequence < account.state->sequence) {
-            reason = { FailureKind::Unavailable, "change grant", "store", "the writer's copy is behind" };
-            state = std::nullopt;
-        }
         if (state) {
-            account.state = *state;
-            account.stateAt = askedAt;
-            m_knownDaemons = std::max<size_t>(m_knownDaemons, state->daemons);
+            account.row = *state;
+            hear(account, state->remaining, state->grantedToAll, askedAt);
             reason = {};
             co_return state->isApplied;
         }
         mayBeWritten = mayBeWritten || reason.kind == FailureKind::OutcomeUnknown;
         account.lastFailure = reason;
         account.changed.notifyAll();
-        // A grant that certainly was not written can be forgotten; any other change is sent again until it is known.
+        // A change that certainly was not written can be forgotten; any other is sent again until it is known.
         if (!mayBeWritten)
             co_return false;
         co_await Core::sleepUntil(Deadline::after(retryPause));
@@ -179,20 +203,59 @@
     co_return false;
 }
 
+Core::Task<std::optional<Tokens>> BudgetKeeper::askAllocator(Account& account, Tokens wanted, Tokens least, Reason& reason)
+{
+    for (int tries = 0; tries < allocatorTries; ++tries) {
+        std::optional<Core::Address> allocator = m_hooks.allocatorOf(account.workspace);
+        if (!allocator)
+            co_return std::nullopt;
+        TransferRequest request { account.workspace, m_settings.host, *m_incarnation, 0, wanted, least };
+        // Tokens that an allocator handed over without its answer arriving are lost unless the same request reaches it.
+        bool isRepeat = account.pending && account.pending->allocator == *allocator && account.pending->request.wanted > 0 && wanted > 0;
+        if (isRepeat)
+            request = account.pending->request;
+        else
+            request.sequence = ++account.transfers;
+        Core::SteadyClock::time_point askedAt = Core::SteadyClock::now();
+        std::optional<TransferReply> reply
+            = co_await m_hooks.transfer(*allocator, request, Deadline::after(std::chrono::milliseconds(m_settings.transferTimeoutMs)), reason);
+        if (reply) {
+            account.pending = std::nullopt;
+            hear(account, reply->remaining, reply->grantedToAll, askedAt);
+            reason = {};
+            co_return reply->tokens;
+        }
+        bool mayBeDone = reason.kind != FailureKind::Unavailable && reason.kind != FailureKind::Refused;
+        if (mayBeDone)
+            account.pending = PendingTransfer { *allocator, request };
+        // What was given back may have arrived; it must not be given back a second time.
+        if (mayBeDone && wanted < 0)
+            co_return wanted;
+    }
+    co_return std::nullopt;
+}
+
 Core::Task<void> BudgetKeeper::refill(std::shared_ptr<Account> held)
 {
     Account& account = *held;
     Reason reason;
     // One waiting request that can go on is better than none.
     Tokens least = account.waiting.empty() ? 0 : *account.waiting.begin() - account.available();
-    Tokens wanted = account.wanted + reserveTarget(account) - account.available();
+    Tokens wanted = account.wanted + reserveTarget(account) + poolTarget(account) - account.available();
     bool isUrgent = account.wanted > 0;
-    if (wanted > 0)
-        co_await change(account, wanted, std::clamp<Tokens>(least, 0, wanted), isUrgent, reason);
+    if (wanted > 0) {
+        least = std::clamp<Tokens>(least, 0, wanted);
+        std::optional<Tokens> handed = co_await askAllocator(account, wanted, least, reason);
+        if (handed)
+            account.transferred += *handed;
+        else
+            co_await changeRow(account, wanted, least, isUrgent, reason);
+    }
     account.isChanging = false;
     account.lastFailure = std::nullopt;
     if (!reason.step.empty()) {
         account.lastFailure = reason;
+        account.pausedUntil = Deadline::after(std::chrono::milliseconds(m_settings.failurePauseMs));
         Core::logEvent(Events::ledgerUnavailable, "workspace=" + account.workspace + " reason=\"" + reason.text() + "\" " + describe(account.workspace));
     }
     account.changed.notifyAll();
@@ -207,14 +270,52 @@
     // The tokens are not available while their return is on its way.
     account.returning = tokens;
     Reason reason;
-    co_await change(account, -tokens, 0, true, reason);
+    std::optional<Tokens> given = co_await askAllocator(account, -tokens, 0, reason);
+    if (given)
+        account.transferred += *given;
+    else
+        co_await changeRow(account, -tokens, 0, true, reason);
     account.returning = 0;
     account.isChanging = false;
     account.changed.notifyAll();
 }
 
+Core::Task<std::optional<TransferReply>> BudgetKeeper::transfer(TransferRequest request, Deadline deadline, Reason& reason)
+{
+    std::shared_ptr<Account> account = m_accounts[request.workspace];
+    if (!account || !account->budget || !m_incarnation || m_isReturning) {
+        reason = { FailureKind::Refused, "transfer tokens", "daemon", "this daemon does not allocate tokens of " + request.workspace + " now" };
+        co_return std::nullopt;
+    }
+    ServedTransfer before = account->served[request.host];
+    bool isRepeat = before.incarnation == request.incarnation && before.sequence >= request.sequence;
+    Tokens tokens = isRepeat && before.sequence == request.sequence ? before.tokens : 0;
+    if (!isRepeat && request.wanted < 0) {
+        tokens = request.wanted;
+        account->transferred -= tokens;
+        account->changed.notifyAll();
+    } else if (!isRepeat) {
+        account->pool.add(request.wanted);
+        Tokens least = std::max<Tokens>(request.least, 1);
+        HoldResult result = co_await await(account, least, deadline, reason);
+        if (result == HoldResult::Unavailable)
+            co_return std::nullopt;
+        if (result == HoldResult::Granted) {
+            tokens = std::min(request.wanted, account->available());
+            account->transferred -= tokens;
+        }
+        if (account->available() < (reserveTarget(*account) + poolTarget(*account)) / 2)
+            startRefill(account);
+    }
+    if (!isRepeat)
+        account->served[request.host] = { request.incarnation, request.sequence, tokens };
+    // Tokens at hand here are as good as those of the ledger.
+    co_return TransferReply { tokens, account->remaining.value_or(0) + std::max<Tokens>(0, account->available()), account->grantedToAll };
+}
+
 Core::Task<void> BudgetKeeper::returnAll(Deadline deadline)
 {
+    m_isReturning = true;
     // All at once, so that the ledger's writer takes them into one write.
     bool isAnyLeft = true;
     while (isAnyLeft && !deadline.hasPassed()) {
@@ -237,12 +338,12 @@
         for (const auto& [name, account] : m_accounts)
             accounts.push_back(account);
         for (const std::shared_ptr<Account>& account : accounts) {
-            if (!account->state || !account->budget || account->isChanging)
+            if (!account->remaining || !account->budget || account->isChanging)
                 continue;
-            bool isScarce = static_cast<double>(account->state->remaining) < scarceShare * static_cast<double>(*account->budget);
-            Tokens surplus = account->available() - 2 * reserveTarget(*account);
-            if (isScarce && surplus > 0)
-                co_await giveBack(account, account->available() - reserveTarget(*account));
+            bool isScarce = static_cast<double>(*account->remaining) < scarceShare * static_cast<double>(*account->budget);
+            Tokens target = reserveTarget(*account) + poolTarget(*account);
+            if (isScarce && account->available() > 2 * target)
+                co_await giveBack(account, account->available() - target);
         }
     }
 }
@@ -255,10 +356,10 @@
     const Account& account = *it->second;
     std::string text = "budget=" + (account.budget ? std::to_string(*account.budget) : "none") + " granted=" + std::to_string(account.granted())
         + " spent=" + std::to_string(account.spent) + " held=" + std::to_string(account.held);
-    if (!account.state)
-        return text + " grant=none";
-    int64_t ageMs = std::chrono::duration_cast<std::chrono::milliseconds>(Core::SteadyClock::now() - account.stateAt).count();
-    return text + " remaining=" + std::to_string(account.state->remaining) + " grant_age_ms=" + std::to_string(ageMs);
+    if (!account.remaining)
+        return text + " remaining=unknown";
+    int64_t ageMs = std::chrono::duration_cast<std::chrono::milliseconds>(Core::SteadyClock::now() - account.heardAt).count();
+    return text + " remaining=" + std::to_string(*account.remaining) + " grant_age_ms=" + std::to_string(ageMs);
 }
 
 }
--- a/Libraries/LibRelay/src/PeerStore.cpp
+++ b/Libraries/LibRelay/src/PeerStore.cpp
@@ -149,6 +149,10 @@
 
 Core::Task<std::optional<std::string>> PeerStore::askPeers(const Call& call, Deadline deadline, Reason& reason)
 {
+    if (!m_helplessUntil.hasPassed()) {
+        reason = { FailureKind::Unavailable, "ask peers for the store", "", "no peer could help a moment ago" };
+        co_return std::nullopt;
+    }
     int64_t waitMs = call.isWatch() ? deadline.remaining().count() : 0;
     std::string body = pack({ { "operation", static_cast<int>(call.operation) }, { "name", call.name }, { "value", call.value },
         { "version", call.version }, { "wait_ms", waitMs } });
@@ -175,6 +179,7 @@
         if (deadline.hasPassed())
             break;
     }
+    m_helplessUntil = Deadline::after(std::chrono::milliseconds(m_settings.helplessMs));
     reason.kind = FailureKind::Unavailable;
     co_return std::nullopt;
 }
--- a/Libraries/LibRelay/src/RequestHandler.cpp
+++ b/Libraries/LibRelay/src/RequestHandler.cpp
@@ -4,7 +4,7 @@
 
 namespace Relay {
 
-// Daemons that are assumed to share the fleet's retries before the ledgers show more.
+// Daemons that are assumed to share the fleet's retries before more have announced themselves.
 static constexpr size_t fewestDaemons = 8;
 
 RequestHandler::RequestHandler(const boost::asio::any_io_executor& executor, WireCodec codec, HandlerHooks hooks, HandlerSettings settings,
@@ -30,7 +30,7 @@
 {
     Routing::RetryBudget& budget = m_retryBudgets.try_emplace(service, Routing::RetryBudgetSettings { m_settings.retryPercent, 0 }).first->second;
     // The number is one for the whole fleet.
-    budget.setMinimum(m_settings.retryExtra / static_cast<int64_t>(std::max(m_budgets.knownDaemons(), fewestDaemons)));
+    budget.setMinimum(m_settings.retryExtra / static_cast<int64_t>(std::max(m_budgets.daemons(), fewestDaemons)));
     return budget;
 }
 
--- a/Libraries/LibRelay/src/WorkspaceLedger.cpp
+++ b/Libraries/LibRelay/src/WorkspaceLedger.cpp
@@ -23,7 +23,6 @@
     GrantState state;
     state.isApplied = isApplied;
     state.remaining = remaining();
-    state.daemons = rows.size();
     for (const auto& [name, row] : rows)
         state.grantedToAll += row.granted;
     auto own = rows.find(host);
@@ -113,46 +112,39 @@
     return std::nullopt;
 }
 
-std::string encodeChange(const GrantChange& change)
+std::string encodeTransfer(const TransferRequest& request)
 {
-    return pack({ { "workspace", change.workspace }, { "host", change.host }, { "incarnation", change.incarnation }, { "sequence", change.sequence },
-        { "wanted", change.wanted }, { "least", change.least }, { "configuration", change.configurationVersion }, { "budget", change.budget } });
+    return pack({ { "workspace", request.workspace }, { "host", request.host }, { "incarnation", request.incarnation }, { "sequence", request.sequence },
+        { "wanted", request.wanted }, { "least", request.least } });
 }
 
-std::optional<GrantChange> decodeChange(const std::string& bytes, Core::Reason& reason)
+std::optional<TransferRequest> decodeTransfer(const std::string& bytes, Core::Reason& reason)
 {
     return unpack(bytes, reason, [](const json& message) {
-        GrantChange change;
-        change.workspace = message.at("workspace").get<std::string>();
-        change.host = message.at("host").get<std::string>();
-        change.incarnation = message.at("incarnation").get<uint64_t>();
-        change.sequence = message.at("sequence").get<uint64_t>();
-        change.wanted = message.at("wanted").get<Tokens>();
-        change.least = message.at("least").get<Tokens>();
-        change.configurationVersion = message.at("configuration").get<uint64_t>();
-        change.budget = message.at("budget").get<Tokens>();
-        return change;
+        TransferRequest request;
+        request.workspace = message.at("workspace").get<std::string>();
+        request.host = message.at("host").get<std::string>();
+        request.incarnation = message.at("incarnation").get<uint64_t>();
+        request.sequence = message.at("sequence").get<uint64_t>();
+        request.wanted = message.at("wanted").get<Tokens>();
+        request.least = message.at("least").get<Tokens>();
+        return request;
     });
 }
 
-std::string encodeState(const GrantState& state)
+std::string encodeReply(const TransferReply& reply)
 {
-    return pack({ { "applied", state.isApplied }, { "superseded", state.isSuperseded }, { "sequence", state.sequence }, { "granted", state.granted }, { "remaining", state.remaining },
-        { "granted_to_all", state.grantedToAll }, { "daemons", state.daemons } });
+    return pack({ { "tokens", reply.tokens }, { "remaining", reply.remaining }, { "granted_to_all", reply.grantedToAll } });
 }
 
-std::optional<GrantState> decodeState(const std::string& bytes, Core::Reason& reason)
+std::optional<TransferReply> decodeReply(const std::string& bytes, Core::Reason& reason)
 {
     return unpack(bytes, reason, [](const json& message) {
-        GrantState state;
-        state.isApplied = message.at("applied").get<bool>();
-        state.isSuperseded = message.at("superseded").get<bool>();
-        state.sequence = message.at("sequence").get<uint64_t>();
-        state.granted = message.at("granted").get<Tokens>();
-        state.remaining = message.at("remaining").get<Tokens>();
-        state.grantedToAll = message.at("granted_to_all").get<Tokens>();
-        state.daemons = message.at("daemons").get<uint64_t>();
-        return state;
+        TransferReply reply;
+        reply.tokens = message.at("tokens").get<Tokens>();
+        reply.remaining = message.at("remaining").get<Tokens>();
+        reply.grantedToAll = message.at("granted_to_all").get<Tokens>();
+        return reply;
     });
 }
 
--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -20,8 +20,9 @@
 static constexpr std::chrono::milliseconds refreshTimeout(500);
 // The type of calls between daemons that ask for the store.
 static constexpr const char* storeCall = "store";
-// The type of calls between daemons that change a grant.
-static constexpr const char* grantCall = "grant";
+// The type of calls between daemons that move tokens, and the time that this daemon takes for one.
+static constexpr const char* transferCall = "transfer";
+static constexpr std::chrono::milliseconds transferServiceTime(300);
 static constexpr int64_t retryAfterStartMs = 500;
 
 static Relay::HandlerSettings handlerSettingsOf(const RelaySettings& settings)
@@ -52,15 +53,13 @@
     , m_peerStore(executor, PlatformAdapter::makeStore(m_client, m_settings.storeAddress), Relay::PeerDirectory::nameOf(m_settings.host), {}, makePeerStoreHooks())
     , m_store(m_peerStore.hooks())
     , m_peers(m_store, m_settings.host, m_settings.peerAddress, makePeerHooks())
-    , m_grants(executor, m_store, m_settings.peerAddress, peerCall(grantCall), {})
+    , m_grants(executor, m_store, m_settings.peerAddress, {})
     , m_endpoints([this](const Relay::Endpoint& endpoint, const char* why) {
         m_selector.forget(endpoint.id);
         Core::logEvent(RelayEvents::endpointRemoved, "endpoint=" + endpoint.id + " service=" + endpoint.service + " reason=\"" + why + "\"");
     })
     , m_selector(m_endpoints, m_settings.failureDomain)
-    , m_budgets(
-          executor, [this](Relay::GrantChange change, bool isUrgent, Deadline deadline, Reason& reason) { return m_grants.submit(std::move(change), isUrgent, deadline, reason); },
-          { m_settings.host })
+    , m_budgets(executor, makeBudgetHooks(), { m_settings.host })
     , m_configurationFollower(executor, m_store, PlatformAdapter::configurationPrefix, {}, makeConfigurationHooks())
     , m_endpointFollower(executor, m_store, PlatformAdapter::endpointPrefix, {}, makeEndpointHooks())
     , m_handler(executor, PlatformAdapter::makeCodec(), makeHandlerHooks(), handlerSettingsOf(m_settings), m_client, m_selector, m_budgets, m_metrics)
@@ -81,7 +80,7 @@
 bool RelayDaemon::start(Reason& reason)
 {
     m_network.onCall(storeCall, [this](Peer::Identity, std::string body, Reason& failure) { return m_peerStore.serve(std::move(body), failure); });
-    m_network.onCall(grantCall, [this](Peer::Identity, std::string body, Reason& failure) { return m_grants.serve(std::move(body), failure); });
+    m_network.onCall(transferCall, [this](Peer::Identity, std::string body, Reason& failure) { return serveTransfer(std::move(body), failure); });
     if (!m_network.listen(reason) || !m_callerServer.listen(m_settings.callerAddress, reason) || !m_readinessServer.listen(m_settings.readinessAddress, reason)
         || !m_metricsServer.listen(m_settings.metricsAddress, reason))
         return false;
@@ -94,11 +93,38 @@
     return true;
 }
 
-Relay::CallPeer RelayDaemon::peerCall(const char* type)
+Relay::BudgetHooks RelayDaemon::makeBudgetHooks()
 {
-    return [this, type](Core::Address peer, std::string body, Deadline deadline, Reason& reason) {
-        return m_network.call(std::move(peer), type, std::move(body), deadline, reason);
+    Relay::BudgetHooks hooks;
+    hooks.submit = [this](Relay::GrantChange change, bool isUrgent, Deadline deadline, Reason& reason) {
+        return m_grants.submit(std::move(change), isUrgent, deadline, reason);
     };
+    hooks.allocatorOf = [this](const std::string& workspace) { return m_grants.allocatorOf(workspace); };
+    hooks.transfer = [this](Core::Address allocator, Relay::TransferRequest request, Deadline deadline, Reason& reason) {
+        return askForTransfer(std::move(allocator), std::move(request), deadline, reason);
+    };
+    return hooks;
+}
+
+Core::Task<std::optional<Relay::TransferReply>> RelayDaemon::askForTransfer(Core::Address allocator, Relay::TransferRequest request, Deadline deadline, Reason& reason)
+{
+    std::optional<std::string> answer = co_await m_network.call(allocator, transferCall, Relay::encodeTransfer(request), deadline, reason);
+    if (!answer) {
+        m_grants.suspect(allocator);
+        co_return std::nullopt;
+    }
+    co_return Relay::decodeReply(*answer, reason);
+}
+
+Core::Task<std::optional<std::string>> RelayDaemon::serveTransfer(std::string body, Reason& reason)
+{
+    std::optional<Relay::TransferRequest> request = Relay::decodeTransfer(body, reason);
+    if (!request)
+        co_return std::nullopt;
+    std::optional<Relay::TransferReply> reply = co_await m_budgets.transfer(std::move(*request), Deadline::after(transferServiceTime), reason);
+    if (!reply)
+        co_return std::nullopt;
+    co_return Relay::encodeReply(*reply);
 }
 
 Relay::PeerDirectory::Hooks RelayDaemon::makePeerHooks()
@@ -110,6 +136,7 @@
     };
     hooks.changed = [this](std::vector<Core::Address> peers) {
         m_grants.setPeers(peers);
+        m_budgets.setDaemons(m_grants.daemons());
         m_peerStore.setPeers(std::move(peers));
     };
     return hooks;
@@ -118,7 +145,9 @@
 Relay::PeerStoreHooks RelayDaemon::makePeerStoreHooks()
 {
     Relay::PeerStoreHooks hooks;
-    hooks.callPeer = peerCall(storeCall);
+    hooks.callPeer = [this](Core::Address peer, std::string body, Deadline deadline, Reason& reason) {
+        return m_network.call(std::move(peer), storeCall, std::move(body), deadline, reason);
+    };
     hooks.lost = [this](const Reason& reason) { noteStore("store", true, " reason=\"" + reason.text() + "\""); };
     hooks.regained = [this] { noteStore("store", false, ""); };
     return hooks;
--- a/Services/jujuberelayd/src/RelayDaemon.h
+++ b/Services/jujuberelayd/src/RelayDaemon.h
@@ -28,7 +28,9 @@
     Relay::HandlerHooks makeHandlerHooks();
     Relay::PeerStoreHooks makePeerStoreHooks();
     Relay::PeerDirectory::Hooks makePeerHooks();
-    Relay::CallPeer peerCall(const char* type);
+    Relay::BudgetHooks makeBudgetHooks();
+    Core::Task<std::optional<Relay::TransferReply>> askForTransfer(Core::Address, Relay::TransferRequest, Core::Deadline, Core::Reason&);
+    Core::Task<std::optional<std::string>> serveTransfer(std::string body, Core::Reason&);
     Relay::FollowerHooks makeConfigurationHooks();
     Relay::FollowerHooks makeEndpointHooks();
     void adoptConfiguration(const Platform::Object&);
