--- a/Libraries/LibRelay/include/LibRelay/BudgetKeeper.h
+++ b/Libraries/LibRelay/include/LibRelay/BudgetKeeper.h
@@ -139,8 +139,8 @@
     };
 
     Account& account(const std::string& workspace);
-    // Waits until the tokens are available.
-    Core::Task<HoldResult> await(const std::shared_ptr<Account>&, Tokens, Core::Deadline, Core::Reason&);
+    // Waits until the tokens are available. Until exhaustedAt a remainder that is too small may still grow.
+    Core::Task<HoldResult> await(const std::shared_ptr<Account>&, Tokens, Core::Deadline exhaustedAt, Core::Deadline, Core::Reason&);
     Tokens reserveTarget(const Account&) const;
     Tokens poolTarget(const Account&) const;
     // This daemon's part of what all daemons may keep ahead, by its part of the grants so far.
--- a/Libraries/LibRelay/src/BudgetKeeper.cpp
+++ b/Libraries/LibRelay/src/BudgetKeeper.cpp
@@ -113,7 +113,8 @@
         co_return HoldResult::Granted;
     account->demand.add(tokens);
     account->largestHold = std::max<Tokens>(tokens, account->largestHold * 7 / 8);
-    HoldResult result = co_await await(account, tokens, deadline, reason);
+    Deadline exhaustedAt = Deadline::after(std::chrono::milliseconds(m_settings.exhaustedWaitMs));
+    HoldResult result = co_await await(account, tokens, exhaustedAt, deadline, reason);
     if (result != HoldResult::Granted)
         co_return result;
     account->held += tokens;
@@ -122,7 +123,7 @@
     co_return HoldResult::Granted;
 }
 
-Core::Task<HoldResult> BudgetKeeper::await(const std::shared_ptr<Account>& held, Tokens tokens, Deadline deadline, Reason& reason)
+Core::Task<HoldResult> BudgetKeeper::await(const std::shared_ptr<Account>& held, Tokens tokens, Deadline exhaustedAt, Deadline deadline, Reason& reason)
 {
     Account& account = *held;
     if (tokens > account.budget.value_or(0)) {
@@ -133,7 +134,6 @@
         reason = { FailureKind::Unavailable, "hold tokens", "store", "this daemon is not announced yet" };
         co_return HoldResult::Unavailable;
     }
-    Deadline exhaustedAt = Deadline::after(std::chrono::milliseconds(m_settings.exhaustedWaitMs));
     Core::SteadyClock::time_point askedAt = Core::SteadyClock::now();
     while (account.available() < tokens) {
         bool isFresh = account.remaining && account.heardAt >= askedAt;
@@ -297,7 +297,8 @@
     } else if (!isRepeat) {
         account->pool.add(request.wanted);
         Tokens least = std::max<Tokens>(request.least, 1);
-        HoldResult result = co_await await(account, least, deadline, reason);
+        // The daemon that asks waits for others to settle; it is told at once that the budget is used up.
+        HoldResult result = co_await await(account, least, Deadline::after(std::chrono::milliseconds(0)), deadline, reason);
         if (result == HoldResult::Unavailable)
             co_return std::nullopt;
         if (result == HoldResult::Granted) {
