--- a/Libraries/LibRelay/include/LibRelay/BudgetKeeper.h
+++ b/Libraries/LibRelay/include/LibRelay/BudgetKeeper.h
@@ -59,6 +59,9 @@
     Core::Task<HoldResult> hold(std::string workspace, Tokens, Core::Deadline, Core::Reason&);
     void settle(const std::string& workspace, Tokens held, Tokens used);
 
+    // Hands no tokens to other daemons any more, so that they turn to another allocator before this one is gone.
+    void stopAllocating() { m_isAllocating = false; }
+
     // Returns all tokens that no request holds; to be called when no further request is accepted.
     Core::Task<void> returnAll(Core::Deadline);
 
@@ -160,7 +163,7 @@
     std::optional<uint64_t> m_incarnation;
     std::map<std::string, std::shared_ptr<Account>> m_accounts;
     size_t m_daemons { 1 };
-    bool m_isReturning { false };
+    bool m_isAllocating { true };
     bool m_isStopping { false };
 };
 
--- a/Libraries/LibRelay/src/BudgetKeeper.cpp
+++ b/Libraries/LibRelay/src/BudgetKeeper.cpp
@@ -283,7 +283,7 @@
 Core::Task<std::optional<TransferReply>> BudgetKeeper::transfer(TransferRequest request, Deadline deadline, Reason& reason)
 {
     std::shared_ptr<Account> account = m_accounts[request.workspace];
-    if (!account || !account->budget || !m_incarnation || m_isReturning) {
+    if (!account || !account->budget || !m_incarnation || !m_isAllocating) {
         reason = { FailureKind::Refused, "transfer tokens", "daemon", "this daemon does not allocate tokens of " + request.workspace + " now" };
         co_return std::nullopt;
     }
@@ -316,7 +316,7 @@
 
 Core::Task<void> BudgetKeeper::returnAll(Deadline deadline)
 {
-    m_isReturning = true;
+    stopAllocating();
     // All at once, so that the ledger's writer takes them into one write.
     bool isAnyLeft = true;
     while (isAnyLeft && !deadline.hasPassed()) {
--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -310,6 +310,7 @@
     Deadline limit = Deadline::after(std::chrono::milliseconds(m_settings.stopLimitMs) - returnTime);
     Core::logEvent(RelayEvents::stopping, "active_requests=" + std::to_string(m_callerServer.activeRequests()) + " limit_ms=" + std::to_string(m_settings.stopLimitMs));
     m_callerServer.closeAfterResponses();
+    m_budgets.stopAllocating();
     co_await Core::sleepUntil(std::min(limit, Deadline::after(balancerNoticeTime)));
     m_callerServer.stopAccepting();
     while (m_callerServer.activeRequests() > 0 && !limit.hasPassed())
--- a/Tests/LibRelay/RelayFixture.h
+++ b/Tests/LibRelay/RelayFixture.h
@@ -92,9 +92,7 @@
     Relay::EndpointDirectory directory { {} };
     Relay::EndpointSelector selector { directory, "zone-a" };
     Relay::LedgerWriter writer { context.get_executor(), store.hooks(), "relay-ledgers/shard-0", { 1, 1'000, 0, 1 } };
-    Relay::BudgetKeeper budgets { context.get_executor(),
-        [this](Relay::GrantChange change, bool isUrgent, Core::Deadline deadline, Core::Reason& reason) { return writer.submit(std::move(change), isUrgent, deadline, reason); },
-        { "host", 5, 0.3, 30, 300 } };
+    Relay::BudgetKeeper budgets { context.get_executor(), makeBudgetHooks(), { "host", 5, 0.3, 30, 2, 300, 300, 1 } };
     std::shared_ptr<const Relay::Configuration> configuration { makeConfiguration() };
     bool isStoreAnswering { true };
     std::vector<std::string> rejected;
@@ -126,6 +124,15 @@
         }
     }
 
+    // Takes grants from the ledger itself.
+    Relay::BudgetHooks makeBudgetHooks()
+    {
+        Relay::BudgetHooks hooks;
+        hooks.submit = [this](Relay::GrantChange change, bool isUrgent, Core::Deadline deadline, Core::Reason& reason) { return writer.submit(std::move(change), isUrgent, deadline, reason); };
+        hooks.allocatorOf = [](const std::string&) -> std::optional<Core::Address> { return std::nullopt; };
+        return hooks;
+    }
+
     Relay::HandlerHooks makeHooks()
     {
         Relay::HandlerHooks hooks;
--- a/Tests/LibRelay/TestBudgetKeeper.cpp
+++ b/Tests/LibRelay/TestBudgetKeeper.cpp
@@ -2,6 +2,8 @@
 #include "LibRelay/BudgetKeeper.h"
 #include "LibRelay/LedgerWriter.h"
 #include "RunTask.h"
+#include <array>
+#include <random>
 
 using namespace Relay;
 
@@ -17,18 +19,38 @@
 
 struct Daemon {
     LedgerWriter writer;
+    // The daemon that allocates for this one, if any, and how often its answer is lost.
+    Daemon* allocator { nullptr };
+    int lostAnswers { 0 };
     BudgetKeeper keeper;
 
     Daemon(boost::asio::io_context& context, const Platform::ObjectStore& store, const std::string& host, uint64_t incarnation)
         : writer(context.get_executor(), store, "relay-ledgers/shard-0", { 1, 1'000, 0, 1 })
-        , keeper(
-              context.get_executor(),
-              [this](GrantChange change, bool isUrgent, Core::Deadline deadline, Core::Reason& reason) { return writer.submit(std::move(change), isUrgent, deadline, reason); },
-              { host, 5, 0.3, 30, 300 })
+        , keeper(context.get_executor(), makeHooks(), { host, 5, 0.3, 30, 2, 300, 300, 1 })
     {
         keeper.setIncarnation(incarnation);
         keeper.adopt(makeConfiguration(1, budget));
     }
+
+    BudgetHooks makeHooks()
+    {
+        BudgetHooks hooks;
+        hooks.submit = [this](GrantChange change, bool isUrgent, Core::Deadline deadline, Core::Reason& reason) { return writer.submit(std::move(change), isUrgent, deadline, reason); };
+        hooks.allocatorOf = [this](const std::string&) { return allocator ? std::optional<Core::Address>({ "10.0.0.1", 1 }) : std::nullopt; };
+        hooks.transfer = [this](Core::Address, TransferRequest request, Core::Deadline deadline, Core::Reason& reason) { return ask(std::move(request), deadline, reason); };
+        return hooks;
+    }
+
+    Core::Task<std::optional<TransferReply>> ask(TransferRequest request, Core::Deadline deadline, Core::Reason& reason)
+    {
+        std::optional<TransferReply> reply = co_await allocator->keeper.transfer(std::move(request), deadline, reason);
+        if (reply && lostAnswers > 0) {
+            --lostAnswers;
+            reason = { Core::FailureKind::TimedOut, "ask", "allocator", "lost" };
+            co_return std::nullopt;
+        }
+        co_return reply;
+    }
 };
 
 struct BudgetFixture {
@@ -113,3 +135,80 @@
     Core::Reason reason;
     cr_assert_eq(TestSupport::runTask(context, keeper.hold("w", 10, Core::Deadline::after(std::chrono::seconds(1)), reason)), HoldResult::Unavailable);
 }
+
+// Guards against a write to the store for each request of each daemon.
+Test(BudgetKeeper, allocatorHandsTokensOver)
+{
+    BudgetFixture fixture;
+    fixture.second.allocator = &fixture.first;
+    cr_assert_eq(fixture.hold(fixture.second, 300), HoldResult::Granted);
+    cr_assert_eq(fixture.second.writer.writes(), 0);
+    cr_assert_eq(fixture.hold(fixture.first, 600), HoldResult::Granted);
+    cr_assert_eq(fixture.hold(fixture.second, 200), HoldResult::Exhausted);
+    fixture.first.keeper.settle("w", 600, 100);
+    cr_assert_eq(fixture.hold(fixture.second, 400), HoldResult::Granted);
+}
+
+// Guards against tokens being handed over twice when the answer is lost: the same request gets the same answer.
+Test(BudgetKeeper, lostAnswerOfATransferIsAskedForAgain)
+{
+    BudgetFixture fixture;
+    fixture.second.allocator = &fixture.first;
+    fixture.second.lostAnswers = 1;
+    cr_assert_eq(fixture.hold(fixture.second, 600), HoldResult::Granted);
+    fixture.second.keeper.settle("w", 600, 0);
+    cr_assert_eq(fixture.hold(fixture.second, 600), HoldResult::Granted);
+    cr_assert_eq(fixture.hold(fixture.first, 300), HoldResult::Granted);
+}
+
+// Guards against a daemon that cannot go on when its allocator stops.
+Test(BudgetKeeper, stoppedAllocatorIsPassedOver)
+{
+    BudgetFixture fixture;
+    fixture.second.allocator = &fixture.first;
+    fixture.first.keeper.stopAllocating();
+    cr_assert_eq(fixture.hold(fixture.second, 300), HoldResult::Granted);
+}
+
+// Guards against more tokens held than the budget has, under random holds, settlements, returns, lost answers and store
+// faults, with daemons that take from the ledger and daemons that take from an allocator.
+Test(BudgetKeeper, randomUseNeverExceedsTheBudget)
+{
+    for (uint64_t seed = 1; seed <= 20; ++seed) {
+        std::mt19937_64 random(seed);
+        BudgetFixture fixture;
+        Daemon third(fixture.context, fixture.store.hooks(), "c", 3);
+        fixture.second.allocator = &fixture.first;
+        third.allocator = &fixture.first;
+        std::array<Daemon*, 3> daemons { &fixture.first, &fixture.second, &third };
+        Tokens spent = 0;
+        std::vector<std::pair<Daemon*, Tokens>> holds;
+        Tokens held = 0;
+        for (int step = 0; step < 40; ++step) {
+            Daemon& daemon = *daemons[random() % 3];
+            if (random() % 4 == 0)
+                daemon.lostAnswers = 1;
+            if (random() % 6 == 0)
+                fixture.store.loseReplies(1);
+            if (random() % 8 == 0)
+                daemon.allocator = daemon.allocator || &daemon == &fixture.first ? nullptr : &fixture.first;
+            Tokens tokens = static_cast<Tokens>(random() % 150) + 1;
+            Core::Reason reason;
+            HoldResult result = TestSupport::runTask(
+                fixture.context, daemon.keeper.hold("w", tokens, Core::Deadline::after(std::chrono::milliseconds(60)), reason));
+            if (result == HoldResult::Granted) {
+                holds.emplace_back(&daemon, tokens);
+                held += tokens;
+            }
+            cr_assert_leq(spent + held, budget, "seed %lu", seed);
+            if (!holds.empty() && random() % 2) {
+                size_t pick = random() % holds.size();
+                Tokens used = static_cast<Tokens>(random() % static_cast<uint64_t>(holds[pick].second + 1));
+                holds[pick].first->keeper.settle("w", holds[pick].second, used);
+                spent += used;
+                held -= holds[pick].second;
+                holds.erase(holds.begin() + static_cast<ptrdiff_t>(pick));
+            }
+        }
+    }
+}
--- a/Tests/LibRelay/TestWorkspaceLedger.cpp
+++ b/Tests/LibRelay/TestWorkspaceLedger.cpp
@@ -75,11 +75,11 @@
     shard["v"].apply(makeChange("a", 5, 1, 50));
     Core::Reason reason;
     cr_assert(decodeShard(encodeShard(shard), reason) == shard, "%s", reason.text().c_str());
-    GrantChange change = makeChange("a", 5, 7, -30, 2);
-    cr_assert(decodeChange(encodeChange(change), reason) == change);
-    GrantState state = shard["w"].apply(makeChange("a", 5, 2, 10));
-    cr_assert(decodeState(encodeState(state), reason) == state);
+    TransferRequest request { "w", "a", 5, 7, -30, 2 };
+    cr_assert(decodeTransfer(encodeTransfer(request), reason) == request);
+    TransferReply reply { 4, 900, 100 };
+    cr_assert(decodeReply(encodeReply(reply), reason) == reply);
     cr_assert_not(decodeShard("[1]", reason));
-    cr_assert_not(decodeChange("garbage", reason));
-    cr_assert_not(decodeState(std::string("\xff\x00", 2), reason));
+    cr_assert_not(decodeTransfer("garbage", reason));
+    cr_assert_not(decodeReply(std::string("\xff\x00", 2), reason));
 }
