--- a/Libraries/LibRelay/include/LibRelay/BudgetKeeper.h
+++ b/Libraries/LibRelay/include/LibRelay/BudgetKeeper.h
@@ -142,6 +142,8 @@
     };
 
     Account& account(const std::string& workspace);
+    // Null for a workspace without an account.
+    std::shared_ptr<Account> findAccount(const std::string& workspace) const;
     // Waits until the tokens are available. Until exhaustedAt a remainder that is too small may still grow.
     Core::Task<HoldResult> await(const std::shared_ptr<Account>&, Tokens, Core::Deadline exhaustedAt, Core::Deadline, Core::Reason&);
     Tokens reserveTarget(const Account&) const;
--- a/Libraries/LibRelay/src/BudgetKeeper.cpp
+++ b/Libraries/LibRelay/src/BudgetKeeper.cpp
@@ -53,6 +53,12 @@
     return *account;
 }
 
+std::shared_ptr<BudgetKeeper::Account> BudgetKeeper::findAccount(const std::string& workspace) const
+{
+    auto it = m_accounts.find(workspace);
+    return it == m_accounts.end() ? nullptr : it->second;
+}
+
 void BudgetKeeper::setIncarnation(uint64_t incarnation)
 {
     m_incarnation = incarnation;
@@ -108,7 +114,7 @@
 
 Core::Task<HoldResult> BudgetKeeper::hold(std::string workspace, Tokens tokens, Deadline deadline, Reason& reason)
 {
-    std::shared_ptr<Account> account = m_accounts[workspace];
+    std::shared_ptr<Account> account = findAccount(workspace);
     if (!account || !account->budget)
         co_return HoldResult::Granted;
     account->demand.add(tokens);
@@ -282,7 +288,7 @@
 
 Core::Task<std::optional<TransferReply>> BudgetKeeper::transfer(TransferRequest request, Deadline deadline, Reason& reason)
 {
-    std::shared_ptr<Account> account = m_accounts[request.workspace];
+    std::shared_ptr<Account> account = findAccount(request.workspace);
     if (!account || !account->budget || !m_incarnation || !m_isAllocating) {
         reason = { FailureKind::Refused, "transfer tokens", "daemon", "this daemon does not allocate tokens of " + request.workspace + " now" };
         co_return std::nullopt;
--- a/Tests/LibRelay/TestBudgetKeeper.cpp
+++ b/Tests/LibRelay/TestBudgetKeeper.cpp
@@ -212,3 +212,17 @@
         }
     }
 }
+
+// Guards against a request for a workspace that no configuration has named yet leaving an entry that ends the process.
+Test(BudgetKeeper, unknownWorkspaceLeavesNothingBehind)
+{
+    BudgetFixture fixture;
+    Core::Reason reason;
+    TransferRequest request { "unknown", "b", 2, 1, 10, 1 };
+    cr_assert_not(TestSupport::runTask(fixture.context, fixture.first.keeper.transfer(request, Core::Deadline::after(std::chrono::seconds(1)), reason)));
+    cr_assert_eq(TestSupport::runTask(fixture.context, fixture.first.keeper.hold("other", 10, Core::Deadline::after(std::chrono::seconds(1)), reason)), HoldResult::Granted);
+    TestSupport::runTask(fixture.context, [](BudgetKeeper& keeper) -> Core::Task<bool> {
+        co_await keeper.returnAll(Core::Deadline::after(std::chrono::milliseconds(200)));
+        co_return true;
+    }(fixture.first.keeper));
+}
