--- a/Libraries/LibRelay/include/LibRelay/EndpointSelector.h
+++ b/Libraries/LibRelay/include/LibRelay/EndpointSelector.h
@@ -26,7 +26,7 @@
     // The endpoint for a request, or null when the service has none that may be tried.
     const Endpoint* choose(const SelectionQuery&, Core::SteadyClock::time_point now) const;
 
-    void recordStart(const std::string& endpoint, Tokens promptTokens, Core::SteadyClock::time_point now);
+    void recordStart(const std::string& endpoint, Core::SteadyClock::time_point now);
     // Bytes arrived from the endpoint.
     void recordBytes(const std::string& endpoint, Core::SteadyClock::time_point now);
     enum class End {
@@ -34,7 +34,7 @@
         Failure,
         Neutral,
     };
-    void recordEnd(const std::string& endpoint, Tokens promptTokens, End, Core::SteadyClock::time_point now);
+    void recordEnd(const std::string& endpoint, End, Core::SteadyClock::time_point now);
     // The endpoint refused a request because it is full.
     void recordFull(const std::string& endpoint, Core::SteadyClock::time_point now);
     void forget(const std::string& endpoint);
@@ -46,7 +46,6 @@
 private:
     struct Observed {
         size_t inFlight { 0 };
-        Tokens promptTokens { 0 };
         // Share of recent requests that failed, decaying with time.
         double failures { 0 };
         Core::SteadyClock::time_point failuresAt {};
--- a/Libraries/LibRelay/include/LibRelay/StoreFollower.h
+++ b/Libraries/LibRelay/include/LibRelay/StoreFollower.h
@@ -27,7 +27,7 @@
 // that a store which does not answer or has dropped its history is noticed within the watch time and its margin.
 class StoreFollower {
 public:
-    StoreFollower(const boost::asio::any_io_executor&, Platform::ObjectStore, std::string prefix, FollowerSettings, FollowerHooks);
+    StoreFollower(Platform::ObjectStore, std::string prefix, FollowerSettings, FollowerHooks);
 
     // Follows until stop().
     Core::Task<void> run();
@@ -47,7 +47,6 @@
     void noteLost(const Core::Reason&);
     void noteAnswer(Core::SteadyClock::time_point askedAt);
 
-    boost::asio::any_io_executor m_executor;
     Platform::ObjectStore m_store;
     std::string m_prefix;
     FollowerSettings m_settings;
--- a/Libraries/LibRelay/src/BudgetKeeper.cpp
+++ b/Libraries/LibRelay/src/BudgetKeeper.cpp
@@ -20,8 +20,11 @@
 static constexpr int allocatorTries = 2;
 // Largest part of the remainder that an allocator keeps for other daemons.
 static constexpr double poolShare = 0.1;
-// Below this share of the budget, grants that are not used go back at once.
-static constexpr double scarceShare = 0.25;
+// Below this share of the budget, daemons keep less ahead, the less remains, and unused grants go back: what a daemon that
+// dies has ahead is lost, and near the end of a budget that would be most of it.
+static constexpr double scarceShare = 0.5;
+// Multiple of its target above which a grant goes back when the budget is scarce.
+static constexpr double surplusBound = 1.5;
 
 void BudgetKeeper::Rate::add(Tokens tokens)
 {
@@ -89,7 +92,9 @@
 {
     if (!account.remaining)
         return 0;
-    double most = static_cast<double>(*account.remaining) * m_settings.reserveShare * shareOf(account);
+    double remaining = static_cast<double>(*account.remaining);
+    double plenty = std::clamp(remaining / (scarceShare * static_cast<double>(account.budget.value_or(0)) + 1), 0.0, 1.0);
+    double most = remaining * plenty * m_settings.reserveShare * shareOf(account);
     double rate = account.demand.perSecond();
     double wished = std::max(rate * m_settings.reserveSeconds, std::min(rate * demandSeconds * 2, static_cast<double>(account.largestHold)));
     return std::max<Tokens>(0, static_cast<Tokens>(std::min(wished, most)));
@@ -349,7 +354,7 @@
                 continue;
             bool isScarce = static_cast<double>(*account->remaining) < scarceShare * static_cast<double>(*account->budget);
             Tokens target = reserveTarget(*account) + poolTarget(*account);
-            if (isScarce && account->available() > 2 * target)
+            if (isScarce && static_cast<double>(account->available()) > surplusBound * static_cast<double>(target))
                 co_await giveBack(account, account->available() - target);
         }
     }
--- a/Libraries/LibRelay/src/EndpointSelector.cpp
+++ b/Libraries/LibRelay/src/EndpointSelector.cpp
@@ -20,6 +20,12 @@
 static constexpr std::chrono::milliseconds suspectTime(1'000);
 // An endpoint that refused a request as full is left alone for this long.
 static constexpr std::chrono::milliseconds fullTime(150);
+// Cost of an endpoint in another failure domain, in requests: less than one, so that it decides between equals only.
+static constexpr double otherDomainCost = 0.9;
+// Requests in flight that a full share of failures counts for.
+static constexpr double failureCost = 4;
+// Multiple of the mean that an endpoint may carry besides the slack below.
+static constexpr double affinityBound = 1.5;
 // Requests of this daemon by which an endpoint may exceed the mean before its prompts go to the next in order.
 static constexpr double affinitySlack = 3;
 
@@ -58,9 +64,9 @@
 double EndpointSelector::cost(const Endpoint& endpoint, TimePoint now) const
 {
     const Observed* observed = find(endpoint.id);
-    double cost = observed ? static_cast<double>(observed->inFlight) + 4 * failuresAt(*observed, now) : 0;
+    double cost = observed ? static_cast<double>(observed->inFlight) + failureCost * failuresAt(*observed, now) : 0;
     if (endpoint.failureDomain != m_failureDomain)
-        cost += 0.9;
+        cost += otherDomainCost;
     return cost;
 }
 
@@ -84,7 +90,7 @@
         double total = 0;
         for (const Endpoint* candidate : candidates)
             total += static_cast<double>(inFlight(candidate->id));
-        double bound = affinitySlack + 1.5 * total / static_cast<double>(candidates.size());
+        double bound = affinitySlack + affinityBound * total / static_cast<double>(candidates.size());
         for (const Endpoint* candidate : candidates) {
             if (static_cast<double>(inFlight(candidate->id)) <= bound)
                 return candidate;
@@ -106,13 +112,12 @@
     return observed ? observed->inFlight : 0;
 }
 
-void EndpointSelector::recordStart(const std::string& endpoint, Tokens promptTokens, TimePoint now)
+void EndpointSelector::recordStart(const std::string& endpoint, TimePoint now)
 {
     Observed& observed = m_observed[endpoint];
     if (observed.inFlight == 0)
         observed.lastBytesAt = now;
     ++observed.inFlight;
-    observed.promptTokens += promptTokens;
 }
 
 void EndpointSelector::recordBytes(const std::string& endpoint, TimePoint now)
@@ -120,12 +125,11 @@
     m_observed[endpoint].lastBytesAt = now;
 }
 
-void EndpointSelector::recordEnd(const std::string& endpoint, Tokens promptTokens, End end, TimePoint now)
+void EndpointSelector::recordEnd(const std::string& endpoint, End end, TimePoint now)
 {
     Observed& observed = m_observed[endpoint];
     if (observed.inFlight > 0)
         --observed.inFlight;
-    observed.promptTokens -= promptTokens;
     if (end == End::Neutral)
         return;
     bool failed = end == End::Failure;
--- a/Libraries/LibRelay/src/Run.cpp
+++ b/Libraries/LibRelay/src/Run.cpp
@@ -12,8 +12,6 @@
 
 // Requests that state no deadline and whose route has no time limit end after this time.
 static constexpr std::chrono::milliseconds longestRequest(120'000);
-// Whole answers up to this size are read before they are passed on, so that a broken one can be asked for again.
-static constexpr size_t maxWholeAnswerBytes = 8 * 1024 * 1024;
 // A request waits for a grant at most for this share of its objective.
 static constexpr int64_t grantWaitDivisor = 3;
 static constexpr int64_t shortestGrantWaitMs = 150;
@@ -186,7 +184,7 @@
         if (!mayTryAgain(last))
             break;
     }
-    co_await giveUp(last);
+    co_await giveUp();
 }
 
 Deadline Run::readDeadline() const
@@ -211,7 +209,6 @@
 {
     Core::SteadyClock::time_point now = Core::SteadyClock::now();
     EndpointSelector& selector = m_handler.m_selector;
-    Tokens prompt = m_request.tokens ? m_request.tokens->prompt : 0;
     m_excluded.insert(endpoint.id);
     Dispatch dispatch;
     dispatch.endpointId = endpoint.id;
@@ -235,7 +232,7 @@
     options.isExpected = [this](unsigned status, const HTTP::Headers& headers) {
         return m_handler.m_codec.readMarks(status, headers).requestId == m_request.id;
     };
-    selector.recordStart(endpoint.id, prompt, now);
+    selector.recordStart(endpoint.id, now);
     Core::logEvent(Events::requestSent, "request=" + m_request.id + " endpoint=" + endpoint.id + " service=" + endpoint.service + " in_flight=" + std::to_string(selector.inFlight(endpoint.id)) + " left_ms=" + std::to_string(m_deadline.remaining().count()) + " configuration=" + std::to_string(m_configuration->version()) + " after_event=" + std::to_string(m_lastEvent.value_or(0)) + describeTokens(m_request));
     Reason reason;
     std::optional<std::unique_ptr<HTTP::ResponseStream>> stream = co_await m_handler.m_client->call(
@@ -245,7 +242,7 @@
         co_return outcome;
     }
     bool isOwnEnd = *m_isCallerGone || m_deadline.hasPassed();
-    selector.recordEnd(endpoint.id, prompt, isOwnEnd ? EndpointSelector::End::Neutral : EndpointSelector::End::Failure, Core::SteadyClock::now());
+    selector.recordEnd(endpoint.id, isOwnEnd ? EndpointSelector::End::Neutral : EndpointSelector::End::Failure, Core::SteadyClock::now());
     m_lastFailure = reason.text();
     Core::logEvent(Events::attemptFailed, "request=" + m_request.id + " endpoint=" + endpoint.id + " sent=" + std::to_string(wasSent) + " reason=\"" + reason.text() + "\"");
     if (*m_isCallerGone) {
@@ -255,120 +252,7 @@
     co_return wasSent ? Outcome::Unknown : Outcome::NotRun;
 }
 
-Core::Task<Run::Outcome> Run::readAnswer(const Endpoint& endpoint, std::unique_ptr<HTTP::ResponseStream> stream)
-{
-    EndpointSelector& selector = m_handler.m_selector;
-    Tokens prompt = m_request.tokens ? m_request.tokens->prompt : 0;
-    selector.recordBytes(endpoint.id, Core::SteadyClock::now());
-    ReplyMarks marks = m_handler.m_codec.readMarks(stream->status(), stream->headers());
-    Outcome outcome = Outcome::Unknown;
-    EndpointSelector::End end = EndpointSelector::End::Neutral;
-    if (marks.isNotRun) {
-        --m_possibleRuns;
-        outcome = Outcome::NotRun;
-        m_lastFailure = "endpoint " + endpoint.id + " refused with status " + std::to_string(stream->status());
-        if (stream->status() == 421) {
-            m_handler.m_hooks.rejectEndpoint(endpoint.id);
-        } else {
-            m_wasFull = true;
-            selector.recordFull(endpoint.id, Core::SteadyClock::now());
-        }
-        Reason ignored;
-        co_await stream->readAll(maxWholeAnswerBytes, Deadline::after(std::chrono::milliseconds(50)), ignored);
-    } else if (m_route.isStream && stream->status() / 100 == 2) {
-        outcome = co_await passStream(endpoint, *stream);
-        end = outcome == Outcome::Finished ? EndpointSelector::End::Success : EndpointSelector::End::Failure;
-    } else {
-        bool isFailure = stream->status() >= 500;
-        outcome = co_await passWhole(endpoint, *stream, marks.isSealed);
-        end = outcome == Outcome::Finished && !isFailure ? EndpointSelector::End::Success : EndpointSelector::End::Failure;
-    }
-    if (*m_isCallerGone || m_deadline.hasPassed())
-        end = EndpointSelector::End::Neutral;
-    selector.recordEnd(endpoint.id, prompt, end, Core::SteadyClock::now());
-    if (outcome == Outcome::Finished)
-        co_return outcome;
-    Core::logEvent(Events::attemptFailed, "request=" + m_request.id + " endpoint=" + endpoint.id + " sent=1 not_run=" + std::to_string(marks.isNotRun) + " events=" + std::to_string(m_events) + " reason=\"" + m_lastFailure + "\"");
-    if (*m_isCallerGone) {
-        logEnd("caller_gone", "");
-        co_return Outcome::Finished;
-    }
-    co_return outcome;
-}
-
-Core::Task<Run::Outcome> Run::passWhole(const Endpoint& endpoint, HTTP::ResponseStream& stream, bool isSealed)
-{
-    Reason reason;
-    std::optional<std::string> body = co_await stream.readAll(maxWholeAnswerBytes, m_deadline, reason);
-    if (!body) {
-        m_lastFailure = reason.text();
-        co_return Outcome::Unknown;
-    }
-    if (!isSealed) {
-        m_lastFailure = "endpoint " + endpoint.id + " sent an answer without its seal, status " + std::to_string(stream.status());
-        co_return Outcome::Unknown;
-    }
-    // A failure of the endpoint may be another one's success.
-    if (stream.status() >= 500 && m_route.mayRunAgain() && mayTryAgain(Outcome::Unknown)) {
-        m_lastFailure = "endpoint " + endpoint.id + " failed with status " + std::to_string(stream.status());
-        co_return Outcome::Unknown;
-    }
-    m_firstByteMs = elapsedMs();
-    HTTP::Response response { stream.status(), m_handler.m_codec.callerHeaders(stream.headers()), std::move(*body) };
-    bool isSent = co_await m_writer.send(std::move(response), reason);
-    logEnd(isSent ? "answered" : "caller_gone", "status=" + std::to_string(stream.status()) + " endpoint=" + endpoint.id);
-    co_return Outcome::Finished;
-}
-
-Core::Task<bool> Run::passEvent(const StreamEvent& event, const HTTP::ResponseStream& stream)
-{
-    Reason reason;
-    if (!m_writer.hasStarted()) {
-        m_firstByteMs = elapsedMs();
-        if (!co_await m_writer.startStream(stream.status(), m_handler.m_codec.callerHeaders(stream.headers()), reason))
-            co_return false;
-    }
-    co_return co_await m_writer.writeChunk(event.bytes, reason);
-}
-
-Core::Task<Run::Outcome> Run::passStream(const Endpoint& endpoint, HTTP::ResponseStream& stream)
-{
-    EventStreamReader reader;
-    Reason reason;
-    for (;;) {
-        std::optional<std::string> piece = co_await stream.readSome(readDeadline(), reason);
-        if (!piece) {
-            m_lastFailure = reason.text();
-            co_return Outcome::Unknown;
-        }
-        m_handler.m_selector.recordBytes(endpoint.id, Core::SteadyClock::now());
-        if (piece->empty())
-            break;
-        for (const StreamEvent& event : reader.feed(*piece)) {
-            std::optional<uint64_t> before = m_lastEvent ? m_lastEvent : m_request.lastEvent;
-            if (!event.id || (before && *event.id != *before + 1)) {
-                m_lastFailure = "endpoint " + endpoint.id + " sent event " + (event.id ? std::to_string(*event.id) : "without id") + " after " + std::to_string(before.value_or(0));
-                co_return Outcome::Unknown;
-            }
-            ++m_events;
-            m_lastEvent = event.id;
-            if (!co_await passEvent(event, stream)) {
-                *m_isCallerGone = true;
-                logEnd("caller_gone", "endpoint=" + endpoint.id);
-                co_return Outcome::Finished;
-            }
-        }
-    }
-    if (reader.isInsideEvent() || !m_writer.hasStarted()) {
-        m_lastFailure = "endpoint " + endpoint.id + " ended its stream in the middle of an event";
-        co_return Outcome::Unknown;
-    }
-    bool isSent = co_await m_writer.finishStream(reason);
-    logEnd(isSent ? "answered" : "caller_gone", "status=" + std::to_string(stream.status()) + " endpoint=" + endpoint.id);
-    co_return Outcome::Finished;
-}
-
-Core::Task<void> Run::giveUp(Outcome last)
+Core::Task<void> Run::giveUp()
 {
     if (m_writer.hasStarted()) {
         m_writer.abort();
@@ -380,7 +264,6 @@
         co_await refuse({ isLate ? 504u : 502u, isLate ? "deadline" : "endpoint_failed", m_lastFailure, std::nullopt });
         co_return;
     }
-    (void)last;
     co_await refuse({ 503, m_wasFull ? "overloaded" : "no_endpoint", m_lastFailure, retryAfterFullMs });
 }
 
--- a/Libraries/LibRelay/src/Run.h
+++ b/Libraries/LibRelay/src/Run.h
@@ -40,7 +40,7 @@
     Core::Deadline readDeadline() const;
     bool mayTryAgain(Outcome) const;
     Core::Task<void> refuse(Refusal);
-    Core::Task<void> giveUp(Outcome last);
+    Core::Task<void> giveUp();
     void settleTokens();
     void logEnd(const char* outcome, const std::string& detail);
     int64_t elapsedMs() const;
--- a/Libraries/LibRelay/src/StoreFollower.cpp
+++ b/Libraries/LibRelay/src/StoreFollower.cpp
@@ -6,10 +6,8 @@
 using Core::FailureKind;
 using Core::Reason;
 
-StoreFollower::StoreFollower(
-    const boost::asio::any_io_executor& executor, Platform::ObjectStore store, std::string prefix, FollowerSettings settings, FollowerHooks hooks)
-    : m_executor(executor)
-    , m_store(std::move(store))
+StoreFollower::StoreFollower(Platform::ObjectStore store, std::string prefix, FollowerSettings settings, FollowerHooks hooks)
+    : m_store(std::move(store))
     , m_prefix(std::move(prefix))
     , m_settings(settings)
     , m_hooks(std::move(hooks))
--- a/Tests/LibRelay/TestStoreFollower.cpp
+++ b/Tests/LibRelay/TestStoreFollower.cpp
@@ -10,7 +10,7 @@
     std::map<std::string, std::string> seen;
     int lost { 0 };
     int regained { 0 };
-    StoreFollower follower { context.get_executor(), store.hooks(), "config/", { 20, 500, 1 }, makeHooks() };
+    StoreFollower follower { store.hooks(), "config/", { 20, 500, 1 }, makeHooks() };
 
     FollowerHooks makeHooks()
     {
