Run: no second response inside a stream

Ruled out: framing of events, which were whole. Test RequestHandler.failureOfTheSecondEndpointBreaksTheStream failed with 'bad chunk' before and passes.

--- a/Libraries/LibRelay/src/RunAnswer.cpp
+++ b/Libraries/LibRelay/src/RunAnswer.cpp
@@ -35,6 +35,10 @@
     } else if (m_route.isStream && stream->status() / 100 == 2) {
         outcome = co_await passStream(endpoint, *stream);
         end = outcome == Outcome::Finished ? EndpointSelector::End::Success : EndpointSelector::End::Failure;
+    } else if (m_writer.hasStarted()) {
+        // The caller is in the middle of a stream, into which no other response fits.
+        m_lastFailure = "endpoint " + endpoint.id + " did not go on with the stream, status " + std::to_string(stream->status());
+        end = EndpointSelector::End::Failure;
     } else {
         bool isFailure = stream->status() >= 500;
         outcome = co_await passWhole(endpoint, *stream, marks.isSealed);
--- a/Tests/LibRelay/TestRequestHandler.cpp
+++ b/Tests/LibRelay/TestRequestHandler.cpp
@@ -183,3 +183,33 @@
     Fixture fixture;
     cr_assert_eq(fixture.call({ "GET", "/once/a", {}, "" })->status, 400);
 }
+
+// Guards against a second response being written into a stream when the endpoint that should go on with it fails.
+Test(RequestHandler, failureOfTheSecondEndpointBreaksTheStream)
+{
+    Fixture fixture;
+    fixture.answer = [&fixture](const HTTP::Request& request, HTTP::ResponseWriter& writer) -> Core::Task<void> {
+        Core::Reason reason;
+        if (fixture.arrivals.size() > 1) {
+            co_await send(writer, { 500, sealed(request), "failed" });
+            co_return;
+        }
+        co_await writer.startStream(200, sealed(request), reason);
+        co_await writer.writeChunk("id: 1\ndata: a\n\n", reason);
+        writer.abort();
+    };
+    Core::Reason reason;
+    HTTP::Client caller(fixture.context.get_executor());
+    std::optional<std::unique_ptr<HTTP::ResponseStream>> stream = TestSupport::runTask(
+        fixture.context, caller.open(fixture.address, fixture.makeRequest("/stream/a"), Core::Deadline::after(std::chrono::seconds(20)), reason));
+    std::string received;
+    for (std::optional<std::string> piece = std::string("-"); piece && !piece->empty();) {
+        piece = TestSupport::runTask(fixture.context, (*stream)->readSome(Core::Deadline::after(std::chrono::seconds(20)), reason));
+        received += piece.value_or("");
+    }
+    cr_assert_eq(received, "id: 1\ndata: a\n\n");
+    cr_assert_eq(reason.kind, Core::FailureKind::OutcomeUnknown);
+    // A parser error would say that bytes of another response followed.
+    cr_assert(reason.message.find("chunk") == std::string::npos, "%s", reason.message.c_str());
+    cr_assert_eq(fixture.arrivals.size(), 2);
+}
