Store calls: peers before the announcement, writers back off, no read for each unknown key

Peers are now listed before the announcement, writers that meet pause at random, and a followed configuration is not read again for a refusal. Ruled out: outages (the calls of cuts are a few hundred). Test PeerDirectory.knowsTheOthersBeforeItIsAnnounced, not seen failing first.

--- a/Libraries/LibRelay/include/LibRelay/LedgerWriter.h
+++ b/Libraries/LibRelay/include/LibRelay/LedgerWriter.h
@@ -15,6 +15,7 @@
     int64_t storeTimeoutMs { 1'000 };
     // A copy of the shard that is older is read again before a change is turned down.
     int64_t freshMs { 100 };
+    // Shortest pause before a failed write is tried again; its random part grows with the tries.
     int64_t retryPauseMs { 60 };
 };
 
@@ -50,6 +51,7 @@
 
     Core::Task<void> run();
     Core::Task<void> gather();
+    std::chrono::milliseconds retryPause(int tries) const;
     Core::Task<bool> read(Core::Reason&);
     // False when the batch has to be tried again.
     Core::Task<bool> commit(Batch&);
--- a/Libraries/LibRelay/src/LedgerWriter.cpp
+++ b/Libraries/LibRelay/src/LedgerWriter.cpp
@@ -1,6 +1,8 @@
 #include "LibRelay/LedgerWriter.h"
 
 #include "Events.h"
+#include "LibCore/Random.h"
+#include <algorithm>
 
 namespace Relay {
 
@@ -8,6 +10,9 @@
 using Core::FailureKind;
 using Core::Reason;
 
+// Doublings of the random part of the pause after failed writes.
+static constexpr int mostDoublings = 4;
+
 LedgerWriter::LedgerWriter(const boost::asio::any_io_executor& executor, Platform::ObjectStore store, std::string objectName, LedgerWriterSettings settings)
     : m_executor(executor)
     , m_store(std::move(store))
@@ -73,15 +78,19 @@
         co_await gather();
         m_hasUrgent = false;
         Batch batch = std::exchange(m_queue, {});
-        while (!batch.empty()) {
-            if (co_await commit(batch))
-                break;
-            co_await Core::sleepUntil(Deadline::after(std::chrono::milliseconds(m_settings.retryPauseMs)));
-        }
+        for (int tries = 1; !batch.empty() && !co_await commit(batch); ++tries)
+            co_await Core::sleepUntil(Deadline::after(retryPause(tries)));
     }
     m_isRunning = false;
 }
 
+// Writers that met once would meet again after equal pauses.
+std::chrono::milliseconds LedgerWriter::retryPause(int tries) const
+{
+    uint64_t longest = static_cast<uint64_t>(m_settings.retryPauseMs) << std::min(tries, mostDoublings);
+    return std::chrono::milliseconds(m_settings.retryPauseMs + static_cast<int64_t>(Core::randomBelow(longest)));
+}
+
 Core::Task<bool> LedgerWriter::read(Reason& reason)
 {
     Core::SteadyClock::time_point askedAt = Core::SteadyClock::now();
--- a/Libraries/LibRelay/src/PeerDirectory.cpp
+++ b/Libraries/LibRelay/src/PeerDirectory.cpp
@@ -73,6 +73,10 @@
 
 Core::Task<void> PeerDirectory::run()
 {
+    // The entries of the processes before are at hand when all hosts start again at once: without them each daemon would
+    // take itself for the only one and write the ledgers against all others.
+    Reason ignored;
+    co_await look(ignored);
     while (!m_isStopping) {
         Reason reason;
         bool isDone = m_isAnnounced ? co_await look(reason) : co_await announce(reason);
--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -15,8 +15,9 @@
 static constexpr std::chrono::milliseconds returnTime(900);
 static constexpr std::chrono::milliseconds idlePoll(20);
 static constexpr std::chrono::milliseconds expiryPause(250);
-// A request with an unknown route or key causes a read of the configuration at most this often.
-static constexpr std::chrono::milliseconds refreshPause(250);
+// A configuration that was confirmed within this time is followed by a watch that is not overdue, so that an unknown route or
+// key is refused without reading it again.
+static constexpr int64_t followedAgeMs = 3'500;
 static constexpr std::chrono::milliseconds refreshTimeout(500);
 // The type of calls between daemons that ask for the store.
 static constexpr const char* storeCall = "store";
@@ -257,10 +258,8 @@
 
 Core::Task<bool> RelayDaemon::refreshConfiguration()
 {
-    Core::SteadyClock::time_point now = Core::SteadyClock::now();
-    if (now - std::max(m_refreshedAt, m_configurationFollower.confirmedAt()) < refreshPause && !m_configurationFollower.isLost())
+    if (!m_configurationFollower.isLost() && configurationAgeMs() <= followedAgeMs)
         co_return true;
-    m_refreshedAt = now;
     Reason reason;
     co_return co_await m_configurationFollower.refresh(Deadline::after(refreshTimeout), reason);
 }
--- a/Services/jujuberelayd/src/RelayDaemon.h
+++ b/Services/jujuberelayd/src/RelayDaemon.h
@@ -64,6 +64,5 @@
     HTTP::Server m_callerServer;
     HTTP::Server m_readinessServer;
     HTTP::Server m_metricsServer;
-    Core::SteadyClock::time_point m_refreshedAt {};
     bool m_isStopping { false };
 };
