One daemon in each failure domain watches the store, the others watch at it

StoreFollower now keeps what it knows in an ObjectCache and serves it to the daemons of its failure domain; these poll for at most 1 s and go to the store themselves when their watcher does not answer, is behind, or follows a peer itself. PeerTable names watchers and allocators; one that fails is passed over for a time that doubles. Announcements are followed the same way. Ruled out: longer watches, which would make the bound of a silent connection longer than the deployments allow; stale listings, which are seconds old.

--- a/Libraries/LibRelay/include/LibRelay/PeerDirectory.h
+++ b/Libraries/LibRelay/include/LibRelay/PeerDirectory.h
@@ -1,45 +1,58 @@
 #pragma once
 
-#include "LibCore/Address.h"
 #include "LibCore/Async.h"
 #include "LibPlatform/ObjectStore.h"
+#include "LibRelay/PeerTable.h"
 #include <functional>
+#include <map>
 #include <vector>
 
 namespace Relay {
 
-// Announces this daemon in the store and learns the addresses of the others from it.
+// Announces this daemon in the store, and keeps the list of the others from what a follower of the announcements reports.
 class PeerDirectory {
 public:
     struct Hooks {
         // The announcement's revision in the store, higher for each later process on a host.
         std::function<void(uint64_t)> announced;
-        std::function<void(std::vector<Core::Address>)> changed;
+        std::function<void(std::vector<PeerInfo>)> changed;
     };
 
-    PeerDirectory(Platform::ObjectStore, std::string host, Core::Address self, Hooks);
+    // The prefix of all announcements.
+    static constexpr const char* prefix = "relay-daemons/";
+
+    PeerDirectory(const boost::asio::any_io_executor&, Platform::ObjectStore, std::string host, PeerInfo self, Hooks);
 
     // The name of the object that announces a host.
     static std::string nameOf(const std::string& host);
 
-    // Announces and looks for others until stop().
-    Core::Task<void> run();
+    // All announcements. The first call starts this daemon's own: without the entries of the others each of the daemons
+    // that start at once would take itself for the only one and write the ledgers against all others.
+    void replaceAll(const std::vector<Platform::Object>&);
+    void adopt(const Platform::Change&);
+
+    // Ends tries to announce this daemon.
     void stop() { m_isStopping = true; }
 
     // Removes the announcement.
     Core::Task<void> withdraw(Core::Deadline);
 
 private:
+    Core::Task<void> run();
     Core::Task<bool> announce(Core::Reason&);
-    Core::Task<bool> look(Core::Reason&);
+    void put(const Platform::Object&);
+    void report();
 
+    boost::asio::any_io_executor m_executor;
     Platform::ObjectStore m_store;
     std::string m_host;
-    Core::Address m_self;
+    PeerInfo m_self;
     Hooks m_hooks;
+    std::map<std::string, PeerInfo> m_peers;
     // Makes the announcements of two processes on one host differ.
     std::string m_nonce;
     Platform::Version m_version { 0 };
+    bool m_isStarted { false };
     bool m_isAnnounced { false };
     bool m_isStopping { false };
 };
--- a/Libraries/LibRelay/src/PeerDirectory.cpp
+++ b/Libraries/LibRelay/src/PeerDirectory.cpp
@@ -2,6 +2,7 @@
 
 #include "LibCore/Random.h"
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace Relay {
 
@@ -10,16 +11,12 @@
 using Core::Reason;
 using nlohmann::json;
 
-static constexpr const char* prefix = "relay-daemons/";
 static constexpr std::chrono::milliseconds callTimeout(1'000);
 static constexpr std::chrono::milliseconds retryPause(500);
-// Hosts come and go a few times an hour; a call through a peer that is gone is repeated at another.
-static constexpr std::chrono::milliseconds lookPause(6'000);
-// The others announce themselves at about the same time as this daemon.
-static constexpr std::chrono::milliseconds firstLookPause(2'000);
 
-PeerDirectory::PeerDirectory(Platform::ObjectStore store, std::string host, Core::Address self, Hooks hooks)
-    : m_store(std::move(store))
+PeerDirectory::PeerDirectory(const boost::asio::any_io_executor& executor, Platform::ObjectStore store, std::string host, PeerInfo self, Hooks hooks)
+    : m_executor(executor)
+    , m_store(std::move(store))
     , m_host(std::move(host))
     , m_self(std::move(self))
     , m_hooks(std::move(hooks))
@@ -34,7 +31,7 @@
 
 Core::Task<bool> PeerDirectory::announce(Reason& reason)
 {
-    std::string value = json { { "address", m_self.text() }, { "process", m_nonce } }.dump();
+    std::string value = json { { "address", m_self.address.text() }, { "failure_domain", m_self.failureDomain }, { "process", m_nonce } }.dump();
     std::optional<Platform::Object> object = co_await m_store.get(nameOf(m_host), Deadline::after(callTimeout), reason);
     if (!object && reason.kind != FailureKind::NotFound)
         co_return false;
@@ -52,37 +49,53 @@
     co_return true;
 }
 
-Core::Task<bool> PeerDirectory::look(Reason& reason)
+void PeerDirectory::put(const Platform::Object& object)
 {
-    std::optional<Platform::Listing> listing = co_await m_store.list(prefix, Deadline::after(callTimeout), reason);
-    if (!listing)
-        co_return false;
-    std::vector<Core::Address> peers;
-    for (const Platform::Object& object : listing->objects) {
-        json value = json::parse(object.value, nullptr, false);
-        if (!value.is_object() || !value.contains("address") || !value["address"].is_string())
-            continue;
-        Reason ignored;
-        std::optional<Core::Address> address = Core::Address::parse(value["address"].get<std::string>(), ignored);
-        if (address && *address != m_self)
-            peers.push_back(*address);
-    }
+    json value = json::parse(object.value, nullptr, false);
+    if (!value.is_object() || !value.contains("address") || !value["address"].is_string())
+        return;
+    Reason ignored;
+    std::optional<Core::Address> address = Core::Address::parse(value["address"].get<std::string>(), ignored);
+    if (!address || *address == m_self.address)
+        return;
+    bool hasDomain = value.contains("failure_domain") && value["failure_domain"].is_string();
+    m_peers.insert_or_assign(object.name, PeerInfo { *address, hasDomain ? value["failure_domain"].get<std::string>() : "" });
+}
+
+void PeerDirectory::report()
+{
+    std::vector<PeerInfo> peers;
+    for (const auto& [name, peer] : m_peers)
+        peers.push_back(peer);
     m_hooks.changed(std::move(peers));
-    co_return true;
+}
+
+void PeerDirectory::replaceAll(const std::vector<Platform::Object>& announcements)
+{
+    m_peers.clear();
+    for (const Platform::Object& announcement : announcements)
+        put(announcement);
+    report();
+    if (!std::exchange(m_isStarted, true))
+        Core::spawn(m_executor, "announce", run());
+}
+
+void PeerDirectory::adopt(const Platform::Change& change)
+{
+    if (change.isDeleted)
+        m_peers.erase(change.object.name);
+    else
+        put(change.object);
+    report();
 }
 
 Core::Task<void> PeerDirectory::run()
 {
-    // The entries of the processes before are at hand when all hosts start again at once: without them each daemon would
-    // take itself for the only one and write the ledgers against all others.
-    Reason ignored;
-    co_await look(ignored);
-    while (!m_isStopping) {
+    while (!m_isStopping && !m_isAnnounced) {
         Reason reason;
-        bool isDone = m_isAnnounced ? co_await look(reason) : co_await announce(reason);
-        std::chrono::milliseconds next = isDone ? (m_isAnnounced ? lookPause : firstLookPause) : retryPause;
-        m_isAnnounced = m_isAnnounced || isDone;
-        co_await Core::sleepUntil(Deadline::after(next));
+        m_isAnnounced = co_await announce(reason);
+        if (!m_isAnnounced)
+            co_await Core::sleepUntil(Deadline::after(retryPause));
     }
 }
 
--- a/Libraries/LibRelay/src/StoreFollower.cpp
+++ b/Libraries/LibRelay/src/StoreFollower.cpp
@@ -1,17 +1,32 @@
 #include "LibRelay/StoreFollower.h"
 
+#include <algorithm>
+
 namespace Relay {
 
 using Core::Deadline;
 using Core::FailureKind;
 using Core::Reason;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+// Longest time that a watch of another daemon is held.
+static constexpr milliseconds longestServedWait(5'000);
 
-StoreFollower::StoreFollower(Platform::ObjectStore store, std::string prefix, FollowerSettings settings, FollowerHooks hooks)
+StoreFollower::StoreFollower(
+    const boost::asio::any_io_executor& executor, Platform::ObjectStore store, std::string prefix, FollowerSettings settings, FollowerHooks hooks)
     : m_store(std::move(store))
     , m_prefix(std::move(prefix))
     , m_settings(settings)
     , m_hooks(std::move(hooks))
+    , m_updated(executor)
+{
+}
+
+void StoreFollower::stop()
 {
+    m_isStopping = true;
+    m_updated.notifyAll();
 }
 
 void StoreFollower::noteLost(const Reason& reason)
@@ -19,12 +34,13 @@
     if (m_isLost)
         return;
     m_isLost = true;
+    m_updated.notifyAll();
     m_hooks.lost(reason);
 }
 
-void StoreFollower::noteAnswer(Core::SteadyClock::time_point askedAt)
+void StoreFollower::noteAnswer(Core::SteadyClock::time_point confirmedAt)
 {
-    m_confirmedAt = std::max(m_confirmedAt, askedAt);
+    m_confirmedAt = std::max(m_confirmedAt, confirmedAt);
     if (!m_isLost)
         return;
     m_isLost = false;
@@ -39,11 +55,12 @@
         co_return false;
     noteAnswer(askedAt);
     // A listing that was overtaken by a watch or another listing says nothing new.
-    if (m_hasListed && listing->revision < m_revision)
+    if (m_hasListed && listing->revision < m_cache.revision())
         co_return true;
-    m_revision = listing->revision;
+    m_cache.replace(*listing);
     m_hasListed = true;
     m_hooks.listed(listing->objects);
+    m_updated.notifyAll();
     co_return true;
 }
 
@@ -54,26 +71,80 @@
 
 Core::Task<bool> StoreFollower::watch(Reason& reason)
 {
+    if (m_hooks.watchAtPeer && co_await watchPeer(reason))
+        co_return true;
+    reason = {};
+    co_return co_await watchStore(reason);
+}
+
+Core::Task<bool> StoreFollower::watchStore(Reason& reason)
+{
+    m_isWatchingStore = true;
     Core::SteadyClock::time_point askedAt = Core::SteadyClock::now();
-    Deadline deadline = Deadline::after(std::chrono::milliseconds(m_settings.watchMs));
-    std::optional<Platform::Changes> changes = co_await m_store.watch(m_prefix, m_revision, deadline, reason);
+    Deadline deadline = Deadline::after(milliseconds(m_settings.watchMs));
+    std::optional<Platform::Changes> changes = co_await m_store.watch(m_prefix, m_cache.revision(), deadline, reason);
     if (!changes)
         co_return false;
-    noteAnswer(askedAt);
-    if (changes->revision < m_revision)
+    // A watch that ended by its deadline says that nothing changed up to then.
+    noteAnswer(changes->changes.empty() && deadline.hasPassed() ? deadline.at() : askedAt);
+    if (changes->revision >= m_cache.revision()) {
+        m_cache.apply(*changes);
+        for (const Platform::Change& change : changes->changes)
+            m_hooks.changed(change);
+    }
+    m_updated.notifyAll();
+    if (!changes->changes.empty() && m_settings.gatherMs > 0)
+        co_await Core::sleepUntil(Deadline::after(milliseconds(m_settings.gatherMs)));
+    co_return true;
+}
+
+Core::Task<bool> StoreFollower::watchPeer(Reason& reason)
+{
+    Core::SteadyClock::time_point askedAt = Core::SteadyClock::now();
+    std::optional<WatchReply> reply
+        = co_await m_hooks.watchAtPeer({ m_prefix, m_cache.revision(), milliseconds(m_settings.peerWatchMs) }, reason);
+    if (!reply)
+        co_return false;
+    if (std::exchange(m_isWatchingStore, false))
+        m_updated.notifyAll();
+    noteAnswer(askedAt + reply->held - reply->age);
+    // A daemon that is behind says nothing new; its belief catches up within the bound of its age.
+    if (reply->changes.revision < m_cache.revision())
         co_return true;
-    m_revision = changes->revision;
-    for (const Platform::Change& change : changes->changes)
-        m_hooks.changed(change);
+    m_cache.apply(reply->changes);
+    for (const Platform::Object& object : reply->changes.changed)
+        m_hooks.changed({ object, false });
+    for (const std::string& name : reply->changes.deleted)
+        m_hooks.changed({ { name, 0, {} }, true });
     co_return true;
 }
 
+Core::Task<std::optional<WatchReply>> StoreFollower::serve(WatchRequest request, Reason& reason)
+{
+    Core::SteadyClock::time_point askedAt = Core::SteadyClock::now();
+    Deadline deadline = Deadline::after(std::clamp(request.wait, milliseconds(0), longestServedWait));
+    while (mayServe() && m_cache.revision() <= request.since && !deadline.hasPassed())
+        co_await m_updated.wait(deadline);
+    Core::SteadyClock::time_point now = Core::SteadyClock::now();
+    milliseconds age = duration_cast<milliseconds>(now - m_confirmedAt);
+    if (!mayServe() || age > milliseconds(m_settings.oldestSharedMs)) {
+        reason = { FailureKind::Unavailable, "serve watch", "store", "this daemon does not follow " + m_prefix + " in the store at the moment" };
+        co_return std::nullopt;
+    }
+    std::optional<ObjectChanges> changes = m_cache.changesSince(request.since);
+    if (!changes) {
+        reason = { FailureKind::Unavailable, "serve watch", "store", "changes after " + std::to_string(request.since) + " are forgotten" };
+        co_return std::nullopt;
+    }
+    co_return WatchReply { std::move(*changes), age, duration_cast<milliseconds>(now - askedAt) };
+}
+
 Core::Task<void> StoreFollower::run()
 {
     bool mustList = true;
     while (!m_isStopping) {
         Reason reason;
-        bool isDone = mustList ? co_await list(Deadline::after(std::chrono::milliseconds(m_settings.listTimeoutMs)), reason) : co_await watch(reason);
+        bool isDone = mustList ? co_await list(Deadline::after(milliseconds(m_settings.listTimeoutMs)), reason) : co_await watch(reason);
         if (isDone) {
             mustList = false;
             continue;
@@ -83,7 +154,7 @@
         if (reason.kind == FailureKind::NotFound)
             continue;
         noteLost(reason);
-        co_await Core::sleepUntil(Deadline::after(std::chrono::milliseconds(m_settings.retryPauseMs)));
+        co_await Core::sleepUntil(Deadline::after(milliseconds(m_settings.retryPauseMs)));
     }
 }
 
--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -24,6 +24,13 @@
 // The type of calls between daemons that move tokens, and the time that this daemon takes for one.
 static constexpr const char* transferCall = "transfer";
 static constexpr std::chrono::milliseconds transferServiceTime(300);
+// The type of calls between daemons that share a watch of the store, the time for an answer beyond the wait, and the job
+// of watching within a failure domain.
+static constexpr const char* watchCall = "watch";
+static constexpr std::chrono::milliseconds watchAnswerTime(350);
+static constexpr uint64_t watcherJob = 1;
+// Daemons that start together announce themselves within about this time.
+static constexpr int64_t announcementGatherMs = 500;
 static constexpr int64_t retryAfterStartMs = 500;
 
 static Relay::HandlerSettings handlerSettingsOf(const RelaySettings& settings)
@@ -46,6 +53,13 @@
     return result;
 }
 
+static Relay::FollowerSettings announcementSettings()
+{
+    Relay::FollowerSettings settings;
+    settings.gatherMs = announcementGatherMs;
+    return settings;
+}
+
 RelayDaemon::RelayDaemon(const boost::asio::any_io_executor& executor, RelaySettings settings)
     : m_executor(executor)
     , m_settings(std::move(settings))
@@ -53,16 +67,18 @@
     , m_network(executor, { { m_settings.host, 0, m_settings.failureDomain }, m_settings.peerAddress, m_settings.peerKey, {}, {}, {} })
     , m_peerStore(executor, PlatformAdapter::makeStore(m_client, m_settings.storeAddress), Relay::PeerDirectory::nameOf(m_settings.host), {}, makePeerStoreHooks())
     , m_store(m_peerStore.hooks())
-    , m_peers(m_store, m_settings.host, m_settings.peerAddress, makePeerHooks())
-    , m_grants(executor, m_store, m_settings.peerAddress, {})
+    , m_peers(executor, m_store, m_settings.host, self(), makePeerHooks())
+    , m_grants(executor, m_store, self(), {})
+    , m_watchers(self())
     , m_endpoints([this](const Relay::Endpoint& endpoint, const char* why) {
         m_selector.forget(endpoint.id);
         Core::logEvent(RelayEvents::endpointRemoved, "endpoint=" + endpoint.id + " service=" + endpoint.service + " reason=\"" + why + "\"");
     })
     , m_selector(m_endpoints, m_settings.failureDomain)
     , m_budgets(executor, makeBudgetHooks(), { m_settings.host })
-    , m_configurationFollower(m_store, PlatformAdapter::configurationPrefix, {}, makeConfigurationHooks())
-    , m_endpointFollower(m_store, PlatformAdapter::endpointPrefix, {}, makeEndpointHooks())
+    , m_configurationFollower(executor, m_store, PlatformAdapter::configurationPrefix, {}, sharing(makeConfigurationHooks()))
+    , m_endpointFollower(executor, m_store, PlatformAdapter::endpointPrefix, {}, sharing(makeEndpointHooks()))
+    , m_announcementFollower(executor, m_store, Relay::PeerDirectory::prefix, announcementSettings(), sharing(makeAnnouncementHooks()))
     , m_handler(executor, PlatformAdapter::makeCodec(), makeHandlerHooks(), handlerSettingsOf(m_settings), m_client, m_selector, m_budgets, m_metrics)
     , m_callerServer(executor, [this](HTTP::Request request, HTTP::ResponseWriter& writer) { return m_handler.handle(std::move(request), writer); })
     , m_readinessServer(executor, [this](HTTP::Request request, HTTP::ResponseWriter& writer) { return answerReadiness(std::move(request), writer); })
@@ -82,13 +98,14 @@
 {
     m_network.onCall(storeCall, [this](Peer::Identity, std::string body, Reason& failure) { return m_peerStore.serve(std::move(body), failure); });
     m_network.onCall(transferCall, [this](Peer::Identity, std::string body, Reason& failure) { return serveTransfer(std::move(body), failure); });
+    m_network.onCall(watchCall, [this](Peer::Identity, std::string body, Reason& failure) { return serveWatch(std::move(body), failure); });
     if (!m_network.listen(reason) || !m_callerServer.listen(m_settings.callerAddress, reason) || !m_readinessServer.listen(m_settings.readinessAddress, reason)
         || !m_metricsServer.listen(m_settings.metricsAddress, reason))
         return false;
     Core::logEvent(RelayEvents::started, "host=" + m_settings.host + " callers=" + m_settings.callerAddress.text() + " readiness=" + m_settings.readinessAddress.text() + " metrics=" + m_settings.metricsAddress.text() + " store=" + m_settings.storeAddress.text());
     Core::spawn(m_executor, "follow configuration", m_configurationFollower.run());
     Core::spawn(m_executor, "follow endpoints", m_endpointFollower.run());
-    Core::spawn(m_executor, "follow peers", m_peers.run());
+    Core::spawn(m_executor, "follow announcements", m_announcementFollower.run());
     Core::spawn(m_executor, "expire endpoints", expireEndpoints());
     Core::spawn(m_executor, "maintain budgets", m_budgets.maintain());
     return true;
@@ -111,9 +128,10 @@
 {
     std::optional<std::string> answer = co_await m_network.call(allocator, transferCall, Relay::encodeTransfer(request), deadline, reason);
     if (!answer) {
-        m_grants.suspect(allocator);
+        m_grants.peers().suspect(allocator);
         co_return std::nullopt;
     }
+    m_grants.peers().trust(allocator);
     co_return Relay::decodeReply(*answer, reason);
 }
 
@@ -135,14 +153,78 @@
         m_budgets.setIncarnation(revision);
         Core::logEvent(RelayEvents::announced, "incarnation=" + std::to_string(revision));
     };
-    hooks.changed = [this](std::vector<Core::Address> peers) {
-        m_grants.setPeers(peers);
-        m_budgets.setDaemons(m_grants.daemons());
-        m_peerStore.setPeers(std::move(peers));
+    hooks.changed = [this](std::vector<Relay::PeerInfo> peers) {
+        std::vector<Core::Address> addresses;
+        for (const Relay::PeerInfo& peer : peers)
+            addresses.push_back(peer.address);
+        m_peerStore.setPeers(std::move(addresses));
+        m_grants.peers().setPeers(peers);
+        m_watchers.setPeers(std::move(peers));
+        m_budgets.setDaemons(m_watchers.size());
     };
     return hooks;
 }
 
+Relay::FollowerHooks RelayDaemon::makeAnnouncementHooks()
+{
+    Relay::FollowerHooks hooks;
+    hooks.listed = [this](const std::vector<Platform::Object>& objects) { m_peers.replaceAll(objects); };
+    hooks.changed = [this](const Platform::Change& change) { m_peers.adopt(change); };
+    hooks.lost = [this](const Reason& reason) { noteStore("announcements", true, " reason=\"" + reason.text() + "\""); };
+    hooks.regained = [this] { noteStore("announcements", false, ""); };
+    return hooks;
+}
+
+Relay::FollowerHooks RelayDaemon::sharing(Relay::FollowerHooks hooks)
+{
+    hooks.watchAtPeer = [this](Relay::WatchRequest request, Reason& reason) { return watchAtPeer(std::move(request), reason); };
+    return hooks;
+}
+
+Core::Task<std::optional<Relay::WatchReply>> RelayDaemon::watchAtPeer(Relay::WatchRequest request, Reason& reason)
+{
+    std::optional<Core::Address> watcher = m_watchers.localHolderOf(watcherJob);
+    if (!watcher) {
+        noteWatchSource(request.prefix, "store");
+        co_return std::nullopt;
+    }
+    Deadline deadline = Deadline::after(request.wait + watchAnswerTime);
+    std::optional<std::string> answer = co_await m_network.call(*watcher, watchCall, Relay::encodeWatchRequest(request), deadline, reason);
+    std::optional<Relay::WatchReply> reply = answer ? Relay::decodeWatchReply(*answer, reason) : std::nullopt;
+    if (reply) {
+        m_watchers.trust(*watcher);
+        noteWatchSource(request.prefix, watcher->text());
+        co_return reply;
+    }
+    m_watchers.suspect(*watcher);
+    noteWatchSource(request.prefix, "store reason=\"" + watcher->text() + ": " + reason.text() + "\"");
+    co_return std::nullopt;
+}
+
+void RelayDaemon::noteWatchSource(const std::string& prefix, const std::string& source)
+{
+    std::string& noted = m_watchSources[prefix];
+    if (noted == source)
+        return;
+    noted = source;
+    Core::logEvent(RelayEvents::watchSource, "prefix=" + prefix + " source=" + source);
+}
+
+Core::Task<std::optional<std::string>> RelayDaemon::serveWatch(std::string body, Reason& reason)
+{
+    std::optional<Relay::WatchRequest> request = Relay::decodeWatchRequest(body, reason);
+    if (!request)
+        co_return std::nullopt;
+    for (Relay::StoreFollower* follower : { &m_configurationFollower, &m_endpointFollower, &m_announcementFollower }) {
+        if (follower->prefix() != request->prefix)
+            continue;
+        std::optional<Relay::WatchReply> reply = co_await follower->serve(std::move(*request), reason);
+        co_return reply ? std::optional<std::string>(Relay::encodeWatchReply(*reply)) : std::nullopt;
+    }
+    reason = { Core::FailureKind::Invalid, "serve watch", "peer", "nothing follows " + request->prefix };
+    co_return std::nullopt;
+}
+
 Relay::PeerStoreHooks RelayDaemon::makePeerStoreHooks()
 {
     Relay::PeerStoreHooks hooks;
@@ -317,6 +399,7 @@
     size_t cutOff = m_callerServer.activeRequests();
     m_configurationFollower.stop();
     m_endpointFollower.stop();
+    m_announcementFollower.stop();
     m_peers.stop();
     co_await m_budgets.returnAll(std::max(limit, Deadline::after(returnTime / 2)));
     co_await m_peers.withdraw(Deadline::after(returnTime / 4));
--- a/Services/jujuberelayd/src/RelayDaemon.h
+++ b/Services/jujuberelayd/src/RelayDaemon.h
@@ -33,6 +33,12 @@
     Core::Task<std::optional<std::string>> serveTransfer(std::string body, Core::Reason&);
     Relay::FollowerHooks makeConfigurationHooks();
     Relay::FollowerHooks makeEndpointHooks();
+    Relay::FollowerHooks makeAnnouncementHooks();
+    // Lets the follower use another daemon's watch.
+    Relay::FollowerHooks sharing(Relay::FollowerHooks);
+    Core::Task<std::optional<Relay::WatchReply>> watchAtPeer(Relay::WatchRequest, Core::Reason&);
+    Core::Task<std::optional<std::string>> serveWatch(std::string body, Core::Reason&);
+    void noteWatchSource(const std::string& prefix, const std::string& source);
     void adoptConfiguration(const Platform::Object&);
     void adoptEndpoint(const Platform::Object&);
     std::optional<Relay::Endpoint> readEndpoint(const Platform::Object&);
@@ -43,6 +49,7 @@
     Core::Task<void> answerReadiness(HTTP::Request, HTTP::ResponseWriter&);
     Core::Task<void> answerMetrics(HTTP::Request, HTTP::ResponseWriter&);
     Core::Task<void> expireEndpoints();
+    Relay::PeerInfo self() const { return { m_settings.peerAddress, m_settings.failureDomain }; }
     void noteStore(const char* what, bool isLost, const std::string& detail);
 
     boost::asio::any_io_executor m_executor;
@@ -54,15 +61,20 @@
     Platform::ObjectStore m_store;
     Relay::PeerDirectory m_peers;
     Relay::GrantRouter m_grants;
+    // The daemons whose watches of the store may be shared.
+    Relay::PeerTable m_watchers;
     std::shared_ptr<const Relay::Configuration> m_configuration;
     Relay::EndpointDirectory m_endpoints;
     Relay::EndpointSelector m_selector;
     Relay::BudgetKeeper m_budgets;
     Relay::StoreFollower m_configurationFollower;
     Relay::StoreFollower m_endpointFollower;
+    Relay::StoreFollower m_announcementFollower;
     Relay::RequestHandler m_handler;
     HTTP::Server m_callerServer;
     HTTP::Server m_readinessServer;
     HTTP::Server m_metricsServer;
+    // Where the objects with each prefix are watched, for the log.
+    std::map<std::string, std::string> m_watchSources;
     bool m_isStopping { false };
 };
--- a/Tests/LibRelay/TestPeerDirectory.cpp
+++ b/Tests/LibRelay/TestPeerDirectory.cpp
@@ -4,22 +4,75 @@
 
 using namespace Relay;
 
-// Guards against a daemon that takes itself for the only one until its second look, although the entries of the processes
-// before are there: after all hosts had started again at once, each of them wrote the ledgers against all others.
-Test(PeerDirectory, knowsTheOthersBeforeItIsAnnounced)
+static Platform::Object announcementOf(const std::string& host, const std::string& value)
 {
+    return { PeerDirectory::nameOf(host), 1, value };
+}
+
+struct DirectoryFixture {
     boost::asio::io_context context;
-    Platform::InMemoryObjectStore store(context.get_executor());
+    Platform::InMemoryObjectStore store { context.get_executor() };
+    std::vector<PeerInfo> peers;
+    std::optional<uint64_t> incarnation;
+    size_t peersAtAnnouncement { 0 };
+    PeerDirectory directory { context.get_executor(), store.hooks(), "own", { { "10.0.0.1", 7340 }, "zone-a" }, makeHooks() };
+
+    PeerDirectory::Hooks makeHooks()
+    {
+        PeerDirectory::Hooks hooks;
+        hooks.announced = [this](uint64_t revision) {
+            incarnation = revision;
+            peersAtAnnouncement = peers.size();
+        };
+        hooks.changed = [this](std::vector<PeerInfo> all) { peers = std::move(all); };
+        return hooks;
+    }
+};
+
+// Guards against a daemon that takes itself for the only one although the entries of the processes before are there: after
+// all hosts had started again at once, each of them wrote the ledgers against all others.
+Test(PeerDirectory, knowsTheOthersBeforeItIsAnnounced)
+{
+    DirectoryFixture fixture;
+    fixture.context.run_for(std::chrono::milliseconds(1));
+    cr_assert_not(fixture.incarnation);
+    fixture.directory.replaceAll({ announcementOf("other", R"({"address":"10.0.0.2:7340","failure_domain":"zone-b","process":"p"})") });
+    TestSupport::runUntil(fixture.context, [&fixture] { return fixture.incarnation.has_value(); });
+    cr_assert_eq(fixture.peersAtAnnouncement, 1);
+    cr_assert(fixture.peers.front() == (PeerInfo { { "10.0.0.2", 7340 }, "zone-b" }));
+}
+
+// Guards against announcements of other writers, or of this host's earlier process, being taken for peers.
+Test(PeerDirectory, foreignAndOwnEntriesAreNoPeers)
+{
+    DirectoryFixture fixture;
+    fixture.directory.replaceAll({ announcementOf("a", "null"), announcementOf("b", R"({"address":7})"), announcementOf("c", R"({"address":"host:1"})"),
+        announcementOf("own", R"({"address":"10.0.0.1:7340","process":"old"})") });
+    cr_assert(fixture.peers.empty());
+    fixture.directory.stop();
+}
+
+// Guards against peers that stay listed after they have withdrawn.
+Test(PeerDirectory, followsChanges)
+{
+    DirectoryFixture fixture;
+    Platform::Object other = announcementOf("other", R"({"address":"10.0.0.2:7340"})");
+    fixture.directory.replaceAll({});
+    fixture.directory.adopt({ other, false });
+    cr_assert_eq(fixture.peers.size(), 1);
+    fixture.directory.adopt({ other, true });
+    cr_assert(fixture.peers.empty());
+    fixture.directory.stop();
+}
+
+// Guards against a lost answer making a daemon announce itself twice, with two incarnations.
+Test(PeerDirectory, lostAnswerIsFoundAgain)
+{
+    DirectoryFixture fixture;
+    fixture.store.loseReplies(1);
+    fixture.directory.replaceAll({});
+    TestSupport::runUntil(fixture.context, [&fixture] { return fixture.incarnation.has_value(); });
     Core::Reason reason;
-    cr_assert(store.table().put("relay-daemons/other", R"({"address":"10.0.0.2:7340","process":"p"})", 0, reason));
-    std::optional<size_t> peersAtAnnouncement;
-    size_t peers = 0;
-    PeerDirectory::Hooks hooks;
-    hooks.announced = [&](uint64_t) { peersAtAnnouncement = peers; };
-    hooks.changed = [&](std::vector<Core::Address> addresses) { peers = addresses.size(); };
-    PeerDirectory directory(store.hooks(), "own", { "10.0.0.1", 7340 }, hooks);
-    Core::spawn(context.get_executor(), "announce", directory.run());
-    TestSupport::runUntil(context, [&] { return peersAtAnnouncement.has_value(); });
-    cr_assert_eq(*peersAtAnnouncement, 1);
-    directory.stop();
+    cr_assert_eq(fixture.store.table().get("relay-daemons/own", reason)->version, *fixture.incarnation);
+    cr_assert_eq(fixture.store.writes(), 1);
 }
--- /dev/null
+++ b/Tests/LibRelay/TestPeerTable.cpp
@@ -0,0 +1,63 @@
+#include "LibRelay/PeerTable.h"
+#include <criterion/criterion.h>
+#include <set>
+
+using namespace Relay;
+
+static PeerInfo peer(int number, const std::string& failureDomain)
+{
+    return { { "10.0.0." + std::to_string(number), 7340 }, failureDomain };
+}
+
+// Guards against daemons with the same list that disagree on who has a job.
+Test(PeerTable, allDaemonsNameTheSameHolder)
+{
+    std::vector<PeerInfo> all { peer(1, "a"), peer(2, "a"), peer(3, "b"), peer(4, "b") };
+    std::set<std::string> holders;
+    for (const PeerInfo& self : all) {
+        PeerTable table(self);
+        std::vector<PeerInfo> others = all;
+        std::erase(others, self);
+        table.setPeers(others);
+        cr_assert_eq(table.size(), 4);
+        holders.insert(table.holderOf(7).value_or(self.address).text());
+    }
+    cr_assert_eq(holders.size(), 1);
+}
+
+// Guards against a watch that crosses failure domains while the own one has daemons.
+Test(PeerTable, localHolderIsInTheSameDomain)
+{
+    PeerTable table(peer(1, "a"));
+    table.setPeers({ peer(2, "a"), peer(3, "b"), peer(4, "b") });
+    for (uint64_t job = 0; job < 20; ++job) {
+        std::optional<Core::Address> holder = table.localHolderOf(job);
+        cr_assert(!holder || holder->ip == "10.0.0.2");
+    }
+}
+
+// Guards against a daemon that is gone being asked again and again, and against one that is back never being asked.
+Test(PeerTable, silentDaemonIsPassedOver)
+{
+    PeerTable table(peer(1, "a"));
+    table.setPeers({ peer(2, "a"), peer(3, "a") });
+    for (uint64_t job = 0; job < 20; ++job) {
+        std::optional<Core::Address> first = table.holderOf(job);
+        if (!first)
+            continue;
+        table.suspect(*first);
+        cr_assert(table.holderOf(job) != first);
+        table.trust(*first);
+        cr_assert(table.holderOf(job) == first);
+    }
+}
+
+// Guards against a lone daemon without anyone to do its jobs.
+Test(PeerTable, doesTheJobItselfWhenNobodyElseIsLeft)
+{
+    PeerTable table(peer(1, "a"));
+    cr_assert_not(table.holderOf(1));
+    table.setPeers({ peer(2, "a") });
+    table.suspect(peer(2, "a").address);
+    cr_assert_not(table.holderOf(1));
+}
--- a/Tests/LibRelay/TestStoreFollower.cpp
+++ b/Tests/LibRelay/TestStoreFollower.cpp
@@ -10,7 +10,8 @@
     std::map<std::string, std::string> seen;
     int lost { 0 };
     int regained { 0 };
-    StoreFollower follower { store.hooks(), "config/", { 20, 500, 1 }, makeHooks() };
+    std::function<Core::Task<std::optional<WatchReply>>(WatchRequest, Core::Reason&)> watchAtPeer;
+    StoreFollower follower { context.get_executor(), store.hooks(), "config/", { 20, 500, 1, 0, 20, 2'000 }, makeHooks() };
 
     FollowerHooks makeHooks()
     {
@@ -19,7 +20,19 @@
             for (const Platform::Object& object : objects)
                 seen[object.name] = object.value;
         };
-        hooks.changed = [this](const Platform::Change& change) { seen[change.object.name] = change.object.value; };
+        hooks.changed = [this](const Platform::Change& change) {
+            if (change.isDeleted)
+                seen.erase(change.object.name);
+            else
+                seen[change.object.name] = change.object.value;
+        };
+        hooks.watchAtPeer = [this](WatchRequest request, Core::Reason& reason) -> Core::Task<std::optional<WatchReply>> {
+            if (!watchAtPeer) {
+                reason = { Core::FailureKind::Unavailable, "watch", "peer", "none" };
+                co_return std::nullopt;
+            }
+            co_return co_await watchAtPeer(std::move(request), reason);
+        };
         hooks.lost = [this](const Core::Reason&) { ++lost; };
         hooks.regained = [this] { ++regained; };
         return hooks;
@@ -67,3 +80,93 @@
     cr_assert_not(fixture.follower.isLost());
     fixture.follower.stop();
 }
+
+// A second daemon whose follower watches through the first one's, as between daemons.
+struct SharingFixture : FollowerFixture {
+    FollowerFixture watcher;
+    int failures { 0 };
+
+    SharingFixture()
+    {
+        Core::spawn(watcher.context.get_executor(), "follow", watcher.follower.run());
+        TestSupport::runUntil(watcher.context, [this] { return watcher.follower.hasListed(); });
+        watchAtPeer = [this](WatchRequest request, Core::Reason& reason) -> Core::Task<std::optional<WatchReply>> {
+            // The messages are encoded as between processes.
+            std::optional<WatchRequest> received = decodeWatchRequest(encodeWatchRequest(request), reason);
+            co_await Core::sleepUntil(Core::Deadline::after(std::chrono::milliseconds(1)));
+            std::optional<WatchReply> reply = TestSupport::runTask(watcher.context, watcher.follower.serve(std::move(*received), reason));
+            if (!reply) {
+                ++failures;
+                co_return std::nullopt;
+            }
+            co_return decodeWatchReply(encodeWatchReply(*reply), reason);
+        };
+        Core::spawn(context.get_executor(), "follow", follower.run());
+        TestSupport::runUntil(context, [this] { return follower.hasListed(); });
+    }
+    ~SharingFixture()
+    {
+        follower.stop();
+        watcher.follower.stop();
+    }
+    SharingFixture(const SharingFixture&) = delete;
+    SharingFixture& operator=(const SharingFixture&) = delete;
+
+    // Both stores stand for one: the same writes in the same order.
+    void putBoth(const std::string& name, const std::string& value)
+    {
+        put(name, value);
+        watcher.put(name, value);
+    }
+};
+
+// Guards against each daemon of a large fleet watching the store for itself.
+Test(StoreFollower, watchesThroughAnotherDaemon)
+{
+    SharingFixture fixture;
+    size_t reads = fixture.store.reads();
+    fixture.putBoth("config/main", "2");
+    fixture.runUntilSeen("config/main", "2");
+    Core::SteadyClock::time_point confirmedAt = fixture.follower.confirmedAt();
+    TestSupport::runUntil(fixture.context, [&] { return fixture.follower.confirmedAt() > confirmedAt; });
+    cr_assert_eq(fixture.store.reads(), reads);
+    cr_assert_leq(fixture.follower.confirmedAt(), Core::SteadyClock::now());
+}
+
+// Guards against a daemon that stays with a watcher which has lost the store.
+Test(StoreFollower, watchesTheStoreWhenTheWatcherHasLostIt)
+{
+    SharingFixture fixture;
+    fixture.watcher.store.setOutage(true);
+    TestSupport::runUntil(fixture.watcher.context, [&fixture] { return fixture.watcher.follower.isLost(); });
+    fixture.put("config/main", "3");
+    fixture.runUntilSeen("config/main", "3");
+    cr_assert_gt(fixture.failures, 0);
+    cr_assert_not(fixture.follower.isLost());
+}
+
+// Guards against two daemons that watch at each other and so hear of nothing.
+Test(StoreFollower, servesNobodyWhileItWatchesAtAnother)
+{
+    SharingFixture fixture;
+    fixture.putBoth("config/main", "2");
+    fixture.runUntilSeen("config/main", "2");
+    Core::Reason reason;
+    cr_assert_not(TestSupport::runTask(fixture.context, fixture.follower.serve({ "config/", 0, std::chrono::milliseconds(1) }, reason)));
+    cr_assert_eq(reason.kind, Core::FailureKind::Unavailable);
+}
+
+// Guards against malformed messages of a peer ending the process.
+Test(SharedWatch, malformedMessagesAreRefused)
+{
+    WatchReply reply { { 7, { { "k/a", 5, "value" } }, { "k/b" } }, std::chrono::milliseconds(3), std::chrono::milliseconds(4) };
+    std::string bytes = encodeWatchReply(reply);
+    Core::Reason reason;
+    cr_assert(decodeWatchReply(bytes, reason) == reply);
+    for (size_t length = 0; length < bytes.size(); ++length) {
+        cr_assert_not(decodeWatchReply(bytes.substr(0, length), reason));
+        cr_assert_eq(reason.kind, Core::FailureKind::Invalid);
+    }
+    cr_assert_not(decodeWatchRequest("\xa0", reason));
+    cr_assert_eq(reason.kind, Core::FailureKind::Invalid);
+}
