Soak: real daemons under faults from outside, with the promises checked all the while

Tests/Soak starts daemons as processes, stand-ins of the store, engines and services, callers that keep their connections, and loopback proxies that delay, reset, cut one way, silence or refuse. Stops, kills, pauses, reloads, configuration changes and store faults come in seeded series and overlap; every fourth seed has planned work only, in which no request may be cut. It checks who ran what how often, answers, streams, budgets, leaving endpoints, revoked keys, exits and recovery. Clocks: the daemons use the steady clock alone, which no fault of the time of day reaches. Links between daemons have no proxy; daemons that are paused stand for them. That the checks find faults is still to be shown.

--- a/Meta/jujuberelay.sh
+++ b/Meta/jujuberelay.sh
@@ -11,7 +11,7 @@
 
 packages="clang lld clang-format clang-tidy cmake ninja-build ccache curl jq python3 procps iproute2
  libboost1.81-dev libwebsocketpp-dev libgflags-dev liblog4cplus-dev libyaml-cpp-dev libssl-dev
- nlohmann-json3-dev libcriterion-dev libxxhash-dev libclang-rt-14-dev"
+ nlohmann-json3-dev libcriterion-dev libxxhash-dev libclang-rt-14-dev python3-aiohttp"
 
 install_packages() {
     local missing=()
@@ -78,12 +78,19 @@
     run_linter
     run_tests
     if [ -e Tests/Sessions/run.sh ]; then Tests/Sessions/run.sh "$build/bin"; fi
+    Tests/Soak/run.sh "$build/bin/jujuberelayd" ci
     ;;
 demo | run)
     install_packages
     configure_and_build
     exec python3 Meta/demo.py "$1" "$build/bin"
     ;;
+soak)
+    shift
+    install_packages
+    configure_and_build
+    exec Tests/Soak/run.sh "$build/bin/jujuberelayd" "$@"
+    ;;
 measure)
     shift
     install_packages
@@ -93,6 +100,6 @@
     exec "$build/bin/jujuberelay" measure "$@"
     ;;
 *)
-    echo "usage: Meta/jujuberelay.sh demo | run | test | build | lint | format | measure <what>"
+    echo "usage: Meta/jujuberelay.sh demo | run | test | build | lint | format | soak <first seed> <count> [seconds] | measure <what>"
     ;;
 esac
--- /dev/null
+++ b/Tests/Soak/endpoints.py
@@ -0,0 +1,155 @@
+"""Stand-ins of model engines and of a plain service. They report every run to the checks."""
+
+import asyncio
+import hashlib
+import time
+
+from aiohttp import web
+
+import wire
+
+HEARTBEAT_S = 1.2
+EVENT_S = 0.015
+STRIDE = 5  # Tokens in one event.
+
+
+def body_of(request_id):
+    return hashlib.sha256(request_id.encode()).hexdigest() * 4
+
+
+def event_of(request_id, number):
+    return "id: %d\ndata: %s-%d\n\n" % (number, request_id, number)
+
+
+def events_of(request_id):
+    """The number of events of a whole stream."""
+    return 4 + int(hashlib.sha256(request_id.encode()).hexdigest()[:2], 16) % 30
+
+
+class Endpoint:
+    def __init__(self, name, service, zone, slots, store, promises, random):
+        self.name = name
+        self.id = name
+        self.service = service
+        self.zone = zone
+        self.slots = slots
+        self.store = store
+        self.promises = promises
+        self.random = random
+        self.active = 0
+        self.fail_share = 0.0  # Runs whose answer is lost or spoiled.
+        self.hang = False
+        self.state = "ready"
+        self.sequence = 0
+        self.starts = 0
+        self.runner = None
+        self.address = None
+        self.heartbeat = None
+        self.connections = set()
+
+    async def start(self):
+        self.starts += 1
+        self.id = "%s-%d" % (self.name, self.starts)
+        self.born = int(time.time() * 1000)
+        self.state = "ready"
+        self.active = 0
+        app = web.Application()
+        app.router.add_route("*", "/{path:.*}", self.handle)
+        self.runner = web.AppRunner(app, access_log=None, keepalive_timeout=5)
+        await self.runner.setup()
+        await web.TCPSite(self.runner, "127.0.0.1", 0, shutdown_timeout=0.1).start()
+        self.address = "127.0.0.1:%d" % self.runner.addresses[0][1]
+        self.heartbeat = asyncio.get_running_loop().create_task(self.beat())
+
+    async def beat(self):
+        while True:
+            await self.register()
+            await asyncio.sleep(HEARTBEAT_S)
+
+    async def register(self):
+        before = self.store.kinds.get("servers", {}).get(self.id)
+        self.sequence += 1
+        spec = {"service": self.service, "address": self.address, "zone": self.zone, "version": 1, "slots": self.slots,
+                "state": self.state, "cold-left-ms": 0, "seq": self.sequence, "born": self.born}
+        # A heartbeat alone is no change that watches report.
+        if before and before["spec"]["state"] == self.state:
+            before["spec"] = spec
+            return
+        await self.store.put("servers", self.id, spec)
+
+    async def leave(self):
+        """A planned shutdown: announced, then two seconds of service and a little more."""
+        self.state = "draining"
+        await self.register()
+        self.promises.endpoint_leaving(self.id)
+        await asyncio.sleep(3)
+        await self.stop()
+        await self.store.delete("servers", self.id)
+
+    async def stop(self):
+        self.heartbeat.cancel()
+        for transport in list(self.connections):
+            transport.abort()
+        await self.runner.cleanup()
+
+    async def crash(self):
+        name = self.id
+        await self.stop()
+        await asyncio.sleep(3 * HEARTBEAT_S)
+        await self.store.delete("servers", name)
+
+    async def handle(self, request):
+        self.connections.add(request.transport)
+        request_id = request.headers.get(wire.ATTEMPT, "")
+        headers = {wire.ATTEMPT: request_id, wire.INSTANCE: self.id}
+        body = await request.text()
+        if request.headers.get(wire.EXPECTED) != self.id:
+            return web.Response(status=421, headers=headers)
+        if self.active >= self.slots:
+            return web.Response(status=503, headers={**headers, wire.NOT_RUN: "1"})
+        self.active += 1
+        try:
+            self.promises.run_started(request_id, self, request, body)
+            if request.path.startswith(wire.STREAM_PATH):
+                return await self.stream(request, request_id, headers)
+            return await self.whole(request, request_id, headers)
+        except ConnectionResetError:
+            # The daemon has cancelled the run.
+            return web.Response()
+        finally:
+            self.active -= 1
+
+    async def whole(self, request, request_id, headers):
+        await asyncio.sleep(self.random.uniform(0.005, 0.05))
+        await self.maybe_hang()
+        if self.random.random() < self.fail_share:
+            return self.lose(request)
+        return web.Response(text=body_of(request_id), headers={**headers, wire.SEAL: "s-" + request_id})
+
+    async def stream(self, request, request_id, headers):
+        response = web.StreamResponse(headers={**headers, wire.SEAL: "s-" + request_id, "Content-Type": "text/event-stream"})
+        first = int(request.headers.get(wire.LAST_EVENT, 0)) + 1
+        last = events_of(request_id)
+        breaks_at = self.random.randint(first, last) if self.random.random() < self.fail_share else None
+        await asyncio.sleep(EVENT_S * 2)
+        await response.prepare(request)
+        for number in range(first, last + 1):
+            await self.maybe_hang()
+            if number == breaks_at:
+                event = event_of(request_id, number)
+                await response.write(event[:len(event) // 2].encode())
+                return self.lose(request)
+            await response.write(event_of(request_id, number).encode())
+            await asyncio.sleep(EVENT_S)
+        await response.write_eof()
+        return response
+
+    async def maybe_hang(self):
+        while self.hang:
+            await asyncio.sleep(0.05)
+
+    @staticmethod
+    def lose(request):
+        if request.transport:
+            request.transport.abort()
+        return web.Response()
--- /dev/null
+++ b/Tests/Soak/fleet.py
@@ -0,0 +1,151 @@
+"""Daemons as real processes, each behind proxies towards its callers and towards the store."""
+
+import asyncio
+import os
+import signal
+import socket
+import time
+
+import wire
+from proxy import Proxy
+
+ZONES = ("zone-a", "zone-b")
+STOP_LIMIT_S = 8
+START_LIMIT_S = 10
+
+
+def free_ports(count):
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind(("127.0.0.1", 0))
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+class Daemon:
+    def __init__(self, number, binary, folder, store_port):
+        self.name = "host-%d" % number
+        self.binary = binary
+        self.folder = folder
+        self.caller_port, self.ready_port, self.metrics_port, self.peer_port = free_ports(4)
+        self.caller_proxy = Proxy(self.caller_port)
+        self.store_proxy = Proxy(store_port)
+        self.settings = os.path.join(folder, self.name + ".yaml")
+        self.zone = ZONES[number % len(ZONES)]
+        self.child = None
+        self.paused = False
+        self.expected_end = False
+        self.stopping_since = None
+        self.watcher = None
+
+    async def prepare(self):
+        await self.caller_proxy.start()
+        await self.store_proxy.start()
+        with open(self.settings, "w") as file:
+            file.write("host: %s\nfailure_domain: %s\ncaller_address: 127.0.0.1:%d\nreadiness_address: 127.0.0.1:%d\nmetrics_address: 127.0.0.1:%d\n"
+                       "store_address: 127.0.0.1:%d\npeer_address: 127.0.0.1:%d\npeer_key: soak\nstop_limit_ms: %d\n" % (
+                           self.name, self.zone, self.caller_port, self.ready_port, self.metrics_port, self.store_proxy.port, self.peer_port, STOP_LIMIT_S * 1000))
+
+    async def start(self):
+        self.expected_end = False
+        self.stopping_since = None
+        log = open(os.path.join(self.folder, self.name + ".log"), "ab")
+        self.child = await asyncio.create_subprocess_exec(self.binary, "--relay", "--settings=" + self.settings, stdout=log, stderr=log)
+        log.close()
+
+    def signal(self, number):
+        if self.child and self.child.returncode is None:
+            os.kill(self.child.pid, number)
+
+    @property
+    def runs(self):
+        return self.child is not None and self.child.returncode is None
+
+    async def is_ready(self):
+        try:
+            reader, writer = await asyncio.wait_for(asyncio.open_connection("127.0.0.1", self.ready_port), 1)
+            writer.write(("GET %s HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n" % wire.READY).encode())
+            line = await asyncio.wait_for(reader.readline(), 1)
+            writer.transport.abort()
+            return b" 200 " in line
+        except (OSError, asyncio.TimeoutError):
+            return False
+
+
+class Fleet:
+    def __init__(self, count, binary, folder, store_port, promises):
+        self.daemons = [Daemon(number, binary, folder, store_port) for number in range(count)]
+        self.promises = promises
+        # Set while nothing but planned work has touched the fleet; only then is a request that is cut a fault.
+        self.only_planned_work = False
+
+    async def start(self):
+        for daemon in self.daemons:
+            await daemon.prepare()
+            await daemon.start()
+        end = time.monotonic() + START_LIMIT_S
+        for daemon in self.daemons:
+            while not await daemon.is_ready():
+                if time.monotonic() > end:
+                    self.promises.fail("START", daemon.name + " was not ready in time")
+                    return
+                await asyncio.sleep(0.1)
+
+    def serving(self):
+        """The balancer's rotation: a daemon that is told to stop gets no new connections after a while."""
+        now = time.monotonic()
+        serving = [daemon for daemon in self.daemons if daemon.runs and not (daemon.stopping_since and now - daemon.stopping_since > 2)]
+        return serving or self.daemons
+
+    def request_cut(self, request, how):
+        daemon = next(each for each in self.daemons if each.name == request.daemon)
+        if self.only_planned_work and request.runs:
+            self.promises.fail("LOST", "%s was cut (%s) although it ran, at %s, which is told to stop: %s" % (
+                request.id, how, daemon.name, bool(daemon.stopping_since)))
+
+    async def terminate(self, daemon):
+        """A planned stop; the daemon must finish what it has and end with 0."""
+        daemon.expected_end = True
+        daemon.stopping_since = time.monotonic()
+        daemon.signal(signal.SIGTERM)
+        child = daemon.child
+        try:
+            status = await asyncio.wait_for(child.wait(), STOP_LIMIT_S + 1)
+        except asyncio.TimeoutError:
+            status = None
+            daemon.signal(signal.SIGCONT)
+            daemon.signal(signal.SIGKILL)
+            await child.wait()
+        if self.only_planned_work and status != 0:
+            self.promises.fail("STOP", "%s ended with %s" % (daemon.name, status))
+        await daemon.start()
+
+    async def kill(self, daemon, down_s):
+        daemon.expected_end = True
+        daemon.signal(signal.SIGKILL)
+        if daemon.child:
+            await daemon.child.wait()
+        await asyncio.sleep(down_s)
+        if not daemon.runs:
+            await daemon.start()
+
+    async def watch_ends(self):
+        """A process that ends by itself is a fault of the product."""
+        while True:
+            for daemon in self.daemons:
+                if daemon.child and daemon.child.returncode is not None and not daemon.expected_end:
+                    self.promises.fail("EXIT", "%s ended by itself with %d" % (daemon.name, daemon.child.returncode))
+                    await daemon.start()
+            await asyncio.sleep(0.2)
+
+    async def stop(self):
+        for daemon in self.daemons:
+            daemon.expected_end = True
+            daemon.signal(signal.SIGCONT)
+            daemon.signal(signal.SIGKILL)
+            if daemon.child:
+                await daemon.child.wait()
+            await daemon.caller_proxy.stop()
+            await daemon.store_proxy.stop()
--- /dev/null
+++ b/Tests/Soak/promises.py
@@ -0,0 +1,137 @@
+"""Checks the promises of the users' pages from what callers and endpoints see."""
+
+import collections
+import time
+
+import endpoints
+import wire
+
+# Time after the end of a fault until the rules with a time bound hold for a daemon again.
+CONTACT_S = 3.0
+CONFIGURATION_S = 2.0
+DRAIN_S = 2.0
+# Time that the stand-ins, which share a busy machine with the daemons, may add.
+SLACK_S = 1.0
+
+
+class Request:
+    def __init__(self, request_id, path, key, workspace, prompt, most_output, body, daemon):
+        self.id = request_id
+        self.path = path
+        self.key = key
+        self.workspace = workspace
+        self.prompt = prompt
+        self.most_output = most_output
+        self.body = body
+        self.daemon = daemon
+        self.sent_at = time.monotonic()
+        self.runs = 0
+        self.events = 0
+        self.status = None
+        self.outcome = None
+
+    @property
+    def repeatable(self):
+        return not self.path.startswith(wire.ORDER_PATH)
+
+
+class Promises:
+    # Rules with a time bound, which a machine that is too busy breaks by itself.
+    TIMED = ("CONFIG", "DRAIN", "RECOVER", "START", "STOP")
+
+    def __init__(self, untimed=False):
+        self.untimed = untimed
+        self.requests = {}
+        self.broken = []
+        self.counts = collections.Counter()
+        self.budgets = {}
+        self.consumed = collections.Counter()
+        self.daemon_faulty_until = collections.defaultdict(float)  # Daemon's name to the end of its last fault.
+        self.leaving_since = {}
+        self.revoked_at = {}
+        self.keys = {}
+
+    def fail(self, rule, text):
+        if self.untimed and rule in self.TIMED:
+            print("not judged: %s: %s" % (rule, text), flush=True)
+            return
+        self.broken.append("%s: %s" % (rule, text))
+        print("BROKEN %s: %s" % (rule, text), flush=True)
+
+    def fault(self, daemon, until):
+        self.daemon_faulty_until[daemon] = max(self.daemon_faulty_until[daemon], until)
+
+    def in_touch(self, daemon, since):
+        """Whether no fault reached the daemon from `since`, less the time to settle, until now."""
+        return self.daemon_faulty_until[daemon] + CONTACT_S < since
+
+    def endpoint_leaving(self, endpoint_id):
+        self.leaving_since[endpoint_id] = time.monotonic()
+
+    def key_revoked(self, key):
+        self.revoked_at[key] = time.monotonic()
+
+    # What endpoints see.
+
+    def run_started(self, request_id, endpoint, message, body):
+        now = time.monotonic()
+        request = self.requests.get(request_id)
+        if not request:
+            self.fail("UNASKED", "%s ran %s, which no caller sent" % (endpoint.id, request_id or "a request without id"))
+            return
+        request.runs += 1
+        if request.runs == 1:
+            self.consume(request, request.prompt)
+        headers = message.headers
+        if headers.get(wire.WORKSPACE) != request.workspace or "Authorization" in headers or "X-Hold" in headers:
+            self.fail("UNASKED", "%s reached %s with workspace %s" % (request_id, endpoint.id, headers.get(wire.WORKSPACE)))
+        if message.path != request.path or body != request.body:
+            self.fail("UNASKED", "%s reached %s changed" % (request_id, endpoint.id))
+        if endpoint.service != ("engines" if request.path.startswith(wire.STREAM_PATH) else "desk"):
+            self.fail("ROUTE", "%s ran at service %s" % (request_id, endpoint.service))
+        if request.runs > 1 and not request.repeatable:
+            self.fail("TWICE", "%s ran %d times" % (request_id, request.runs))
+        if request.runs > 2:
+            self.fail("BUDGET", "%s ran at %d endpoints, its route allows 2" % (request_id, request.runs))
+        if request.status in wire.PROMISES:
+            self.fail("REFUSED", "%s ran after status %d" % (request_id, request.status))
+        leaving = self.leaving_since.get(endpoint.id)
+        if leaving and now - leaving > DRAIN_S + SLACK_S and self.in_touch(request.daemon, leaving):
+            self.fail("DRAIN", "%s reached %s %.1f s after it was leaving" % (request_id, endpoint.id, now - leaving))
+        revoked = self.revoked_at.get(request.key)
+        if revoked and request.sent_at - revoked > CONFIGURATION_S + SLACK_S and self.in_touch(request.daemon, revoked):
+            self.fail("CONFIG", "%s ran with a key that was taken away %.1f s before it was sent" % (request_id, request.sent_at - revoked))
+
+    def consume(self, request, tokens):
+        self.consumed[request.workspace] += tokens
+        if self.consumed[request.workspace] > self.budgets[request.workspace]:
+            self.fail("BUDGET", "%s consumed %d of %d tokens with %s" % (
+                request.workspace, self.consumed[request.workspace], self.budgets[request.workspace], request.id))
+
+    # What callers see.
+
+    def event_arrived(self, request, number, data):
+        if number != request.events + 1 or data != "%s-%d" % (request.id, number):
+            self.fail("ORDER", "%s got event %d '%s' after %d" % (request.id, number, data, request.events))
+        request.events = number
+        self.consume(request, endpoints.STRIDE)
+
+    def answered(self, request, status, headers, body, complete):
+        request.status = status
+        request.outcome = "answered" if complete else "broken_off"
+        self.counts["%s %d%s" % (request.path.split("/")[1], status, "" if complete else " broken off")] += 1
+        if status in wire.PROMISES and request.runs:
+            self.fail("REFUSED", "%s got status %d and has run" % (request.id, status))
+        if status // 100 != 2 or not complete:
+            return
+        if headers.get(wire.SEAL) != "s-" + request.id or headers.get(wire.ATTEMPT) != request.id:
+            self.fail("MIXED", "%s got an answer of %s" % (request.id, headers.get(wire.ATTEMPT)))
+        if request.path.startswith(wire.STREAM_PATH):
+            if request.events != endpoints.events_of(request.id):
+                self.fail("ORDER", "%s ended as complete after %d of %d events" % (request.id, request.events, endpoints.events_of(request.id)))
+        elif body != endpoints.body_of(request.id):
+            self.fail("MIXED", "%s got another body" % request.id)
+
+    def closed(self, request, reason):
+        request.outcome = reason
+        self.counts["%s %s" % (request.path.split("/")[1], reason)] += 1
--- /dev/null
+++ b/Tests/Soak/proxy.py
@@ -0,0 +1,67 @@
+"""A loopback proxy that delays, resets, cuts one way or silences the connections through it."""
+
+import asyncio
+
+
+class Proxy:
+    def __init__(self, target_port):
+        self.target_port = target_port
+        self.port = None
+        self.delay_s = 0.0
+        self.blocked = set()  # Of "up" (towards the target) and "down"; nothing passes that way.
+        self.refusing = False
+        self.connections = set()
+        self.server = None
+
+    @property
+    def faulty(self):
+        return bool(self.delay_s or self.blocked or self.refusing)
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.accept, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def stop(self):
+        self.server.close()
+        self.reset_all()
+
+    def reset_all(self):
+        for writer in list(self.connections):
+            writer.transport.abort()
+
+    def heal(self):
+        """Connections that were cut stay silent for good, as after a lost state on the way: they are reset."""
+        if self.blocked:
+            self.reset_all()
+        self.delay_s = 0.0
+        self.blocked = set()
+        self.refusing = False
+
+    async def accept(self, reader, writer):
+        if self.refusing:
+            writer.transport.abort()
+            return
+        try:
+            target_reader, target_writer = await asyncio.open_connection("127.0.0.1", self.target_port)
+        except OSError:
+            writer.transport.abort()
+            return
+        self.connections |= {writer, target_writer}
+        await asyncio.gather(self.pump(reader, target_writer, "up"), self.pump(target_reader, writer, "down"))
+        self.connections -= {writer, target_writer}
+        for end in (writer, target_writer):
+            end.transport.abort()
+
+    async def pump(self, reader, writer, way):
+        try:
+            while data := await reader.read(65536):
+                if self.delay_s:
+                    await asyncio.sleep(self.delay_s)
+                if way in self.blocked:
+                    await asyncio.sleep(3600)
+                writer.write(data)
+                await writer.drain()
+            if writer.can_write_eof():
+                writer.write_eof()
+        except (OSError, RuntimeError):
+            writer.transport.abort()
--- /dev/null
+++ b/Tests/Soak/soak.py
@@ -0,0 +1,120 @@
+#!/usr/bin/env python3
+"""A randomized soak: real daemons under faults from outside, with the promises of the users' pages checked all the while.
+
+usage: soak.py BINARY [--seed N] [--seconds S] [--daemons N] [--callers N] [--keep FOLDER] [--untimed]
+Every fourth seed has planned work only: stops, reloads and changes, in which no request may be cut.
+Exit codes: 0 all promises held, 1 one was broken, 2 wrong arguments.
+"""
+
+import argparse
+import asyncio
+import os
+import random
+import shutil
+import sys
+import tempfile
+import time
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+
+import aiohttp
+
+from callers import Caller
+from endpoints import Endpoint
+from faults import Schedule
+from fleet import ZONES, Fleet
+from operator_api import Operator
+from promises import Promises
+from store import Store
+
+BUDGETS = {"ample": 3_000_000, "middling": 60_000, "scarce": 4_000}
+PLANNED_EVERY = 4
+SETTLE_S = 5.0
+RECOVERY_REQUESTS = 80
+# RECOVER: less than a quarter served after recovery breaks the rule.
+RECOVERY_SHARE = 0.25
+
+
+async def check_recovery(callers, operator, fleet, promises, draw):
+    """After the faults, with a budget that suffices, requests are served again."""
+    await operator.top_up(draw, "ample", 1_000_000)
+    promises.keys["ample"] = list(operator.keys["ample"])
+    await asyncio.sleep(SETTLE_S)
+    served = 0
+    async with aiohttp.ClientSession() as session:
+        for number in range(RECOVERY_REQUESTS):
+            caller = callers[number % len(callers)]
+            caller.session = session
+            caller.daemon = fleet.daemons[number % len(fleet.daemons)]
+            request = await caller.call("ample")
+            served += request.status == 200 and request.outcome == "answered"
+    print("served after recovery: %d of %d" % (served, RECOVERY_REQUESTS))
+    if served < RECOVERY_SHARE * RECOVERY_REQUESTS:
+        promises.fail("RECOVER", "%d of %d requests were served after the faults" % (served, RECOVERY_REQUESTS))
+
+
+async def run(arguments, folder):
+    draw = random.Random(arguments.seed)
+    only_planned = arguments.seed % PLANNED_EVERY == 0
+    promises = Promises(arguments.untimed)
+    store = Store(random.Random(draw.random()))
+    await store.start()
+    operator = Operator(store, promises, BUDGETS)
+    await operator.write()
+    endpoints = [Endpoint("engine-%d" % number, "engines", ZONES[number % 2], 16, store, promises, random.Random(draw.random())) for number in range(4)]
+    endpoints += [Endpoint("desk-%d" % number, "desk", ZONES[number % 2], 8, store, promises, random.Random(draw.random())) for number in range(3)]
+    for endpoint in endpoints:
+        await endpoint.start()
+    fleet = Fleet(arguments.daemons, arguments.binary, folder, store.port, promises)
+    fleet.only_planned_work = only_planned
+    callers = [Caller(number, fleet, promises, random.Random(draw.random())) for number in range(arguments.callers)]
+    watcher = None
+    try:
+        await fleet.start()
+        watcher = asyncio.get_running_loop().create_task(fleet.watch_ends())
+        tasks = [asyncio.get_running_loop().create_task(caller.run()) for caller in callers]
+        await Schedule(fleet, store, endpoints, promises, operator, draw, only_planned).run(arguments.seconds)
+        for caller in callers:
+            caller.stopping = True
+        await asyncio.gather(*tasks)
+        await check_recovery(callers, operator, fleet, promises, draw)
+    finally:
+        if watcher:
+            watcher.cancel()
+        await fleet.stop()
+        for endpoint in endpoints:
+            await endpoint.stop()
+        await store.stop()
+    return promises
+
+
+def main():
+    parser = argparse.ArgumentParser(usage=__doc__)
+    parser.add_argument("binary")
+    parser.add_argument("--seed", type=int, default=None)
+    parser.add_argument("--seconds", type=float, default=20)
+    parser.add_argument("--daemons", type=int, default=4)
+    parser.add_argument("--callers", type=int, default=16)
+    parser.add_argument("--keep", default=None, help="folder for the daemons' logs; else they are kept when a promise was broken")
+    parser.add_argument("--untimed", action="store_true", help="leave out the rules that have a time bound")
+    arguments = parser.parse_args()
+    if arguments.seed is None:
+        arguments.seed = random.SystemRandom().randrange(1 << 32)
+    folder = arguments.keep or tempfile.mkdtemp(prefix="jujuberelay-soak-")
+    os.makedirs(folder, exist_ok=True)
+    started = time.monotonic()
+    print("seed %d" % arguments.seed, flush=True)
+    promises = asyncio.run(run(arguments, folder))
+    for name, count in sorted(promises.counts.items()):
+        print("%6d %s" % (count, name))
+    for workspace, budget in promises.budgets.items():
+        print("%s: %d of %d tokens" % (workspace, promises.consumed[workspace], budget))
+    print("seed %d: %d requests in %.0f s, %d promises broken%s" % (
+        arguments.seed, len(promises.requests), time.monotonic() - started, len(promises.broken), "; logs in " + folder if promises.broken else ""))
+    if not promises.broken and not arguments.keep:
+        shutil.rmtree(folder)
+    return 1 if promises.broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/Tests/Soak/store.py
@@ -0,0 +1,152 @@
+"""A stand-in of the platform's store: objects with revisions, conditional writes, listings and watches, with faults."""
+
+import asyncio
+import json
+
+from aiohttp import web
+
+import wire
+
+PAGE = 50
+
+
+class Fault:
+    """What the store does to calls at present; the schedule sets it."""
+
+    def __init__(self):
+        self.status = None  # Answers every call with this status.
+        self.delay_s = 0.0
+        self.lose_share = 0.0  # Writes that are done and not answered.
+        self.late_share = 0.0  # Writes that are done seconds later and not answered.
+
+    @property
+    def active(self):
+        return bool(self.status or self.delay_s or self.lose_share or self.late_share)
+
+
+class Store:
+    def __init__(self, random):
+        self.random = random
+        self.fault = Fault()
+        self.revision = 1
+        self.kinds = {}
+        self.history = []  # (revision, kind, event)
+        self.history_from = 1
+        self.changed = asyncio.Condition()
+        self.runner = None
+        self.port = None
+
+    async def start(self):
+        app = web.Application(client_max_size=4 << 20)
+        app.router.add_route("*", wire.OBJECTS + "{kind}", self.handle)
+        app.router.add_route("*", wire.OBJECTS + "{kind}/{name}", self.handle)
+        self.runner = web.AppRunner(app, access_log=None)
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, "127.0.0.1", 0, shutdown_timeout=0.1)
+        await site.start()
+        self.port = self.runner.addresses[0][1]
+
+    async def stop(self):
+        await self.runner.cleanup()
+
+    # Writes of the operator and of endpoints, which no fault reaches.
+
+    async def put(self, kind, name, spec):
+        objects = self.kinds.setdefault(kind, {})
+        self.revision += 1
+        created = objects[name]["metadata"]["created"] if name in objects else self.revision
+        objects[name] = {"metadata": {"name": name, "revision": self.revision, "created": created, "finalizers": [], "deleting": False},
+                         "spec": spec, "status": None}
+        await self._note(kind, objects[name], False)
+        return self.revision
+
+    async def delete(self, kind, name):
+        item = self.kinds.get(kind, {}).pop(name, None)
+        if item:
+            self.revision += 1
+            await self._note(kind, item, True)
+
+    async def _note(self, kind, item, deleted):
+        self.history.append((self.revision, kind, {"deleted": deleted, "object": json.loads(json.dumps(item))}))
+        async with self.changed:
+            self.changed.notify_all()
+
+    async def drop_history(self):
+        self.history = []
+        self.history_from = self.revision
+        async with self.changed:
+            self.changed.notify_all()
+
+    # Calls of daemons.
+
+    async def handle(self, request):
+        fault = self.fault
+        if fault.delay_s:
+            await asyncio.sleep(fault.delay_s * self.random.uniform(0.5, 1.5))
+        if fault.status:
+            return web.json_response({}, status=fault.status)
+        kind = request.match_info["kind"]
+        name = request.match_info.get("name")
+        if request.method == "GET":
+            return await self.read(request, kind, name)
+        body = await request.json() if request.can_read_body else {}
+        draw = self.random.random()
+        if draw < fault.late_share:
+            asyncio.get_running_loop().create_task(self.write_late(request, kind, name, body))
+            await asyncio.sleep(2)
+            return self.silence(request)
+        response = await self.write(request, kind, name, body)
+        if draw < fault.late_share + fault.lose_share:
+            return self.silence(request)
+        return response
+
+    @staticmethod
+    def silence(request):
+        request.transport.abort()
+        return web.Response()
+
+    async def write_late(self, request, kind, name, body):
+        await asyncio.sleep(self.random.uniform(1, 4))
+        await self.write(request, kind, name, body)
+
+    async def write(self, request, kind, name, body):
+        objects = self.kinds.setdefault(kind, {})
+        if request.method == "POST":
+            name = body["metadata"]["name"]
+            if name in objects:
+                return web.json_response(objects[name], status=409)
+        elif name not in objects:
+            return web.json_response({}, status=404)
+        expected = request.query.get("revision") or body.get("metadata", {}).get("revision")
+        if request.method != "POST" and expected and int(expected) != objects[name]["metadata"]["revision"]:
+            return web.json_response(objects[name], status=409)
+        if request.method == "DELETE":
+            item = objects[name]
+            await self.delete(kind, name)
+            return web.json_response(item)
+        await self.put(kind, name, body.get("spec"))
+        return web.json_response(objects[name])
+
+    async def read(self, request, kind, name):
+        objects = self.kinds.get(kind, {})
+        if name:
+            return web.json_response(objects[name]) if name in objects else web.json_response({}, status=404)
+        if "watch" in request.query:
+            return await self.watch(kind, int(request.query["watch"]), int(request.query.get("wait-ms", 0)) / 1000)
+        names = sorted(each for each in objects if each > request.query.get("after", ""))
+        return web.json_response({"items": [objects[each] for each in names[:PAGE]], "more-pages": len(names) > PAGE, "as-of": self.revision})
+
+    async def watch(self, kind, since, wait_s):
+        end = asyncio.get_running_loop().time() + wait_s
+        while True:
+            if since < self.history_from:
+                return web.json_response({}, status=410)
+            events = [event for revision, of_kind, event in self.history if of_kind == kind and revision > since]
+            left = end - asyncio.get_running_loop().time()
+            if events or left <= 0:
+                return web.json_response({"events": events, "as-of": self.revision})
+            async with self.changed:
+                try:
+                    await asyncio.wait_for(self.changed.wait(), left)
+                except asyncio.TimeoutError:
+                    pass
--- /dev/null
+++ b/Tests/Soak/wire.py
@@ -0,0 +1,24 @@
+"""Names of the users' platform on the wire, as the stand-ins and the callers of the soak speak them."""
+
+OBJECTS = "/jujuberelay/objects/"
+READY = "/jujuberelay/readyz"
+ATTEMPT = "X-Attempt-Id"
+DEADLINE = "X-Deadline-Ms"
+TOKENS = "X-Token-Counts"
+PARTS = "X-Prompt-Prefix"
+MODEL = "X-Model"
+LAST_EVENT = "Last-Event-Id"
+EXPECTED = "X-Expect-Instance"
+WORKSPACE = "X-Tenant"
+NOT_RUN = "X-Not-Executed"
+SEAL = "X-Server-Seal"
+INSTANCE = "X-Instance-Id"
+
+HOST = "soak.example"
+STREAM_PATH = "/stream/"
+ORDER_PATH = "/order/"
+LOOKUP_PATH = "/lookup/"
+ADDED_PATH = "/added/"
+
+# Statuses that promise that the request has not run and never will.
+PROMISES = (402, 408, 421, 429, 503)
