--- a/Libraries/LibRelay/src/EndpointSelector.cpp
+++ b/Libraries/LibRelay/src/EndpointSelector.cpp
@@ -28,10 +28,6 @@
 static constexpr double affinityBound = 1.5;
 // Requests of this daemon by which an endpoint may exceed the mean before its prompts go to the next in order.
 static constexpr double affinitySlack = 3;
-// Fewer endpoints serve all sizes: one that is lost would leave too few for its size.
-static constexpr size_t fewestToSplit = 4;
-// Any number that no prompt's hash is likely to equal.
-static constexpr uint64_t sizeSeed = 0x73697a65;
 
 EndpointSelector::EndpointSelector(const EndpointDirectory& directory, std::string failureDomain)
     : m_directory(directory)
@@ -74,40 +70,6 @@
     return cost;
 }
 
-static void sortByRendezvous(std::vector<const Endpoint*>& endpoints, uint64_t seed)
-{
-    std::sort(endpoints.begin(), endpoints.end(),
-        [seed](const Endpoint* a, const Endpoint* b) { return Core::hash64(a->id, seed) > Core::hash64(b->id, seed); });
-}
-
-std::vector<const Endpoint*> EndpointSelector::ofSize(const std::vector<const Endpoint*>& candidates, const SelectionQuery& query) const
-{
-    auto sizes = m_sizes.find(query.service);
-    if (sizes == m_sizes.end() || !sizes->second.isKnown() || candidates.size() < fewestToSplit)
-        return candidates;
-    // The same order at all daemons, so that they agree on which endpoints serve which size, but for the boundary.
-    std::vector<const Endpoint*> ordered = candidates;
-    sortByRendezvous(ordered, sizeSeed);
-    auto boundary = ordered.begin() + static_cast<std::ptrdiff_t>(sizes->second.endpointsForSmall(ordered.size()));
-    if (sizes->second.isLarge(query.route))
-        return { boundary, ordered.end() };
-    return { ordered.begin(), boundary };
-}
-
-const Endpoint* EndpointSelector::chooseByAffinity(std::vector<const Endpoint*> candidates, uint64_t affinity) const
-{
-    sortByRendezvous(candidates, affinity);
-    double total = 0;
-    for (const Endpoint* candidate : candidates)
-        total += static_cast<double>(inFlight(candidate->id));
-    double bound = affinitySlack + affinityBound * total / static_cast<double>(candidates.size());
-    for (const Endpoint* candidate : candidates) {
-        if (static_cast<double>(inFlight(candidate->id)) <= bound)
-            return candidate;
-    }
-    return nullptr;
-}
-
 const Endpoint* EndpointSelector::choose(const SelectionQuery& query, TimePoint now) const
 {
     std::vector<const Endpoint*> candidates;
@@ -122,11 +84,17 @@
     if (candidates.empty())
         return nullptr;
     if (query.affinity != 0) {
-        const Endpoint* chosen = chooseByAffinity(ofSize(candidates, query), query.affinity);
-        if (!chosen)
-            chosen = chooseByAffinity(candidates, query.affinity);
-        if (chosen)
-            return chosen;
+        std::sort(candidates.begin(), candidates.end(), [&query](const Endpoint* a, const Endpoint* b) {
+            return Core::hash64(a->id, query.affinity) > Core::hash64(b->id, query.affinity);
+        });
+        double total = 0;
+        for (const Endpoint* candidate : candidates)
+            total += static_cast<double>(inFlight(candidate->id));
+        double bound = affinitySlack + affinityBound * total / static_cast<double>(candidates.size());
+        for (const Endpoint* candidate : candidates) {
+            if (static_cast<double>(inFlight(candidate->id)) <= bound)
+                return candidate;
+        }
     }
     size_t start = Core::randomBelow(candidates.size());
     const Endpoint* best = candidates[start];
@@ -144,11 +112,6 @@
     return observed ? observed->inFlight : 0;
 }
 
-void EndpointSelector::recordWork(const std::string& service, const std::string& route, Tokens work)
-{
-    m_sizes[service].record(route, work);
-}
-
 void EndpointSelector::recordStart(const std::string& endpoint, TimePoint now)
 {
     Observed& observed = m_observed[endpoint];
--- a/Libraries/LibRelay/src/Run.cpp
+++ b/Libraries/LibRelay/src/Run.cpp
@@ -146,17 +146,9 @@
     return Core::hash64(parts[parts.size() >= 2 ? parts.size() - 2 : 0].id) | 1;
 }
 
-// Shared parts are mostly cached, so that the endpoint reads the last one.
-std::optional<Tokens> Run::work() const
-{
-    if (!m_request.tokens)
-        return std::nullopt;
-    return m_request.promptParts.empty() ? m_request.tokens->prompt : m_request.promptParts.back().tokens;
-}
-
 const Endpoint* Run::pickEndpoint(const std::string& service)
 {
-    return m_handler.m_selector.choose({ service, m_isEngine, affinity(), m_route.name, m_excluded }, Core::SteadyClock::now());
+    return m_handler.m_selector.choose({ service, m_isEngine, affinity(), m_excluded }, Core::SteadyClock::now());
 }
 
 bool Run::mayTryAgain(Outcome outcome) const
@@ -173,8 +165,6 @@
         m_isEngine = true;
         m_tokensPerEvent = known->engine->tokensPerEvent;
     }
-    if (m_isEngine && work())
-        m_handler.m_selector.recordWork(service, m_route.name, *work());
     Routing::RetryBudget& retries = m_handler.retryBudget(service);
     retries.recordRequest(Core::SteadyClock::now());
     Outcome last = Outcome::NotRun;
--- a/Libraries/LibRelay/src/Run.h
+++ b/Libraries/LibRelay/src/Run.h
@@ -31,8 +31,6 @@
     Core::Task<void> dispatch();
     std::string pickService() const;
     uint64_t affinity() const;
-    // Tokens that an endpoint has to read, as far as they are known.
-    std::optional<Tokens> work() const;
     const Endpoint* pickEndpoint(const std::string& service);
     Core::Task<Outcome> attempt(Endpoint);
     Core::Task<Outcome> readAnswer(const Endpoint&, std::unique_ptr<HTTP::ResponseStream>);
