Grants of idle daemons go back; transfers are logged; a waiting request ends a gathering

Surplus now goes back whatever remains. Test BudgetKeeper.idleDaemonReturnsItsGrant failed before and passes. A request that waits for a change which others gather now ends the gathering (LedgerWriter.hasteningEndsTheGathering); not yet measured. Transfers have a log line, as each changes what a daemon believes of a budget.

--- a/Libraries/LibHTTP/src/Server.cpp
+++ b/Libraries/LibHTTP/src/Server.cpp
@@ -231,6 +231,14 @@
     co_await writer.send(parseFailure(error), ignored);
 }
 
+// False for a transfer coding other than chunked: the parser takes such a request as one without a body, so that its body
+// would be read as the next request.
+static bool isFramed(const http::request<http::string_body>& message)
+{
+    http::request<http::string_body>::const_iterator coding = message.find(http::field::transfer_encoding);
+    return coding == message.end() || beast::iequals(coding->value(), "chunked");
+}
+
 // Reads and answers one request; false when the connection must be closed.
 static Core::Task<bool> serveOne(Server::State& state, const std::shared_ptr<Connection>& held)
 {
@@ -245,6 +253,8 @@
     setTimeout(connection, state.limits.requestTimeoutMs);
     auto [error, size] = co_await http::async_read(connection.stream, connection.buffer, parser, asTuple);
     connection.stream.expires_never();
+    if (!error && !isFramed(parser.get()))
+        error = http::error::bad_transfer_encoding;
     if (error) {
         co_await refuseUnread(connection, error);
         co_return false;
--- a/Libraries/LibRelay/include/LibRelay/BudgetKeeper.h
+++ b/Libraries/LibRelay/include/LibRelay/BudgetKeeper.h
@@ -37,6 +37,8 @@
 struct BudgetHooks {
     // Changes this daemon's row in the ledger; see LedgerWriter::submit.
     std::function<Core::Task<std::optional<GrantState>>(GrantChange, bool isUrgent, Core::Deadline, Core::Reason&)> submit;
+    // Ends the gathering of changes that were not urgent: a request waits for one of them. May be empty.
+    std::function<void(const std::string& workspace)> hasten;
     // The daemon that hands out the workspace's tokens; none: this one takes them from the ledger.
     std::function<std::optional<Core::Address>(const std::string& workspace)> allocatorOf;
     // Asks it. Unavailable: nothing was sent.
--- a/Libraries/LibRelay/include/LibRelay/GrantRouter.h
+++ b/Libraries/LibRelay/include/LibRelay/GrantRouter.h
@@ -28,6 +28,9 @@
     // Changes this daemon's row in the store; see LedgerWriter::submit.
     Core::Task<std::optional<GrantState>> submit(GrantChange, bool isUrgent, Core::Deadline, Core::Reason&);
 
+    // A request waits for a change of the workspace's row.
+    void hasten(const std::string& workspace) { m_writers[shardOf(workspace)]->hasten(); }
+
     uint64_t writes() const;
 
 private:
--- a/Libraries/LibRelay/include/LibRelay/LedgerWriter.h
+++ b/Libraries/LibRelay/include/LibRelay/LedgerWriter.h
@@ -28,6 +28,9 @@
     // Applies the change. OutcomeUnknown: it may still take effect; any other failure: it has not.
     Core::Task<std::optional<GrantState>> submit(GrantChange, bool isUrgent, Core::Deadline, Core::Reason&);
 
+    // Writes the changes that are being gathered at once, since a request waits for one of them.
+    void hasten();
+
     uint64_t writes() const { return m_writes; }
 
 private:
--- a/Libraries/LibRelay/src/BudgetKeeper.cpp
+++ b/Libraries/LibRelay/src/BudgetKeeper.cpp
@@ -160,6 +160,8 @@
         account.wanted += tokens;
         account.waiting.insert(tokens);
         startRefill(held);
+        if (account.isChanging && m_hooks.hasten)
+            m_hooks.hasten(account.workspace);
         co_await account.changed.wait(std::min(deadline, Deadline::after(retryPause)));
         account.wanted -= tokens;
         account.waiting.erase(account.waiting.find(tokens));
@@ -233,6 +235,8 @@
         if (reply) {
             account.pending = std::nullopt;
             hear(account, reply->remaining, reply->grantedToAll, askedAt);
+            int64_t elapsedMs = std::chrono::duration_cast<std::chrono::milliseconds>(Core::SteadyClock::now() - askedAt).count();
+            Core::logEvent(Events::tokensTransferred, "workspace=" + account.workspace + " allocator=" + allocator->text() + " wanted=" + std::to_string(wanted) + " least=" + std::to_string(least) + " tokens=" + std::to_string(reply->tokens) + " remaining=" + std::to_string(reply->remaining) + " elapsed_ms=" + std::to_string(elapsedMs));
             reason = {};
             co_return reply->tokens;
         }
@@ -352,9 +356,8 @@
         for (const std::shared_ptr<Account>& account : accounts) {
             if (!account->remaining || !account->budget || account->isChanging)
                 continue;
-            bool isScarce = static_cast<double>(*account->remaining) < scarceShare * static_cast<double>(*account->budget);
             Tokens target = reserveTarget(*account) + poolTarget(*account);
-            if (isScarce && static_cast<double>(account->available()) > surplusBound * static_cast<double>(target))
+            if (static_cast<double>(account->available()) > surplusBound * static_cast<double>(target))
                 co_await giveBack(account, account->available() - target);
         }
     }
--- a/Libraries/LibRelay/src/LedgerWriter.cpp
+++ b/Libraries/LibRelay/src/LedgerWriter.cpp
@@ -26,10 +26,8 @@
 {
     std::shared_ptr<Pending> pending = std::make_shared<Pending>(m_executor, std::move(change), deadline);
     m_queue.push_back(pending);
-    if (isUrgent) {
-        m_hasUrgent = true;
-        m_urgent.notifyAll();
-    }
+    if (isUrgent)
+        hasten();
     if (!std::exchange(m_isRunning, true))
         Core::spawn(m_executor, "write ledger", run());
     while (!pending->isDone)
@@ -38,6 +36,14 @@
     co_return pending->state;
 }
 
+void LedgerWriter::hasten()
+{
+    if (m_queue.empty())
+        return;
+    m_hasUrgent = true;
+    m_urgent.notifyAll();
+}
+
 void LedgerWriter::finish(Pending& pending, std::optional<GrantState> state, const Reason& reason)
 {
     pending.isDone = true;
--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -117,6 +117,7 @@
     hooks.submit = [this](Relay::GrantChange change, bool isUrgent, Deadline deadline, Reason& reason) {
         return m_grants.submit(std::move(change), isUrgent, deadline, reason);
     };
+    hooks.hasten = [this](const std::string& workspace) { m_grants.hasten(workspace); };
     hooks.allocatorOf = [this](const std::string& workspace) { return m_grants.allocatorOf(workspace); };
     hooks.transfer = [this](Core::Address allocator, Relay::TransferRequest request, Deadline deadline, Reason& reason) {
         return askForTransfer(std::move(allocator), std::move(request), deadline, reason);
--- a/Tests/LibDaemon/TestRelaySettings.cpp
+++ b/Tests/LibDaemon/TestRelaySettings.cpp
@@ -1,3 +1,4 @@
+#include "Mutation.h"
 #include "RelaySettings.h"
 
 #include <criterion/criterion.h>
@@ -33,3 +34,16 @@
     cr_assert_not(parseRelaySettings("host: a\n", "s.yaml", reason));
     cr_assert(reason.text().find("is missing") != std::string::npos);
 }
+
+// Guards against a settings file that ends the process instead of being refused with its place and reason.
+Test(RelaySettings, generatedFiles)
+{
+    static constexpr int cases = 2'000;
+    std::mt19937_64 random(1);
+    for (int i = 0; i < cases; ++i) {
+        Core::Reason reason;
+        std::string text = TestSupport::mutateBytes(valid, random);
+        std::optional<RelaySettings> settings = parseRelaySettings(text, "s.yaml", reason);
+        cr_assert(settings || reason.text().find("s.yaml") != std::string::npos, "case %d: %s\n%s", i, reason.text().c_str(), text.c_str());
+    }
+}
--- a/Tests/LibRelay/TestBudgetKeeper.cpp
+++ b/Tests/LibRelay/TestBudgetKeeper.cpp
@@ -98,6 +98,22 @@
     cr_assert_eq(fixture.hold(fixture.second, 940), HoldResult::Granted);
 }
 
+// Guards against grants of a daemon that has become idle staying out while the budget is plentiful: the daemons of a large
+// fleet together held much of each budget, and others were refused.
+Test(BudgetKeeper, idleDaemonReturnsItsGrant)
+{
+    BudgetFixture fixture;
+    cr_assert_eq(fixture.hold(fixture.first, 200), HoldResult::Granted);
+    fixture.first.keeper.settle("w", 200, 10);
+    Core::spawn(fixture.context.get_executor(), "maintain", fixture.first.keeper.maintain());
+    TestSupport::runUntil(fixture.context, [&fixture] {
+        Core::Reason reason;
+        std::optional<LedgerShard> shard = decodeShard(fixture.store.table().get("relay-ledgers/shard-0", reason)->value, reason);
+        return shard->at("w").remaining() > 950;
+    });
+    fixture.first.keeper.stop();
+}
+
 // Guards against "over budget" being said when the store was not reached, which would turn callers away for good.
 Test(BudgetKeeper, outageIsNotExhaustion)
 {
--- a/Tests/LibRelay/TestLedgerWriter.cpp
+++ b/Tests/LibRelay/TestLedgerWriter.cpp
@@ -64,6 +64,24 @@
     cr_assert_eq(fixture.stored()["w"].rows["a"].granted, 300);
 }
 
+// Guards against a request that waits for the end of a gathering which nobody needed when it began.
+Test(LedgerWriter, hasteningEndsTheGathering)
+{
+    boost::asio::io_context context;
+    Platform::InMemoryObjectStore store(context.get_executor());
+    LedgerWriterSettings settings;
+    settings.gatherMs = 3'600'000;
+    LedgerWriter writer(context.get_executor(), store.hooks(), objectName, settings);
+    Core::Reason reason;
+    std::optional<std::optional<GrantState>> result;
+    TestSupport::startTask(context, writer.submit(makeChange("a", 1, 100), false, Core::Deadline::never(), reason), result);
+    context.run_for(std::chrono::milliseconds(20));
+    cr_assert_not(result);
+    writer.hasten();
+    TestSupport::runUntil(context, [&result] { return result.has_value(); });
+    cr_assert(*result && (*result)->isApplied);
+}
+
 // Guards against a refusal, or a grant, that rests on a copy which another writer has made old.
 Test(LedgerWriter, twoWritersSeeEachOther)
 {
--- /dev/null
+++ b/Tests/PlatformAdapter/TestGeneratedInput.cpp
@@ -0,0 +1,95 @@
+#include "LibHTTP/Server.h"
+#include "Mutation.h"
+#include "PlatformAdapter/Adapter.h"
+#include "RunTask.h"
+
+using nlohmann::json;
+
+static constexpr int cases = 3'000;
+
+static const char* const configuration = R"({"version":7,
+    "routes":[{"name":"r","host":"h","path-prefix":"/a/","route-kind":"streaming","resumable":true,"public":false,"timeout-ms":9,"goal-ms":5,"priority":1,
+               "attempts":2,"service":"s"},
+              {"name":"q","host":"h","path-prefix":"/b/","route-kind":"idempotent","split":[{"service":"s","weight":3},{"service":"t","weight":1}]}],
+    "services":[{"name":"s","max-conns":9,"engine":{"slots":4,"kv-capacity":100,"stride":7}},{"name":"t"}],
+    "tenants":[{"name":"w","api-keys":["k1","k2"],"reserved":1000,"priority":2}],
+    "limits":{"max-header-bytes":1000,"max-body-bytes":2000,"header-timeout-ms":30,"idle-timeout-ms":40}})";
+
+static const char* const entry = R"({"service":"s","address":"127.0.0.1:80","zone":"z","version":3,"slots":64,"state":"ready","cold-left-ms":0,"seq":9,"born":1})";
+
+// Guards against a configuration of unexpected shape ending the process, or being refused without a reason.
+Test(GeneratedInput, configurations)
+{
+    std::mt19937_64 random(1);
+    for (int i = 0; i < cases; ++i) {
+        json document = json::parse(configuration);
+        TestSupport::mutateValue(document, random);
+        std::string text = i % 2 == 0 ? document.dump() : TestSupport::mutateBytes(configuration, random);
+        Core::Reason reason;
+        std::optional<Relay::Configuration> decoded = PlatformAdapter::decodeConfiguration(text, reason);
+        cr_assert(decoded || reason.kind == Core::FailureKind::Invalid, "case %d: %s", i, text.c_str());
+    }
+}
+
+// Guards against an entry of another writer ending the process.
+Test(GeneratedInput, endpointEntries)
+{
+    std::mt19937_64 random(2);
+    for (int i = 0; i < cases; ++i) {
+        json document = json::parse(entry);
+        TestSupport::mutateValue(document, random);
+        std::string text = i % 2 == 0 ? document.dump() : TestSupport::mutateBytes(entry, random);
+        Core::Reason reason;
+        std::optional<Relay::Endpoint> decoded = PlatformAdapter::decodeEndpoint("servers/e", text, reason);
+        cr_assert(decoded || reason.kind == Core::FailureKind::Invalid, "case %d: %s", i, text.c_str());
+    }
+}
+
+// Guards against a caller's headers ending the process.
+Test(GeneratedInput, callerHeaders)
+{
+    std::mt19937_64 random(3);
+    Relay::WireCodec codec = PlatformAdapter::makeCodec();
+    const HTTP::Headers valid { { "Host", "h" }, { "X-Attempt-Id", "1" }, { "X-Deadline-Ms", "1000" }, { "X-Token-Counts", "10,20" },
+        { "X-Prompt-Prefix", "a:1,b:2" }, { "Last-Event-Id", "4" }, { "Authorization", "Bearer k" }, { "Connection", "close, X-Model" }, { "X-Model", "m" } };
+    for (int i = 0; i < cases; ++i) {
+        HTTP::Request request { "POST", "/a/b", valid, "body" };
+        HTTP::Header& header = request.headers[random() % request.headers.size()];
+        header.value = TestSupport::mutateBytes(header.value, random);
+        Core::Reason reason;
+        std::optional<Relay::CallerRequest> decoded = codec.decodeRequest(std::move(request), Core::Deadline::after(std::chrono::seconds(1)), reason);
+        cr_assert(decoded || reason.kind == Core::FailureKind::Invalid, "case %d", i);
+        if (decoded)
+            codec.encodeDispatch(*decoded, { "e", "w", decoded->deadline, std::nullopt, std::nullopt });
+    }
+}
+
+// Guards against an answer of the store that is not what the page says ending the task that follows the store, after which
+// the daemon would never hear of anything again.
+Test(GeneratedInput, storeAnswers)
+{
+    static constexpr int storeCases = 400;
+    std::mt19937_64 random(4);
+    boost::asio::io_context context;
+    Core::Reason reason;
+    const std::string object = R"({"metadata":{"name":"a","revision":41,"created":9,"finalizers":[],"deleting":false},"spec":{"x":1},"status":null})";
+    const std::string listing = R"({"items":[)" + object + R"(],"more-pages":false,"as-of":44})";
+    const std::string changes = R"({"events":[{"deleted":false,"object":)" + object + R"(}],"as-of":44})";
+    HTTP::Server server(context.get_executor(), [&](HTTP::Request request, HTTP::ResponseWriter& writer) -> Core::Task<void> {
+        std::string valid = request.target.find("watch") != std::string::npos ? changes : request.target.ends_with("/a") ? object
+                                                                                                                         : listing;
+        json document = json::parse(valid);
+        TestSupport::mutateValue(document, random);
+        Core::Reason ignored;
+        co_await writer.send({ 200, {}, random() % 2 == 0 ? document.dump() : TestSupport::mutateBytes(valid, random) }, ignored);
+    });
+    Core::Address address = server.listen({ "127.0.0.1", 0 }, reason).value();
+    Platform::ObjectStore store = PlatformAdapter::makeStore(std::make_shared<HTTP::Client>(context.get_executor()), address);
+    for (int i = 0; i < storeCases; ++i) {
+        Core::Deadline deadline = Core::Deadline::after(std::chrono::seconds(5));
+        TestSupport::runTask(context, store.get("k/a", deadline, reason));
+        TestSupport::runTask(context, store.list("k/", deadline, reason));
+        TestSupport::runTask(context, store.watch("k/", 5, Core::Deadline::after(std::chrono::milliseconds(5)), reason));
+        TestSupport::runTask(context, store.put("k/a", "1", 5, deadline, reason));
+    }
+}
