--- a/Meta/jujuberelay.sh
+++ b/Meta/jujuberelay.sh
@@ -54,6 +54,22 @@
         'clang-tidy --quiet -p "$0" "$1" 2>/dev/null && touch "$2"' "$build"
 }
 
+# The packages that read bytes from outside, with the generated input of their tests.
+sanitized_tests="TestLibHTTP TestLibPlatform TestLibRelay TestPlatformAdapter"
+
+# Runs these tests under AddressSanitizer and UndefinedBehaviorSanitizer.
+run_sanitized_tests() {
+    local folder="$build-sanitized"
+    cmake -S . -B "$folder" -G Ninja -DCMAKE_CXX_COMPILER=clang++ -DCMAKE_BUILD_TYPE=Debug -DCMAKE_EXE_LINKER_FLAGS=-fuse-ld=lld \
+        -DCMAKE_CXX_FLAGS="-O1 -g1 -fsanitize=address,undefined -fno-sanitize=function -fno-sanitize-recover=undefined" >/dev/null
+    # shellcheck disable=SC2086
+    cmake --build "$folder" --target $sanitized_tests
+    local test
+    for test in $sanitized_tests; do
+        "$folder/bin/$test" --jobs 4 --timeout 120
+    done
+}
+
 run_tests() {
     ctest --test-dir "$build" --output-on-failure -j 4
 }
@@ -77,6 +93,7 @@
     configure_and_build
     run_linter
     run_tests
+    run_sanitized_tests
     if [ -e Tests/Sessions/run.sh ]; then Tests/Sessions/run.sh "$build/bin"; fi
     Tests/Soak/run.sh "$build/bin/jujuberelayd" ci
     ;;
--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -94,8 +94,16 @@
     m_metrics.observeCounter("jujuberelay_relay_ledger_writes_total", "Writes of budget ledgers.", [this] { return m_grants.writes(); });
 }
 
+std::vector<Core::Address> RelayDaemon::otherSeeds() const
+{
+    std::vector<Core::Address> seeds = m_settings.seedPeers;
+    std::erase(seeds, m_settings.peerAddress);
+    return seeds;
+}
+
 bool RelayDaemon::start(Reason& reason)
 {
+    m_peerStore.setPeers(otherSeeds());
     m_network.onCall(storeCall, [this](Peer::Identity, std::string body, Reason& failure) { return m_peerStore.serve(std::move(body), failure); });
     m_network.onCall(transferCall, [this](Peer::Identity, std::string body, Reason& failure) { return serveTransfer(std::move(body), failure); });
     m_network.onCall(watchCall, [this](Peer::Identity, std::string body, Reason& failure) { return serveWatch(std::move(body), failure); });
@@ -158,7 +166,7 @@
         std::vector<Core::Address> addresses;
         for (const Relay::PeerInfo& peer : peers)
             addresses.push_back(peer.address);
-        m_peerStore.setPeers(std::move(addresses));
+        m_peerStore.setPeers(addresses.empty() ? otherSeeds() : std::move(addresses));
         m_grants.peers().setPeers(peers);
         m_watchers.setPeers(std::move(peers));
         m_budgets.setDaemons(m_watchers.size());
--- a/Services/jujuberelayd/src/RelayDaemon.h
+++ b/Services/jujuberelayd/src/RelayDaemon.h
@@ -50,6 +50,8 @@
     Core::Task<void> answerMetrics(HTTP::Request, HTTP::ResponseWriter&);
     Core::Task<void> expireEndpoints();
     Relay::PeerInfo self() const { return { m_settings.peerAddress, m_settings.failureDomain, m_settings.processorShare * m_settings.linkMbps }; }
+    // Daemons to ask for the store while no announcement is known.
+    std::vector<Core::Address> otherSeeds() const;
     void noteStore(const char* what, bool isLost, const std::string& detail);
 
     boost::asio::any_io_executor m_executor;
--- a/Services/jujuberelayd/src/RelaySettings.cpp
+++ b/Services/jujuberelayd/src/RelaySettings.cpp
@@ -20,6 +20,7 @@
     fields["store_address"] = { Need::Required, addressReader(settings.storeAddress) };
     fields["peer_address"] = { Need::Required, addressReader(settings.peerAddress) };
     fields["peer_key"] = { Need::Required, textReader(settings.peerKey) };
+    fields["seed_peers"] = { Need::Optional, addressListReader(settings.seedPeers) };
     fields["outage_limit_ms"] = { Need::Optional, numberReader(settings.outageLimitMs, 1'000, hourMs) };
     fields["stop_limit_ms"] = { Need::Optional, numberReader(settings.stopLimitMs, 100, hourMs) };
     fields["retry_share"] = { Need::Optional, fractionReader(settings.retryShare, 0, 1) };
--- a/Services/jujuberelayd/src/RelaySettings.h
+++ b/Services/jujuberelayd/src/RelaySettings.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 // The settings file of a daemon that relays for a deployment with its own store (`jujuberelayd --relay`). The keys are
 // the members' names in snake case; docs/OPERATIONS.md is the reference.
@@ -18,6 +19,8 @@
     Core::Address peerAddress;
     // Shared by all daemons of the fleet; authenticates links between them.
     std::string peerKey;
+    // Daemons that are asked for the store before any has been heard of through it.
+    std::vector<Core::Address> seedPeers;
 
     // A daemon that can reach the store neither itself nor through another daemon goes on for this long with the
     // configuration that it has.
--- a/Tests/LibDaemon/TestRelaySettings.cpp
+++ b/Tests/LibDaemon/TestRelaySettings.cpp
@@ -23,6 +23,17 @@
     cr_assert_eq(settings->stopLimitMs, 8'000);
 }
 
+// Guards against seeds that are not read as the deploy template writes them: joined by commas without spaces, or none.
+Test(RelaySettings, seedPeers)
+{
+    Core::Reason reason;
+    std::optional<RelaySettings> settings = parseRelaySettings(std::string(valid) + "seed_peers: [10.1.0.40:8229,10.2.0.29:8229]\n", "s.yaml", reason);
+    cr_assert(settings, "%s", reason.text().c_str());
+    cr_assert_eq(settings->seedPeers.size(), 2);
+    cr_assert_eq(settings->seedPeers[1].port, 8229);
+    cr_assert(parseRelaySettings(std::string(valid) + "seed_peers: []\n", "s.yaml", reason)->seedPeers.empty());
+}
+
 // Guards against a wrong value that is taken as a default instead of being named.
 Test(RelaySettings, everyMistakeNamesPlaceAndReason)
 {
