--- a/Services/jujuberelayd/src/RelayDaemon.h
+++ b/Services/jujuberelayd/src/RelayDaemon.h
@@ -25,6 +25,8 @@
     void reload(const RelaySettings&);
 
 private:
+    // Answers the calls of other daemons.
+    void servePeers();
     Relay::HandlerHooks makeHandlerHooks();
     Relay::PeerStoreHooks makePeerStoreHooks();
     Relay::PeerDirectory::Hooks makePeerHooks();
