--- a/Tests/PlatformAdapter/TestCodec.cpp
+++ b/Tests/PlatformAdapter/TestCodec.cpp
@@ -140,3 +140,13 @@
         decodeEndpoint("servers/x", text, reason);
     }
 }
+
+// Guards against a waiting time that is too large to be added to a time, which turned into a deadline in the past.
+Test(Codec, longestWaitIsTheLimit)
+{
+    Core::Reason reason;
+    Core::Deadline limit = Core::Deadline::after(std::chrono::minutes(2));
+    HTTP::Request request { "POST", "/", { { "Host", "h" }, { "X-Attempt-Id", "1" }, { "X-Deadline-Ms", "9223372036854775807" } }, {} };
+    std::optional<Relay::CallerRequest> decoded = PlatformAdapter::makeCodec().decodeRequest(std::move(request), limit, reason);
+    cr_assert(decoded && decoded->deadline.remaining() > std::chrono::minutes(1));
+}
