--- a/Tests/Soak/fleet.py
+++ b/Tests/Soak/fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import random
 import signal
 import socket
 import time
@@ -15,12 +16,16 @@
 
 
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
+    """Ports outside the range from which the kernel takes those of outgoing connections, so that they stay free."""
+    ports = []
+    while len(ports) < count:
+        port = random.SystemRandom().randrange(10_000, 30_000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        ports.append(port)
     return ports
 
 
@@ -49,11 +54,11 @@
                            self.name, self.zone, self.caller_port, self.ready_port, self.metrics_port, self.store_proxy.port, self.peer_port, STOP_LIMIT_S * 1000))
 
     async def start(self):
+        with open(os.path.join(self.folder, self.name + ".log"), "ab") as log:
+            self.child = await asyncio.create_subprocess_exec(self.binary, "--relay", "--settings=" + self.settings, stdout=log, stderr=log)
+        # Only now, since the end of the process before was expected.
         self.expected_end = False
         self.stopping_since = None
-        log = open(os.path.join(self.folder, self.name + ".log"), "ab")
-        self.child = await asyncio.create_subprocess_exec(self.binary, "--relay", "--settings=" + self.settings, stdout=log, stderr=log)
-        log.close()
 
     def signal(self, number):
         if self.child and self.child.returncode is None:
