--- a/Libraries/LibRelay/src/BudgetKeeper.cpp
+++ b/Libraries/LibRelay/src/BudgetKeeper.cpp
@@ -20,10 +20,10 @@
 static constexpr int allocatorTries = 2;
 // Largest part of the remainder that an allocator keeps for other daemons.
 static constexpr double poolShare = 0.1;
-// Below this share of the budget, daemons keep less ahead, the less remains, and unused grants go back: what a daemon that
-// dies has ahead is lost, and near the end of a budget that would be most of it.
+// Below this share of the budget, daemons keep less ahead, the less remains: what a daemon that dies has ahead is lost, and near
+// the end of a budget that would be most of it.
 static constexpr double scarceShare = 0.5;
-// Multiple of its target above which a grant goes back when the budget is scarce.
+// Multiple of its target above which a grant goes back.
 static constexpr double surplusBound = 1.5;
 
 void BudgetKeeper::Rate::add(Tokens tokens)
