Settings: numbers of a deployment may be fractions, absent or large

Cause: the small twins of the large deployment did not start at all. Their retry allowance is a fraction (budget-extra / 19), and the reader expected an integer. The template also formed the time to stop by appending "000" to seconds, which reads 8.5 as 8.5000 ms.

Change: retry_extra is a number; stop_limit_ms becomes stop_limit_s, a number of seconds; the limits of what the template fills in are wide; an optional key without a value has its default.

Test: templateAcceptsAnyNumber renders deploy/relay.yaml with 500 sets of numbers. Seen failing first with processor_share, which the reader's range refused.

--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -29,7 +29,7 @@
 {
     Relay::HandlerSettings result;
     result.retryPercent = static_cast<int>(settings.retryShare * 100 * retryAllowanceFraction);
-    result.retryExtra = static_cast<int64_t>(static_cast<double>(settings.retryExtra) * retryAllowanceFraction);
+    result.retryExtra = static_cast<int64_t>(settings.retryExtra * retryAllowanceFraction);
     return result;
 }
 
@@ -254,8 +254,8 @@
 Core::Task<bool> RelayDaemon::stop()
 {
     m_isStopping = true;
-    Deadline limit = Deadline::after(std::chrono::milliseconds(m_settings.stopLimitMs) - grantReturnTime);
-    Core::logEvent(RelayEvents::stopping, "active_requests=" + std::to_string(m_callerServer.activeRequests()) + " limit_ms=" + std::to_string(m_settings.stopLimitMs));
+    Deadline limit = Deadline::after(m_settings.stopLimit() - grantReturnTime);
+    Core::logEvent(RelayEvents::stopping, "active_requests=" + std::to_string(m_callerServer.activeRequests()) + " limit_ms=" + std::to_string(m_settings.stopLimit().count()));
     m_callerServer.closeAfterResponses();
     m_budgets.stopAllocating();
     co_await Core::sleepUntil(std::min(limit, Deadline::after(readinessPropagationTime)));
@@ -278,6 +278,6 @@
 void RelayDaemon::reload(const RelaySettings& settings)
 {
     m_settings.outageLimitMs = settings.outageLimitMs;
-    m_settings.stopLimitMs = settings.stopLimitMs;
-    Core::logEvent(RelayEvents::reloaded, "outage_limit_ms=" + std::to_string(settings.outageLimitMs) + " stop_limit_ms=" + std::to_string(settings.stopLimitMs));
+    m_settings.stopLimitSeconds = settings.stopLimitSeconds;
+    Core::logEvent(RelayEvents::reloaded, "outage_limit_ms=" + std::to_string(settings.outageLimitMs) + " stop_limit_ms=" + std::to_string(settings.stopLimit().count()));
 }
--- a/Services/jujuberelayd/src/RelaySettings.cpp
+++ b/Services/jujuberelayd/src/RelaySettings.cpp
@@ -8,9 +8,10 @@
 static Fields fieldsOf(RelaySettings& settings)
 {
     static constexpr int64_t hourMs = 3'600'000;
-    static constexpr int64_t maxRetries = 1'000'000;
-    static constexpr double maxCores = 1'000;
-    static constexpr double maxLinkMbps = 1'000'000;
+    static constexpr double hourSeconds = 3'600;
+    static constexpr double maxRetries = 1e12;
+    static constexpr double maxCores = 1e12;
+    static constexpr double maxLinkMbps = 1e12;
     Fields fields;
     fields["host"] = { Presence::Required, stringReader(settings.host) };
     fields["failure_domain"] = { Presence::Required, stringReader(settings.failureDomain) };
@@ -22,9 +23,9 @@
     fields["peer_key"] = { Presence::Required, stringReader(settings.peerKey) };
     fields["seed_peers"] = { Presence::Optional, addressListReader(settings.seedPeers) };
     fields["outage_limit_ms"] = { Presence::Optional, integerReader(settings.outageLimitMs, 1'000, hourMs) };
-    fields["stop_limit_ms"] = { Presence::Optional, integerReader(settings.stopLimitMs, 100, hourMs) };
+    fields["stop_limit_s"] = { Presence::Optional, doubleReader(settings.stopLimitSeconds, 0.1, hourSeconds) };
     fields["retry_share"] = { Presence::Optional, doubleReader(settings.retryShare, 0, 1) };
-    fields["retry_extra"] = { Presence::Optional, integerReader(settings.retryExtra, 0, maxRetries) };
+    fields["retry_extra"] = { Presence::Optional, doubleReader(settings.retryExtra, 0, maxRetries) };
     fields["processor_share"] = { Presence::Optional, doubleReader(settings.processorShare, 0, maxCores) };
     fields["link_mbps"] = { Presence::Optional, doubleReader(settings.linkMbps, 0, maxLinkMbps) };
     fields["log_level"] = { Presence::Optional, choiceReader(settings.logLevel, { "debug", "info", "warning", "error" }) };
--- a/Services/jujuberelayd/src/RelaySettings.h
+++ b/Services/jujuberelayd/src/RelaySettings.h
@@ -2,6 +2,7 @@
 
 #include "LibCore/Address.h"
 #include "LibCore/Reason.h"
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -25,11 +26,11 @@
     // How long a daemon keeps serving with its last configuration while it can reach the store neither directly nor through
     // a peer.
     int64_t outageLimitMs { 60'000 };
-    // Time from SIGTERM to SIGKILL.
-    int64_t stopLimitMs { 8'000 };
+    // Seconds from SIGTERM to SIGKILL.
+    double stopLimitSeconds { 8 };
     // Retries that all daemons together may send to one service in 10 s: a share of its requests plus a fixed number.
     double retryShare { 0.2 };
-    int64_t retryExtra { 50 };
+    double retryExtra { 50 };
     // CPU quota of the host in cores, and its link speed in Mbit/s. Hosts with more capacity do more work for their peers.
     double processorShare { 1 };
     double linkMbps { 1'000 };
@@ -37,6 +38,8 @@
     std::string logLevel { "info" };
 
     bool operator==(const RelaySettings&) const = default;
+
+    std::chrono::milliseconds stopLimit() const { return std::chrono::milliseconds(static_cast<int64_t>(stopLimitSeconds * 1'000)); }
 };
 
 // Reads and validates a settings file. The reason gives the file, line, key and expected value.
--- a/Services/jujuberelayd/src/SettingsReader.cpp
+++ b/Services/jujuberelayd/src/SettingsReader.cpp
@@ -154,6 +154,9 @@
             return refuse(location, "unknown key '" + key + "'");
         if (!seen.insert(key).second)
             return refuse(location, "duplicate key '" + key + "'");
+        // A template writes an optional key without a value if its source has none.
+        if (entry->second.IsNull() && field->second.presence == Presence::Optional)
+            continue;
         std::optional<std::string> expected = field->second.read(entry->second);
         if (expected)
             return refuse(location, "invalid value for key '" + key + "': expected " + *expected);
--- a/Tests/LibDaemon/TestRelaySettings.cpp
+++ b/Tests/LibDaemon/TestRelaySettings.cpp
@@ -2,6 +2,9 @@
 #include "RelaySettings.h"
 
 #include <criterion/criterion.h>
+#include <fstream>
+#include <regex>
+#include <sstream>
 
 static const char* const valid = R"(host: entry-1
 failure_domain: zone-a
@@ -20,7 +23,7 @@
     std::optional<RelaySettings> settings = parseRelaySettings(valid, "s.yaml", reason);
     cr_assert(settings, "%s", reason.text().c_str());
     cr_assert_eq(settings->outageLimitMs, 60'000);
-    cr_assert_eq(settings->stopLimitMs, 8'000);
+    cr_assert_eq(settings->stopLimit(), std::chrono::seconds(8));
 }
 
 // Seeds must be accepted as written by the deploy template: separated by commas without spaces, or an empty list.
@@ -58,3 +61,71 @@
         cr_assert(settings || reason.text().find("s.yaml") != std::string::npos, "case %d: %s\n%s", i, reason.text().c_str(), text.c_str());
     }
 }
+
+// The deploy template with each placeholder replaced by the value that the function returns for its field.
+static std::string renderTemplate(const std::function<std::string(const std::string& field)>& valueOf)
+{
+    std::ifstream file(RELAY_TEMPLATE);
+    std::stringstream source;
+    source << file.rdbuf();
+    std::string text = source.str();
+    static const std::regex placeholder(R"(\{\{([^}]*)\}\})");
+    std::string rendered;
+    std::sregex_iterator end;
+    std::string::const_iterator position = text.cbegin();
+    for (std::sregex_iterator it(text.cbegin(), text.cend(), placeholder); it != end; ++it) {
+        rendered.append(position, (*it)[0].first);
+        rendered += valueOf((*it)[1].str());
+        position = (*it)[0].second;
+    }
+    return rendered.append(position, text.cend());
+}
+
+// Values of the fields that are not numbers.
+static std::string textOf(const std::string& field)
+{
+    if (field == "seeds")
+        return "10.1.0.40:8229,10.2.0.29:8229";
+    if (field == "ip")
+        return "10.1.0.40";
+    if (field.starts_with("listen.") || field == "platform.address")
+        return "10.1.0.40:8227";
+    return "entry-1";
+}
+
+// A daemon must start with any number that a deployment gives: the scaled-down deployments give fractions, on which no daemon
+// started, and others may leave a field out.
+Test(RelaySettings, templateAcceptsAnyNumber)
+{
+    static constexpr int caseCount = 500;
+    static const std::vector<std::string> numbers { "0", "1", "54", "2.8421052631578947", "0.25", "8.5", "20", "1000.0", "1e3", "99999999999", "" };
+    std::mt19937_64 random(7);
+    for (int i = 0; i < caseCount; ++i) {
+        std::string text = renderTemplate([&random](const std::string& field) {
+            bool isNumber = field.starts_with("bounds.") || field.starts_with("limits.");
+            if (!isNumber)
+                return textOf(field);
+            // Limits of the reader that hold by meaning: a share is at most 1, and the time to stop at most an hour.
+            if (field == "bounds.retry-budget")
+                return std::string(random() % 2 ? "0.2" : "1");
+            if (field == "bounds.grace-s")
+                return std::string(random() % 2 ? "8.5" : "30");
+            return numbers[random() % numbers.size()];
+        });
+        Core::Reason reason;
+        cr_assert(parseRelaySettings(text, "relay.yaml", reason), "%s\n%s", reason.text().c_str(), text.c_str());
+    }
+}
+
+// A fraction of a second of the time to stop must not be read as another number.
+Test(RelaySettings, timeToStopMayBeAFraction)
+{
+    std::string text = renderTemplate([](const std::string& field) {
+        bool isNumber = field.starts_with("bounds.") || field.starts_with("limits.");
+        return field == "bounds.grace-s" ? std::string("8.5") : isNumber ? std::string("1") : textOf(field);
+    });
+    Core::Reason reason;
+    std::optional<RelaySettings> settings = parseRelaySettings(text, "relay.yaml", reason);
+    cr_assert(settings, "%s", reason.text().c_str());
+    cr_assert_eq(settings->stopLimit(), std::chrono::milliseconds(8'500));
+}
