Stops: connections are accepted to the end, reserves return early, the process exits

A stopping daemon closed its port after 2.6 s. It now accepts to the end and refuses at once, with Retry-After, what it could not finish; a request whose deadline fits is served. - After its last log line the process hung in the destructors of static objects (trace lines: main returned, the function registered with atexit before the log was never called), that is in the logging library's threads. One crashed there instead: tasks in progress were destroyed after the daemon that they refer to. The process now flushes its log and exits without either. - Reserves were returned in the last 0.9 s of a stop, when the store may be cut off. They are returned from 2.6 s on. - Reserves and pools shrink to nothing (0.25 s of demand at allocators) between a half and a quarter of the budget left.

Ruled out: more of a loss of power recovered by marks of spending in the store. With marks each second and one second of down time about 2.5 s of demand must still be presumed spent, and what the processes held was 3 s of demand.

--- a/Libraries/LibCore/include/LibCore/EventLog.h
+++ b/Libraries/LibCore/include/LibCore/EventLog.h
@@ -31,4 +31,7 @@
 // Writes "E1042 name: text" to the log.
 void logEvent(const Event&, const std::string& text);
 
+// Hands over the last lines. Nothing is logged after it.
+void closeLog();
+
 }
--- a/Libraries/LibCore/src/EventLog.cpp
+++ b/Libraries/LibCore/src/EventLog.cpp
@@ -47,6 +47,11 @@
     root.setLogLevel(levelOf(lowest));
 }
 
+void closeLog()
+{
+    log4cplus::Logger::getRoot().closeNestedAppenders();
+}
+
 void logEvent(const Event& event, const std::string& text)
 {
     initializer();
--- a/Libraries/LibRelay/include/LibRelay/BudgetManager.h
+++ b/Libraries/LibRelay/include/LibRelay/BudgetManager.h
@@ -64,6 +64,9 @@
     // Refuses transfers from now on, so that other daemons switch to another allocator before this one exits.
     void stopAllocating() { m_isAllocating = false; }
 
+    // Keeps no reserve from now on; maintain() returns what requests leave over.
+    void stopReserving() { m_isReserving = false; }
+
     // Returns all tokens that no request holds. Call this once no further requests are accepted.
     Core::Task<void> returnAll(Core::Deadline);
 
@@ -151,6 +154,8 @@
     Core::Task<HoldResult> waitForTokens(const std::shared_ptr<Account>&, Tokens, Core::Deadline exhaustedAt, Core::Deadline, Core::Reason&);
     Tokens reserveTarget(const Account&) const;
     Tokens poolTarget(const Account&) const;
+    // 1 while much of the budget remains, 0 near its end.
+    double reserveScale(const Account&) const;
     // This daemon's share of the total reserve, derived from its share of the grants so far.
     double shareOf(const Account&) const;
     void updateRemaining(Account&, Tokens remaining, Tokens grantedToAll, Core::SteadyClock::time_point askedAt);
@@ -170,6 +175,7 @@
     std::map<std::string, std::shared_ptr<Account>> m_accounts;
     size_t m_daemons { 1 };
     bool m_isAllocating { true };
+    bool m_isReserving { true };
     bool m_isStopping { false };
 };
 
--- a/Libraries/LibRelay/src/BudgetManager.cpp
+++ b/Libraries/LibRelay/src/BudgetManager.cpp
@@ -20,9 +20,13 @@
 static constexpr int maxAllocatorAttempts = 2;
 // Largest share of the remainder that an allocator keeps in its pool for other daemons.
 static constexpr double maxPoolShare = 0.1;
-// Reserves shrink in proportion once the remainder falls below this share of the budget. The reserve of a daemon that
-// crashes is lost, which near the end of a budget would be most of what is left.
-static constexpr double scarcityThreshold = 0.5;
+// Reserves and pools shrink from the first to the second of these shares of the budget that remain. What a daemon has when it
+// crashes counts as spent, and near the end of a budget that would be most of what is left.
+static constexpr double scarcityStart = 0.5;
+static constexpr double scarcityEnd = 0.25;
+// Seconds of the other daemons' demand that an allocator keeps in its pool however little remains, so that not every transfer
+// costs a write to the store.
+static constexpr double minPoolSeconds = 0.25;
 // Available tokens above this multiple of the target are returned.
 static constexpr double surplusFactor = 1.5;
 
@@ -88,13 +92,17 @@
     account.remainingAsOf = askedAt;
 }
 
+double BudgetManager::reserveScale(const Account& account) const
+{
+    double remainingShare = static_cast<double>(account.remaining.value_or(0)) / (static_cast<double>(account.budget.value_or(0)) + 1);
+    return std::clamp((remainingShare - scarcityEnd) / (scarcityStart - scarcityEnd), 0.0, 1.0);
+}
+
 Tokens BudgetManager::reserveTarget(const Account& account) const
 {
-    if (!account.remaining)
+    if (!account.remaining || !m_isReserving)
         return 0;
-    double remaining = static_cast<double>(*account.remaining);
-    double reserveScale = std::clamp(remaining / (scarcityThreshold * static_cast<double>(account.budget.value_or(0)) + 1), 0.0, 1.0);
-    double limit = remaining * reserveScale * m_settings.reserveShare * shareOf(account);
+    double limit = static_cast<double>(*account.remaining) * reserveScale(account) * m_settings.reserveShare * shareOf(account);
     double rate = account.demand.perSecond();
     double desired = std::max(rate * m_settings.reserveSeconds, std::min(rate * demandTimeConstantSeconds * 2, static_cast<double>(account.largestHold)));
     return std::max<Tokens>(0, static_cast<Tokens>(std::min(desired, limit)));
@@ -102,10 +110,11 @@
 
 Tokens BudgetManager::poolTarget(const Account& account) const
 {
-    if (!account.remaining)
+    if (!account.remaining || !m_isReserving)
         return 0;
     double limit = static_cast<double>(*account.remaining) * maxPoolShare;
-    return std::max<Tokens>(0, static_cast<Tokens>(std::min(account.pool.perSecond() * m_settings.poolSeconds, limit)));
+    double seconds = std::max(minPoolSeconds, m_settings.poolSeconds * reserveScale(account));
+    return std::max<Tokens>(0, static_cast<Tokens>(std::min(account.pool.perSecond() * seconds, limit)));
 }
 
 double BudgetManager::shareOf(const Account& account) const
--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -200,6 +200,8 @@
     hooks.configuration = [this] { return m_configuration; };
     hooks.unservable = [this] { return servingRefusal(); };
     hooks.refreshConfiguration = [this] { return refreshConfiguration(); };
+    hooks.storeSilence = [this] { return std::chrono::milliseconds(configurationAgeMs()); };
+    hooks.servesUntil = [this] { return m_servesUntil; };
     hooks.rejectEndpoint = [this](const std::string& endpoint) { m_endpoints.reject(endpoint); };
     return hooks;
 }
@@ -259,9 +261,15 @@
     m_callerServer.closeAfterResponses();
     m_budgets.stopAllocating();
     co_await Core::sleepUntil(std::min(limit, Deadline::after(readinessPropagationTime)));
-    m_callerServer.stopAccepting();
+    m_servesUntil = limit;
+    // Nothing that needs tokens starts from here on. Returning them now rather than at the end leaves time for a store that is
+    // cut off or slow.
+    m_budgets.stopReserving();
+    // Connections are still accepted: if most daemons of a failure domain stop at the same time, the load balancer uses all of
+    // them, and a refused connection tells a caller less than a refused request.
     while (m_callerServer.activeRequests() > 0 && !limit.hasPassed())
         co_await Core::sleepUntil(Deadline::after(activeRequestPollInterval));
+    m_callerServer.stopAccepting();
     size_t interruptedRequests = m_callerServer.activeRequests();
     m_configurationFollower.stop();
     m_endpointFollower.stop();
--- a/Services/jujuberelayd/src/RelayDaemon.h
+++ b/Services/jujuberelayd/src/RelayDaemon.h
@@ -82,4 +82,6 @@
     // Last logged watch source of each object prefix.
     std::map<std::string, std::string> m_loggedWatchSources;
     bool m_isStopping { false };
+    // Set once the load balancer no longer chooses this daemon: when requests in progress are interrupted.
+    std::optional<Core::Deadline> m_servesUntil;
 };
--- a/Services/jujuberelayd/src/RelayMain.cpp
+++ b/Services/jujuberelayd/src/RelayMain.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 
 namespace {
 
@@ -52,6 +53,14 @@
 
 }
 
+// Ends the process without destroying the tasks in progress, which refer to parts of the daemon, and without waiting for the
+// threads of the logging library.
+[[noreturn]] static void exitProcess(int code)
+{
+    Core::closeLog();
+    std::_Exit(code);
+}
+
 int runRelay(const std::string& settingsPath, bool checkOnly)
 {
     Core::Reason reason;
@@ -74,5 +83,5 @@
     }
     waitForSignal(process);
     process.context.run();
-    return process.exitCode;
+    exitProcess(process.exitCode);
 }
--- a/Tests/LibRelay/TestBudgetManager.cpp
+++ b/Tests/LibRelay/TestBudgetManager.cpp
@@ -242,3 +242,70 @@
         co_return true;
     }(fixture.first.manager));
 }
+
+// Ungranted tokens of the workspace in the store.
+static Tokens ungranted(BudgetFixture& fixture)
+{
+    Core::Reason reason;
+    return decodeShard(fixture.store.table().get("relay-ledgers/shard-0", reason)->value, reason)->at("w").remaining();
+}
+
+// Load pattern: the budgets of busy workspaces are nearly used up when all hosts lose power, as on the last seconds of a heavy day.
+// Guards against the reserves of the lost processes taking most of what is left: more than a fortieth of a budget that cannot be
+// used is refused to callers who have paid for it.
+Test(BudgetManager, lossOfAllPowerNearTheEndOfABudgetStrandsLittle)
+{
+    static constexpr Tokens largeBudget = 1'000'000;
+    static constexpr Tokens request = 1'000;
+    BudgetFixture fixture;
+    Daemon third(fixture.context, fixture.store.hooks(), "c", 3);
+    std::array<Daemon*, 3> daemons { &fixture.first, &fixture.second, &third };
+    for (Daemon* daemon : daemons) {
+        daemon->manager.adopt(makeConfiguration(2, largeBudget));
+        if (daemon != &fixture.first)
+            daemon->allocator = &fixture.first;
+        Core::spawn(fixture.context.get_executor(), "maintain", daemon->manager.maintain());
+    }
+    Tokens spent = 0;
+    for (size_t i = 0; spent < largeBudget * 85 / 100; ++i) {
+        Daemon& daemon = *daemons[i % daemons.size()];
+        cr_assert_eq(fixture.hold(daemon, request), HoldResult::Granted);
+        daemon.manager.settle("w", request, request);
+        spent += request;
+    }
+    // Time in which the daemons return what they no longer need, at the load of these requests.
+    Core::Deadline end = Core::Deadline::after(std::chrono::milliseconds(2'500));
+    for (size_t i = 0; !end.hasPassed() && spent < largeBudget * 88 / 100; ++i) {
+        Daemon& daemon = *daemons[i % daemons.size()];
+        cr_assert_eq(fixture.hold(daemon, request), HoldResult::Granted);
+        daemon.manager.settle("w", request, request);
+        spent += request;
+        TestSupport::runTask(fixture.context, []() -> Core::Task<bool> {
+            co_await Core::sleepUntil(Core::Deadline::after(std::chrono::milliseconds(80)));
+            co_return true;
+        }());
+    }
+    // No process of before the loss returns anything, so what is granted but not spent is stranded.
+    Tokens stranded = largeBudget - ungranted(fixture) - spent;
+    cr_assert_geq(stranded, 0);
+    cr_assert_lt(stranded, largeBudget / 40, "stranded %ld", stranded);
+    for (Daemon* daemon : daemons)
+        daemon->manager.stop();
+}
+
+// Guards against a stopping daemon that keeps its reserve until the end of its time to stop: if the store is cut off by then, the
+// tokens are lost.
+Test(BudgetManager, stoppingDaemonReturnsItsReserveEarly)
+{
+    BudgetFixture fixture;
+    cr_assert_eq(fixture.hold(fixture.first, 100), HoldResult::Granted);
+    cr_assert_eq(fixture.hold(fixture.first, 50), HoldResult::Granted);
+    fixture.first.manager.settle("w", 50, 50);
+    Core::spawn(fixture.context.get_executor(), "maintain", fixture.first.manager.maintain());
+    fixture.first.manager.stopReserving();
+    TestSupport::runUntil(fixture.context, [&fixture] { return ungranted(fixture) == budget - 150; });
+    // A request that ends later returns what it did not use.
+    fixture.first.manager.settle("w", 100, 30);
+    TestSupport::runUntil(fixture.context, [&fixture] { return ungranted(fixture) == budget - 80; });
+    fixture.first.manager.stop();
+}
