Fewer store calls: probes of refused hosts, announcements, batches of changes

Change: a host that is served by its peers probes every 2 s; the announcement is replaced as listed, without reading it; changes in quick succession are gathered for 250 ms instead of 100.

Tests: hostServedByItsPeersProbesRarely, announcementOfThePredecessorIsReplacedWithoutReadingIt, announcementSucceedsAfterAnOutdatedListing.

--- a/Libraries/LibRelay/include/LibRelay/PeerDirectory.h
+++ b/Libraries/LibRelay/include/LibRelay/PeerDirectory.h
@@ -5,6 +5,7 @@
 #include "LibRelay/PeerTable.h"
 #include <functional>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace Relay {
@@ -40,6 +41,8 @@
 private:
     Core::Task<void> run();
     Core::Task<bool> announce(Core::Reason&);
+    // This host's announcement; empty with a reason of kind NotFound if there is none.
+    Core::Task<std::optional<Platform::Object>> readAnnouncement(Core::Reason&);
     void put(const Platform::Object&);
     void notifyChanged();
 
@@ -52,6 +55,9 @@
     // Distinguishes the announcements of two processes on one host.
     std::string m_nonce;
     Platform::Version m_version { 0 };
+    // This host's announcement in the first listing. Saves reading it before the first attempt to replace it.
+    std::optional<Platform::Object> m_listedAnnouncement;
+    bool m_isListingCurrent { false };
     bool m_isStarted { false };
     bool m_isAnnounced { false };
     bool m_isStopping { false };
--- a/Libraries/LibRelay/include/LibRelay/PeerStore.h
+++ b/Libraries/LibRelay/include/LibRelay/PeerStore.h
@@ -19,6 +19,9 @@
     // Interval and timeout of the probes that check whether the store has recovered.
     int64_t probeIntervalMs { 200 };
     int64_t probeTimeoutMs { 400 };
+    // Interval of the probes while this daemon is kept current through its peers. Each probe counts against the store's rate,
+    // also one that it refuses.
+    int64_t servedProbeIntervalMs { 2'000 };
     // Consecutive failed calls after which the store is considered lost.
     int failureThreshold { 2 };
 };
@@ -28,6 +31,8 @@
     std::function<Core::Task<std::optional<std::string>>(Core::Address, std::string body, Core::Deadline, Core::Reason&)> callPeer;
     std::function<void(const Core::Reason&)> lost;
     std::function<void()> regained;
+    // Whether what this daemon knows of the store is kept current through peers. May be unset.
+    std::function<bool()> isServedByPeers {};
 };
 
 // The platform's store with failover through peers: the store sometimes refuses a single host while it serves the others, in
--- a/Libraries/LibRelay/src/PeerDirectory.cpp
+++ b/Libraries/LibRelay/src/PeerDirectory.cpp
@@ -29,10 +29,19 @@
     return prefix + host;
 }
 
+Core::Task<std::optional<Platform::Object>> PeerDirectory::readAnnouncement(Reason& reason)
+{
+    if (!std::exchange(m_isListingCurrent, false))
+        co_return co_await m_store.get(nameOf(m_host), Deadline::after(storeTimeout), reason);
+    if (!m_listedAnnouncement)
+        reason = { FailureKind::NotFound, "read announcement", "store", "not in the listing" };
+    co_return m_listedAnnouncement;
+}
+
 Core::Task<bool> PeerDirectory::announce(Reason& reason)
 {
     std::string value = json { { "address", m_self.address.text() }, { "failure_domain", m_self.failureDomain }, { "capacity", m_self.capacity }, { "process", m_nonce } }.dump();
-    std::optional<Platform::Object> object = co_await m_store.get(nameOf(m_host), Deadline::after(storeTimeout), reason);
+    std::optional<Platform::Object> object = co_await readAnnouncement(reason);
     if (!object && reason.kind != FailureKind::NotFound)
         co_return false;
     m_version = object ? object->version : 0;
@@ -80,8 +89,14 @@
     for (const Platform::Object& announcement : announcements)
         put(announcement);
     notifyChanged();
-    if (!std::exchange(m_isStarted, true))
-        Core::spawn(m_executor, "announce", run());
+    if (std::exchange(m_isStarted, true))
+        return;
+    for (const Platform::Object& announcement : announcements) {
+        if (announcement.name == nameOf(m_host))
+            m_listedAnnouncement = announcement;
+    }
+    m_isListingCurrent = true;
+    Core::spawn(m_executor, "announce", run());
 }
 
 void PeerDirectory::adopt(const Platform::Change& change)
--- a/Libraries/LibRelay/src/PeerStore.cpp
+++ b/Libraries/LibRelay/src/PeerStore.cpp
@@ -131,8 +131,12 @@
 
 Core::Task<void> PeerStore::probe()
 {
+    Deadline nextServedProbe = Deadline::after(std::chrono::milliseconds(m_settings.servedProbeIntervalMs));
     while (m_isLost && !m_isStopping) {
         co_await Core::sleepUntil(Deadline::after(std::chrono::milliseconds(m_settings.probeIntervalMs)));
+        if (m_hooks.isServedByPeers && m_hooks.isServedByPeers() && !nextServedProbe.hasPassed())
+            continue;
+        nextServedProbe = Deadline::after(std::chrono::milliseconds(m_settings.servedProbeIntervalMs));
         Reason reason;
         std::optional<Platform::Object> object
             = co_await m_direct.get(m_probeName, Deadline::after(std::chrono::milliseconds(m_settings.probeTimeoutMs)), reason);
--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -22,7 +22,7 @@
 // Daemons that start together announce themselves within about this time, so their announcements are batched.
 static constexpr int64_t announcementBatchMs = 500;
 // Changes in quick succession are batched, since each message is sent to several daemons.
-static constexpr int64_t changeBatchMs = 100;
+static constexpr int64_t changeBatchMs = 250;
 static constexpr int64_t retryAfterMs = 500;
 
 static Relay::HandlerSettings handlerSettingsOf(const RelaySettings& settings)
--- a/Services/jujuberelayd/src/RelayDaemonLinks.cpp
+++ b/Services/jujuberelayd/src/RelayDaemonLinks.cpp
@@ -14,6 +14,9 @@
 // Call type that shares a watch on the store, and the time allowed for the response after the wait has ended.
 static constexpr const char* watchCallType = "watch";
 static constexpr std::chrono::milliseconds watchResponseMargin(350);
+// A daemon that the store refuses is kept current by its peers if its configuration is not older than this, the age at which a peer
+// stops sharing its watch.
+static constexpr int64_t maxAgeServedByPeersMs = 2'000;
 
 void RelayDaemon::servePeers()
 {
@@ -150,6 +153,7 @@
     hooks.callPeer = [this](Core::Address peer, std::string body, Deadline deadline, Reason& reason) {
         return m_network.call(std::move(peer), storeCallType, std::move(body), deadline, reason);
     };
+    hooks.isServedByPeers = [this] { return configurationAgeMs() <= maxAgeServedByPeersMs; };
     hooks.lost = [this](const Reason& reason) { logStoreAvailability("store", true, " reason=\"" + reason.text() + "\""); };
     hooks.regained = [this] {
         // A partition from the store usually includes the peers too, so they are assumed to be reachable again.
--- a/Tests/LibDaemon/TestRelaySettings.cpp
+++ b/Tests/LibDaemon/TestRelaySettings.cpp
@@ -122,7 +122,8 @@
 {
     std::string text = renderTemplate([](const std::string& field) {
         bool isNumber = field.starts_with("bounds.") || field.starts_with("limits.");
-        return field == "bounds.grace-s" ? std::string("8.5") : isNumber ? std::string("1") : textOf(field);
+        return field == "bounds.grace-s" ? std::string("8.5") : isNumber ? std::string("1")
+                                                                         : textOf(field);
     });
     Core::Reason reason;
     std::optional<RelaySettings> settings = parseRelaySettings(text, "relay.yaml", reason);
--- a/Tests/LibRelay/TestPeerDirectory.cpp
+++ b/Tests/LibRelay/TestPeerDirectory.cpp
@@ -76,3 +76,38 @@
     cr_assert_eq(fixture.store.table().get("relay-daemons/own", reason)->version, *fixture.incarnation);
     cr_assert_eq(fixture.store.writes(), 1);
 }
+
+// Load pattern: all hosts start again at the same time after a loss of power.
+// Guards against each of them reading its own announcement from the store, which the listing before has just shown.
+Test(PeerDirectory, announcementOfThePredecessorIsReplacedWithoutReadingIt)
+{
+    boost::asio::io_context context;
+    Platform::InMemoryObjectStore memory(context.get_executor());
+    Platform::ObjectStore store = memory.hooks();
+    Core::Reason reason;
+    std::string name = PeerDirectory::nameOf("own");
+    Platform::Version old = TestSupport::runTask(context, store.put(name, R"({"process":"old"})", 0, Core::Deadline::after(std::chrono::seconds(1)), reason)).value();
+    int reads = 0;
+    std::function<Core::Task<std::optional<Platform::Object>>(std::string, Core::Deadline, Core::Reason&)> get = store.get;
+    store.get = [&reads, get](std::string object, Core::Deadline deadline, Core::Reason& failure) {
+        ++reads;
+        return get(std::move(object), deadline, failure);
+    };
+    std::optional<uint64_t> incarnation;
+    PeerDirectory directory(context.get_executor(), store, "own", { { "10.0.0.1", 7340 }, "zone-a" },
+        { [&incarnation](uint64_t revision) { incarnation = revision; }, [](std::vector<PeerInfo>) {} });
+    directory.replaceAll({ { name, old, R"({"process":"old"})" } });
+    TestSupport::runUntil(context, [&incarnation] { return incarnation.has_value(); });
+    cr_assert_gt(*incarnation, old);
+    cr_assert_eq(reads, 0);
+}
+
+// Guards against a listing that was out of date keeping the daemon from announcing itself.
+Test(PeerDirectory, announcementSucceedsAfterAnOutdatedListing)
+{
+    DirectoryFixture fixture;
+    Core::Reason reason;
+    TestSupport::runTask(fixture.context, fixture.store.hooks().put(PeerDirectory::nameOf("own"), R"({"process":"old"})", 0, Core::Deadline::after(std::chrono::seconds(1)), reason));
+    fixture.directory.replaceAll({});
+    TestSupport::runUntil(fixture.context, [&fixture] { return fixture.incarnation.has_value(); });
+}
--- a/Tests/LibRelay/TestPeerStore.cpp
+++ b/Tests/LibRelay/TestPeerStore.cpp
@@ -120,3 +120,45 @@
         cr_assert_eq(reason.kind, Core::FailureKind::Invalid);
     }
 }
+
+// Load pattern: the store refuses a third of the hosts for several seconds and serves the others.
+// Guards against each refused host probing the store five times a second although its peers keep it current: refused calls count
+// against the store's rate, and those of a hundred hosts were a third of all calls of the fleet.
+Test(PeerStore, hostServedByItsPeersProbesRarely)
+{
+    boost::asio::io_context context;
+    int probes = 0;
+    bool isServed = true;
+    Platform::ObjectStore refusing;
+    refusing.get = [&probes](std::string, Core::Deadline, Core::Reason& reason) -> Core::Task<std::optional<Platform::Object>> {
+        ++probes;
+        reason = { Core::FailureKind::Unavailable, "get", "store", "refused" };
+        co_return std::nullopt;
+    };
+    PeerStoreSettings settings;
+    settings.probeIntervalMs = 2;
+    settings.servedProbeIntervalMs = 100;
+    settings.failureThreshold = 1;
+    PeerStoreHooks hooks;
+    hooks.callPeer = [](Core::Address, std::string, Core::Deadline, Core::Reason& reason) -> Core::Task<std::optional<std::string>> {
+        reason.kind = Core::FailureKind::Unavailable;
+        co_return std::nullopt;
+    };
+    hooks.lost = [](const Core::Reason&) {};
+    hooks.regained = [] {};
+    hooks.isServedByPeers = [&isServed] { return isServed; };
+    PeerStore store(context.get_executor(), refusing, "probe", settings, hooks);
+    Core::Reason reason;
+    TestSupport::runTask(context, store.hooks().get("k/a", PeerFixture::soon(), reason));
+    auto probesWithin = [&](int milliseconds) {
+        int before = probes;
+        Core::Deadline end = Core::Deadline::after(std::chrono::milliseconds(milliseconds));
+        TestSupport::runUntil(context, [&end] { return end.hasPassed(); });
+        return probes - before;
+    };
+    cr_assert_leq(probesWithin(250), 3);
+    // Without its peers, the host has to notice at once that the store serves it again.
+    isServed = false;
+    cr_assert_geq(probesWithin(250), 20);
+    store.stop();
+}
