Fewer store calls: announcements are watched for 4.5 s, the first watch waits until peers are known

Announcements were watched as closely as the configuration although a daemon that has gone is noticed by calling it.

Test: firstWatchWaitsUntilPeersAreKnown.

--- a/Libraries/LibRelay/include/LibRelay/StoreFollower.h
+++ b/Libraries/LibRelay/include/LibRelay/StoreFollower.h
@@ -21,6 +21,9 @@
     // A daemon whose last confirmation is older than this has lost the store and serves no watches. Covers the longest watch
     // and the time for its answer.
     int64_t maxSharedAgeMs { 2'000 };
+    // Delay between the first listing and the first watch. Daemons that start together get to know each other in it, so that few
+    // of them watch the store.
+    int64_t firstWatchDelayMs { 0 };
 };
 
 // Callbacks of a follower.
--- a/Libraries/LibRelay/src/StoreFollower.cpp
+++ b/Libraries/LibRelay/src/StoreFollower.cpp
@@ -142,11 +142,14 @@
 Core::Task<void> StoreFollower::run()
 {
     bool needsListing = true;
+    bool isFirst = true;
     while (!m_isStopping) {
         Reason reason;
         bool isSuccessful = needsListing ? co_await list(Deadline::after(milliseconds(m_settings.listTimeoutMs)), reason) : co_await watch(reason);
         if (isSuccessful) {
             needsListing = false;
+            if (std::exchange(isFirst, false) && m_settings.firstWatchDelayMs > 0)
+                co_await Core::sleepUntil(Deadline::after(milliseconds(m_settings.firstWatchDelayMs)));
             continue;
         }
         needsListing = true;
--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -21,6 +21,11 @@
 static constexpr std::chrono::milliseconds refreshTimeout(500);
 // Daemons that start together announce themselves within about this time, so their announcements are batched.
 static constexpr int64_t announcementBatchMs = 500;
+// Daemons that start together know of each other after about this time.
+static constexpr int64_t peerDiscoveryTimeMs = 1'000;
+// A daemon that has gone is noticed by calling it, so a silent connection to the store may leave the announcements out of date for
+// longer than the configuration and the endpoints.
+static constexpr int64_t announcementWatchMs = 4'500;
 // Changes in quick succession are batched, since each message is sent to several daemons.
 static constexpr int64_t changeBatchMs = 250;
 static constexpr int64_t retryAfterMs = 500;
@@ -52,6 +57,21 @@
     return settings;
 }
 
+static Relay::FollowerSettings sharedFollowerSettings()
+{
+    Relay::FollowerSettings settings = batchingSettings(changeBatchMs);
+    settings.firstWatchDelayMs = peerDiscoveryTimeMs;
+    return settings;
+}
+
+static Relay::FollowerSettings announcementSettings()
+{
+    Relay::FollowerSettings settings = batchingSettings(announcementBatchMs);
+    settings.maxSharedAgeMs += announcementWatchMs - settings.watchMs;
+    settings.watchMs = announcementWatchMs;
+    return settings;
+}
+
 RelayDaemon::RelayDaemon(const boost::asio::any_io_executor& executor, RelaySettings settings)
     : m_executor(executor)
     , m_settings(std::move(settings))
@@ -68,9 +88,9 @@
     })
     , m_selector(m_endpoints, m_settings.failureDomain)
     , m_budgets(executor, makeBudgetHooks(), { m_settings.host })
-    , m_configurationFollower(executor, m_store, PlatformAdapter::configurationPrefix, batchingSettings(changeBatchMs), withSharedWatches(makeConfigurationHooks()))
-    , m_endpointFollower(executor, m_store, PlatformAdapter::endpointPrefix, batchingSettings(changeBatchMs), withSharedWatches(makeEndpointHooks()))
-    , m_announcementFollower(executor, m_store, Relay::PeerDirectory::prefix, batchingSettings(announcementBatchMs), withSharedWatches(makeAnnouncementHooks()))
+    , m_configurationFollower(executor, m_store, PlatformAdapter::configurationPrefix, sharedFollowerSettings(), withSharedWatches(makeConfigurationHooks()))
+    , m_endpointFollower(executor, m_store, PlatformAdapter::endpointPrefix, sharedFollowerSettings(), withSharedWatches(makeEndpointHooks()))
+    , m_announcementFollower(executor, m_store, Relay::PeerDirectory::prefix, announcementSettings(), withSharedWatches(makeAnnouncementHooks()))
     , m_handler(executor, PlatformAdapter::makeCodec(), makeHandlerHooks(), handlerSettingsOf(m_settings), m_client, m_selector, m_budgets, m_metrics)
     , m_callerServer(executor, [this](HTTP::Request request, HTTP::ResponseWriter& writer) { return m_handler.handle(std::move(request), writer); })
     , m_readinessServer(executor, [this](HTTP::Request request, HTTP::ResponseWriter& writer) { return handleReadiness(std::move(request), writer); })
--- a/Tests/LibRelay/TestStoreFollower.cpp
+++ b/Tests/LibRelay/TestStoreFollower.cpp
@@ -170,3 +170,43 @@
     cr_assert_not(decodeWatchRequest("\xa0", reason));
     cr_assert_eq(reason.kind, Core::FailureKind::Invalid);
 }
+
+// Load pattern: all hosts start at the same time and read of each other a moment later, while the endpoints register.
+// Guards against each of them watching the store in that moment: every registration then answers the watches of the whole fleet.
+Test(StoreFollower, firstWatchWaitsUntilPeersAreKnown)
+{
+    boost::asio::io_context context;
+    Platform::InMemoryObjectStore memory(context.get_executor());
+    Platform::ObjectStore store = memory.hooks();
+    int storeWatches = 0;
+    int peerWatches = 0;
+    std::function<Core::Task<std::optional<Platform::Changes>>(std::string, Platform::Version, Core::Deadline, Core::Reason&)> watch = store.watch;
+    store.watch = [&storeWatches, watch](std::string prefix, Platform::Version since, Core::Deadline deadline, Core::Reason& reason) {
+        ++storeWatches;
+        return watch(std::move(prefix), since, deadline, reason);
+    };
+    Core::SteadyClock::time_point peersKnownAt = Core::SteadyClock::now() + std::chrono::milliseconds(60);
+    FollowerHooks hooks;
+    hooks.listed = [](const std::vector<Platform::Object>&) {};
+    hooks.changed = [](const Platform::Change&) {};
+    hooks.lost = [](const Core::Reason&) {};
+    hooks.regained = [] {};
+    hooks.watchAtPeer = [&](WatchRequest request, Core::Reason& reason) -> Core::Task<std::optional<WatchReply>> {
+        if (Core::SteadyClock::now() < peersKnownAt) {
+            reason = { Core::FailureKind::Unavailable, "watch", "peer", "none is known" };
+            co_return std::nullopt;
+        }
+        ++peerWatches;
+        co_await Core::sleepUntil(Core::Deadline::after(std::chrono::milliseconds(5)));
+        ObjectChanges changes;
+        changes.revision = request.since;
+        co_return WatchReply { changes, std::chrono::milliseconds(0), std::chrono::milliseconds(5) };
+    };
+    FollowerSettings settings;
+    settings.firstWatchDelayMs = 100;
+    StoreFollower follower(context.get_executor(), store, "config/", settings, hooks);
+    Core::spawn(context.get_executor(), "follow", follower.run());
+    TestSupport::runUntil(context, [&peerWatches] { return peerWatches > 3; });
+    cr_assert_eq(storeWatches, 0);
+    follower.stop();
+}
