Hosts that are short of processor time refuse requests at once

What waits in its sockets has no age for the daemon, so it is served after its callers have left, with time that has passed.

Change: a timer of 100 ms shows how late the event loop is.

--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -29,6 +29,8 @@
 // Changes in quick succession are batched, since each message is sent to several daemons.
 static constexpr int64_t changeBatchMs = 250;
 static constexpr int64_t retryAfterMs = 500;
+// A retry reaches another daemon.
+static constexpr int64_t retryAfterOverloadMs = 100;
 
 static Relay::HandlerSettings handlerSettingsOf(const RelaySettings& settings)
 {
@@ -100,6 +102,8 @@
         [this] { return static_cast<double>(configurationAgeMs()) / 1'000; });
     m_metrics.observe("jujuberelay_relay_endpoints", "Endpoints that are believed to serve or to leave.",
         [this] { return static_cast<double>(m_endpoints.endpoints().size()); });
+    m_metrics.observe("jujuberelay_relay_timer_lag_seconds", "How late the last sample timer fired; a host that is short of processor time refuses requests.",
+        [this] { return static_cast<double>(m_load.lag().count()) / 1'000; });
     m_metrics.observe("jujuberelay_relay_active_requests", "Requests in progress.", [this] { return static_cast<double>(m_callerServer.activeRequests()); });
     m_metrics.observeCounter("jujuberelay_relay_connections_opened_total", "Connections opened to endpoints and the store.",
         [this] { return m_client->connectionsOpened(); });
@@ -119,6 +123,7 @@
     Core::spawn(m_executor, "follow announcements", m_announcementFollower.run());
     Core::spawn(m_executor, "expire endpoints", expireEndpoints());
     Core::spawn(m_executor, "maintain budgets", m_budgets.maintain());
+    Core::spawn(m_executor, "monitor load", monitorLoad());
     return true;
 }
 
@@ -245,6 +250,8 @@
         return Relay::Refusal { 503, "not_started", "the configuration or the list of endpoints has not been read yet", retryAfterMs };
     if (configurationAgeMs() > m_settings.outageLimitMs)
         return Relay::Refusal { 503, "stale_configuration", "the store last confirmed the configuration " + std::to_string(configurationAgeMs()) + " ms ago", retryAfterMs };
+    if (m_load.isOverloaded())
+        return Relay::Refusal { 503, "host_overloaded", "this host is short of processor time; its timers fire " + std::to_string(m_load.lag().count()) + " ms late", retryAfterOverloadMs };
     return std::nullopt;
 }
 
@@ -273,6 +280,18 @@
     }
 }
 
+Core::Task<void> RelayDaemon::monitorLoad()
+{
+    while (!m_isStopping) {
+        Deadline due = Deadline::after(Relay::LoadMonitor::sampleInterval);
+        co_await Core::sleepUntil(due);
+        bool wasOverloaded = m_load.isOverloaded();
+        m_load.record(due.at(), Core::SteadyClock::now());
+        if (m_load.isOverloaded() != wasOverloaded)
+            Core::logEvent(wasOverloaded ? RelayEvents::overloadEnded : RelayEvents::overloaded, "timer_lag_ms=" + std::to_string(m_load.lag().count()) + " active_requests=" + std::to_string(m_callerServer.activeRequests()));
+    }
+}
+
 Core::Task<bool> RelayDaemon::stop()
 {
     m_isStopping = true;
--- a/Services/jujuberelayd/src/RelayDaemon.h
+++ b/Services/jujuberelayd/src/RelayDaemon.h
@@ -3,6 +3,7 @@
 #include "LibHTTP/Server.h"
 #include "LibPeer/Network.h"
 #include "LibRelay/GrantRouter.h"
+#include "LibRelay/LoadMonitor.h"
 #include "LibRelay/PeerDirectory.h"
 #include "LibRelay/PeerStore.h"
 #include "LibRelay/RequestHandler.h"
@@ -52,6 +53,7 @@
     Core::Task<void> handleReadiness(HTTP::Request, HTTP::ResponseWriter&);
     Core::Task<void> handleMetrics(HTTP::Request, HTTP::ResponseWriter&);
     Core::Task<void> expireEndpoints();
+    Core::Task<void> monitorLoad();
     Relay::PeerInfo selfInfo() const { return { m_settings.peerAddress, m_settings.failureDomain, m_settings.processorShare * m_settings.linkMbps }; }
     // Seed peers other than this daemon, through which the store is reached until announcements of peers are known.
     std::vector<Core::Address> otherSeeds() const;
@@ -79,6 +81,7 @@
     HTTP::Server m_callerServer;
     HTTP::Server m_readinessServer;
     HTTP::Server m_metricsServer;
+    Relay::LoadMonitor m_load;
     // Last logged watch source of each object prefix.
     std::map<std::string, std::string> m_loggedWatchSources;
     bool m_isStopping { false };
--- a/Services/jujuberelayd/src/RelayEvents.h
+++ b/Services/jujuberelayd/src/RelayEvents.h
@@ -13,6 +13,8 @@
 inline constexpr Core::Event configurationAdopted { 1707, Core::Severity::Info, "configuration_adopted" };
 inline constexpr Core::Event objectIgnored { 1708, Core::Severity::Warning, "object_ignored" };
 inline constexpr Core::Event watchSource { 1714, Core::Severity::Info, "watch_source" };
+inline constexpr Core::Event overloaded { 1715, Core::Severity::Warning, "host_overloaded" };
+inline constexpr Core::Event overloadEnded { 1716, Core::Severity::Info, "host_overload_ended" };
 inline constexpr Core::Event announced { 1713, Core::Severity::Info, "relay_announced" };
 inline constexpr Core::Event endpointAdded { 1709, Core::Severity::Info, "endpoint_added" };
 inline constexpr Core::Event endpointLeaving { 1710, Core::Severity::Info, "endpoint_leaving" };
