--- a/Libraries/LibRelay/include/LibRelay/BudgetManager.h
+++ b/Libraries/LibRelay/include/LibRelay/BudgetManager.h
@@ -64,6 +64,9 @@
     // Refuses transfers from now on, so that other daemons switch to another allocator before this one exits.
     void stopAllocating() { m_isAllocating = false; }
 
+    // Keeps no reserve from now on; maintain() returns what requests leave over.
+    void stopReserving() { m_isReserving = false; }
+
     // Returns all tokens that no request holds. Call this once no further requests are accepted.
     Core::Task<void> returnAll(Core::Deadline);
 
@@ -132,6 +135,8 @@
         Rate pool;
         Tokens largestHold { 0 };
         bool isChanging { false };
+        // Refills in a row for which no allocator answered.
+        int failedTransfers { 0 };
         Core::Deadline backoffUntil { Core::SteadyClock::time_point {} };
         uint64_t transfers { 0 };
         std::optional<PendingTransfer> pending;
@@ -151,6 +156,8 @@
     Core::Task<HoldResult> waitForTokens(const std::shared_ptr<Account>&, Tokens, Core::Deadline exhaustedAt, Core::Deadline, Core::Reason&);
     Tokens reserveTarget(const Account&) const;
     Tokens poolTarget(const Account&) const;
+    // 1 while much of the budget remains, 0 near its end.
+    double reserveScale(const Account&) const;
     // This daemon's share of the total reserve, derived from its share of the grants so far.
     double shareOf(const Account&) const;
     void updateRemaining(Account&, Tokens remaining, Tokens grantedToAll, Core::SteadyClock::time_point askedAt);
@@ -159,8 +166,8 @@
     Core::Task<void> returnTokens(std::shared_ptr<Account>, Tokens);
     // Submits the change repeatedly until it is known whether it took effect.
     Core::Task<bool> changeRow(Account&, Tokens wanted, Tokens least, bool isUrgent, Core::Reason&);
-    // Requests tokens from the allocator, or returns them to it. Empty if it did not answer or this daemon is the
-    // allocator.
+    // Requests tokens from the allocator, or returns them to it. Empty without a reason if this daemon is the allocator, and
+    // with one if no allocator answered.
     Core::Task<std::optional<Tokens>> requestTransfer(Account&, Tokens wanted, Tokens least, Core::Reason&);
 
     boost::asio::any_io_executor m_executor;
@@ -170,6 +177,7 @@
     std::map<std::string, std::shared_ptr<Account>> m_accounts;
     size_t m_daemons { 1 };
     bool m_isAllocating { true };
+    bool m_isReserving { true };
     bool m_isStopping { false };
 };
 
--- a/Libraries/LibRelay/src/BudgetManager.cpp
+++ b/Libraries/LibRelay/src/BudgetManager.cpp
@@ -1,6 +1,7 @@
 #include "LibRelay/BudgetManager.h"
 
 #include "Events.h"
+#include "LibCore/Random.h"
 #include <algorithm>
 #include <cmath>
 
@@ -18,11 +19,18 @@
 static constexpr std::chrono::milliseconds maintenanceInterval(1'000);
 // Allocators to try before the row is changed in the store directly.
 static constexpr int maxAllocatorAttempts = 2;
+// Refills without an answer from an allocator before the row is changed in the store directly. After a network partition all
+// daemons would otherwise write their rows at the same time, and all but one of them conflict.
+static constexpr int maxFailedTransfers = 2;
 // Largest share of the remainder that an allocator keeps in its pool for other daemons.
 static constexpr double maxPoolShare = 0.1;
-// Reserves shrink in proportion once the remainder falls below this share of the budget. The reserve of a daemon that
-// crashes is lost, which near the end of a budget would be most of what is left.
-static constexpr double scarcityThreshold = 0.5;
+// Reserves and pools shrink from the first to the second of these shares of the budget that remain. What a daemon has when it
+// crashes counts as spent, and near the end of a budget that would be most of what is left.
+static constexpr double scarcityStart = 0.5;
+static constexpr double scarcityEnd = 0.1;
+// Seconds of the other daemons' demand that an allocator keeps in its pool however little remains, so that not every transfer
+// costs a write to the store.
+static constexpr double minPoolSeconds = 0.25;
 // Available tokens above this multiple of the target are returned.
 static constexpr double surplusFactor = 1.5;
 
@@ -88,13 +96,17 @@
     account.remainingAsOf = askedAt;
 }
 
+double BudgetManager::reserveScale(const Account& account) const
+{
+    double remainingShare = static_cast<double>(account.remaining.value_or(0)) / (static_cast<double>(account.budget.value_or(0)) + 1);
+    return std::clamp((remainingShare - scarcityEnd) / (scarcityStart - scarcityEnd), 0.0, 1.0);
+}
+
 Tokens BudgetManager::reserveTarget(const Account& account) const
 {
-    if (!account.remaining)
+    if (!account.remaining || !m_isReserving)
         return 0;
-    double remaining = static_cast<double>(*account.remaining);
-    double reserveScale = std::clamp(remaining / (scarcityThreshold * static_cast<double>(account.budget.value_or(0)) + 1), 0.0, 1.0);
-    double limit = remaining * reserveScale * m_settings.reserveShare * shareOf(account);
+    double limit = static_cast<double>(*account.remaining) * reserveScale(account) * m_settings.reserveShare * shareOf(account);
     double rate = account.demand.perSecond();
     double desired = std::max(rate * m_settings.reserveSeconds, std::min(rate * demandTimeConstantSeconds * 2, static_cast<double>(account.largestHold)));
     return std::max<Tokens>(0, static_cast<Tokens>(std::min(desired, limit)));
@@ -102,10 +114,11 @@
 
 Tokens BudgetManager::poolTarget(const Account& account) const
 {
-    if (!account.remaining)
+    if (!account.remaining || !m_isReserving)
         return 0;
     double limit = static_cast<double>(*account.remaining) * maxPoolShare;
-    return std::max<Tokens>(0, static_cast<Tokens>(std::min(account.pool.perSecond() * m_settings.poolSeconds, limit)));
+    double seconds = std::max(minPoolSeconds, m_settings.poolSeconds * reserveScale(account));
+    return std::max<Tokens>(0, static_cast<Tokens>(std::min(account.pool.perSecond() * seconds, limit)));
 }
 
 double BudgetManager::shareOf(const Account& account) const
@@ -258,19 +271,26 @@
     Tokens least = account.waiting.empty() ? 0 : *account.waiting.begin() - account.available();
     Tokens wanted = account.waitingTokens + reserveTarget(account) + poolTarget(account) - account.available();
     bool isUrgent = account.waitingTokens > 0;
+    Tokens grantedBefore = account.granted();
     if (wanted > 0) {
         least = std::clamp<Tokens>(least, 0, wanted);
         std::optional<Tokens> received = co_await requestTransfer(account, wanted, least, reason);
+        bool isAllocatorSilent = !received && !reason.step.empty();
+        account.failedTransfers = isAllocatorSilent ? account.failedTransfers + 1 : 0;
         if (received)
             account.transferred += *received;
-        else
+        else if (!isAllocatorSilent || account.failedTransfers >= maxFailedTransfers)
             co_await changeRow(account, wanted, least, isUrgent, reason);
+        // Waiting requests would otherwise ask again at once, for as long as they wait.
+        if (account.granted() == grantedBefore)
+            account.backoffUntil = Deadline::after(retryDelay);
     }
     account.isChanging = false;
     account.lastFailure = std::nullopt;
     if (!reason.step.empty()) {
         account.lastFailure = reason;
-        account.backoffUntil = Deadline::after(std::chrono::milliseconds(m_settings.failureBackoffMs));
+        uint64_t jitterMs = Core::randomBelow(static_cast<uint64_t>(m_settings.failureBackoffMs));
+        account.backoffUntil = Deadline::after(std::chrono::milliseconds(m_settings.failureBackoffMs / 2 + static_cast<int64_t>(jitterMs)));
         Core::logEvent(Events::ledgerUnavailable, "workspace=" + account.workspace + " reason=\"" + reason.text() + "\" " + describe(account.workspace));
     }
     account.changed.notifyAll();
--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -21,15 +21,22 @@
 static constexpr std::chrono::milliseconds refreshTimeout(500);
 // Daemons that start together announce themselves within about this time, so their announcements are batched.
 static constexpr int64_t announcementBatchMs = 500;
+// Daemons that start together know of each other after about this time.
+static constexpr int64_t peerDiscoveryTimeMs = 1'000;
+// A daemon that has gone is noticed by calling it, so a silent connection to the store may leave the announcements out of date for
+// longer than the configuration and the endpoints.
+static constexpr int64_t announcementWatchMs = 4'500;
 // Changes in quick succession are batched, since each message is sent to several daemons.
-static constexpr int64_t changeBatchMs = 100;
+static constexpr int64_t changeBatchMs = 250;
 static constexpr int64_t retryAfterMs = 500;
+// A retry reaches another daemon.
+static constexpr int64_t retryAfterOverloadMs = 100;
 
 static Relay::HandlerSettings handlerSettingsOf(const RelaySettings& settings)
 {
     Relay::HandlerSettings result;
     result.retryPercent = static_cast<int>(settings.retryShare * 100 * retryAllowanceFraction);
-    result.retryExtra = static_cast<int64_t>(static_cast<double>(settings.retryExtra) * retryAllowanceFraction);
+    result.retryExtra = static_cast<int64_t>(settings.retryExtra * retryAllowanceFraction);
     return result;
 }
 
@@ -52,6 +59,21 @@
     return settings;
 }
 
+static Relay::FollowerSettings sharedFollowerSettings()
+{
+    Relay::FollowerSettings settings = batchingSettings(changeBatchMs);
+    settings.firstWatchDelayMs = peerDiscoveryTimeMs;
+    return settings;
+}
+
+static Relay::FollowerSettings announcementSettings()
+{
+    Relay::FollowerSettings settings = batchingSettings(announcementBatchMs);
+    settings.maxSharedAgeMs += announcementWatchMs - settings.watchMs;
+    settings.watchMs = announcementWatchMs;
+    return settings;
+}
+
 RelayDaemon::RelayDaemon(const boost::asio::any_io_executor& executor, RelaySettings settings)
     : m_executor(executor)
     , m_settings(std::move(settings))
@@ -68,9 +90,9 @@
     })
     , m_selector(m_endpoints, m_settings.failureDomain)
     , m_budgets(executor, makeBudgetHooks(), { m_settings.host })
-    , m_configurationFollower(executor, m_store, PlatformAdapter::configurationPrefix, batchingSettings(changeBatchMs), withSharedWatches(makeConfigurationHooks()))
-    , m_endpointFollower(executor, m_store, PlatformAdapter::endpointPrefix, batchingSettings(changeBatchMs), withSharedWatches(makeEndpointHooks()))
-    , m_announcementFollower(executor, m_store, Relay::PeerDirectory::prefix, batchingSettings(announcementBatchMs), withSharedWatches(makeAnnouncementHooks()))
+    , m_configurationFollower(executor, m_store, PlatformAdapter::configurationPrefix, sharedFollowerSettings(), withSharedWatches(makeConfigurationHooks()))
+    , m_endpointFollower(executor, m_store, PlatformAdapter::endpointPrefix, sharedFollowerSettings(), withSharedWatches(makeEndpointHooks()))
+    , m_announcementFollower(executor, m_store, Relay::PeerDirectory::prefix, announcementSettings(), withSharedWatches(makeAnnouncementHooks()))
     , m_handler(executor, PlatformAdapter::makeCodec(), makeHandlerHooks(), handlerSettingsOf(m_settings), m_client, m_selector, m_budgets, m_metrics)
     , m_callerServer(executor, [this](HTTP::Request request, HTTP::ResponseWriter& writer) { return m_handler.handle(std::move(request), writer); })
     , m_readinessServer(executor, [this](HTTP::Request request, HTTP::ResponseWriter& writer) { return handleReadiness(std::move(request), writer); })
@@ -80,6 +102,8 @@
         [this] { return static_cast<double>(configurationAgeMs()) / 1'000; });
     m_metrics.observe("jujuberelay_relay_endpoints", "Endpoints that are believed to serve or to leave.",
         [this] { return static_cast<double>(m_endpoints.endpoints().size()); });
+    m_metrics.observe("jujuberelay_relay_timer_lag_seconds", "How late the last sample timer fired; a host that is short of processor time refuses requests.",
+        [this] { return static_cast<double>(m_load.lag().count()) / 1'000; });
     m_metrics.observe("jujuberelay_relay_active_requests", "Requests in progress.", [this] { return static_cast<double>(m_callerServer.activeRequests()); });
     m_metrics.observeCounter("jujuberelay_relay_connections_opened_total", "Connections opened to endpoints and the store.",
         [this] { return m_client->connectionsOpened(); });
@@ -99,6 +123,7 @@
     Core::spawn(m_executor, "follow announcements", m_announcementFollower.run());
     Core::spawn(m_executor, "expire endpoints", expireEndpoints());
     Core::spawn(m_executor, "maintain budgets", m_budgets.maintain());
+    Core::spawn(m_executor, "monitor load", monitorLoad());
     return true;
 }
 
@@ -200,6 +225,8 @@
     hooks.configuration = [this] { return m_configuration; };
     hooks.unservable = [this] { return servingRefusal(); };
     hooks.refreshConfiguration = [this] { return refreshConfiguration(); };
+    hooks.storeSilence = [this] { return std::chrono::milliseconds(configurationAgeMs()); };
+    hooks.servesUntil = [this] { return m_servesUntil; };
     hooks.rejectEndpoint = [this](const std::string& endpoint) { m_endpoints.reject(endpoint); };
     return hooks;
 }
@@ -223,6 +250,8 @@
         return Relay::Refusal { 503, "not_started", "the configuration or the list of endpoints has not been read yet", retryAfterMs };
     if (configurationAgeMs() > m_settings.outageLimitMs)
         return Relay::Refusal { 503, "stale_configuration", "the store last confirmed the configuration " + std::to_string(configurationAgeMs()) + " ms ago", retryAfterMs };
+    if (m_load.isOverloaded())
+        return Relay::Refusal { 503, "host_overloaded", "this host is short of processor time; its timers fire " + std::to_string(m_load.lag().count()) + " ms late", retryAfterOverloadMs };
     return std::nullopt;
 }
 
@@ -251,17 +280,35 @@
     }
 }
 
+Core::Task<void> RelayDaemon::monitorLoad()
+{
+    while (!m_isStopping) {
+        Deadline due = Deadline::after(Relay::LoadMonitor::sampleInterval);
+        co_await Core::sleepUntil(due);
+        bool wasOverloaded = m_load.isOverloaded();
+        m_load.record(due.at(), Core::SteadyClock::now());
+        if (m_load.isOverloaded() != wasOverloaded)
+            Core::logEvent(wasOverloaded ? RelayEvents::overloadEnded : RelayEvents::overloaded, "timer_lag_ms=" + std::to_string(m_load.lag().count()) + " active_requests=" + std::to_string(m_callerServer.activeRequests()));
+    }
+}
+
 Core::Task<bool> RelayDaemon::stop()
 {
     m_isStopping = true;
-    Deadline limit = Deadline::after(std::chrono::milliseconds(m_settings.stopLimitMs) - grantReturnTime);
-    Core::logEvent(RelayEvents::stopping, "active_requests=" + std::to_string(m_callerServer.activeRequests()) + " limit_ms=" + std::to_string(m_settings.stopLimitMs));
+    Deadline limit = Deadline::after(m_settings.stopLimit() - grantReturnTime);
+    Core::logEvent(RelayEvents::stopping, "active_requests=" + std::to_string(m_callerServer.activeRequests()) + " limit_ms=" + std::to_string(m_settings.stopLimit().count()));
     m_callerServer.closeAfterResponses();
     m_budgets.stopAllocating();
     co_await Core::sleepUntil(std::min(limit, Deadline::after(readinessPropagationTime)));
-    m_callerServer.stopAccepting();
+    m_servesUntil = limit;
+    // Nothing that needs tokens starts from here on. Returning them now rather than at the end leaves time for a store that is
+    // cut off or slow.
+    m_budgets.stopReserving();
+    // Connections are still accepted: if most daemons of a failure domain stop at the same time, the load balancer uses all of
+    // them, and a refused connection tells a caller less than a refused request.
     while (m_callerServer.activeRequests() > 0 && !limit.hasPassed())
         co_await Core::sleepUntil(Deadline::after(activeRequestPollInterval));
+    m_callerServer.stopAccepting();
     size_t interruptedRequests = m_callerServer.activeRequests();
     m_configurationFollower.stop();
     m_endpointFollower.stop();
@@ -278,6 +325,6 @@
 void RelayDaemon::reload(const RelaySettings& settings)
 {
     m_settings.outageLimitMs = settings.outageLimitMs;
-    m_settings.stopLimitMs = settings.stopLimitMs;
-    Core::logEvent(RelayEvents::reloaded, "outage_limit_ms=" + std::to_string(settings.outageLimitMs) + " stop_limit_ms=" + std::to_string(settings.stopLimitMs));
+    m_settings.stopLimitSeconds = settings.stopLimitSeconds;
+    Core::logEvent(RelayEvents::reloaded, "outage_limit_ms=" + std::to_string(settings.outageLimitMs) + " stop_limit_ms=" + std::to_string(settings.stopLimit().count()));
 }
--- a/Tests/LibRelay/TestBudgetManager.cpp
+++ b/Tests/LibRelay/TestBudgetManager.cpp
@@ -22,6 +22,7 @@
     // The daemon that allocates for this one, if any, and the number of its next replies to lose.
     Daemon* allocator { nullptr };
     int lostReplies { 0 };
+    int transferRequests { 0 };
     BudgetManager manager;
 
     Daemon(boost::asio::io_context& context, const Platform::ObjectStore& store, const std::string& host, uint64_t incarnation)
@@ -43,6 +44,7 @@
 
     Core::Task<std::optional<TransferReply>> ask(TransferRequest request, Core::Deadline deadline, Core::Reason& reason)
     {
+        ++transferRequests;
         std::optional<TransferReply> reply = co_await allocator->manager.transfer(std::move(request), deadline, reason);
         if (reply && lostReplies > 0) {
             --lostReplies;
@@ -242,3 +244,92 @@
         co_return true;
     }(fixture.first.manager));
 }
+
+// Ungranted tokens of the workspace in the store.
+static Tokens ungranted(BudgetFixture& fixture)
+{
+    Core::Reason reason;
+    return decodeShard(fixture.store.table().get("relay-ledgers/shard-0", reason)->value, reason)->at("w").remaining();
+}
+
+// Load pattern: the budgets of busy workspaces are nearly used up when all hosts lose power, as on the last seconds of a heavy day.
+// Guards against the reserves of the lost processes taking most of what is left: more than a fortieth of a budget that cannot be
+// used is refused to callers who have paid for it.
+Test(BudgetManager, lossOfAllPowerNearTheEndOfABudgetStrandsLittle)
+{
+    static constexpr Tokens largeBudget = 1'000'000;
+    static constexpr Tokens request = 1'000;
+    BudgetFixture fixture;
+    Daemon third(fixture.context, fixture.store.hooks(), "c", 3);
+    std::array<Daemon*, 3> daemons { &fixture.first, &fixture.second, &third };
+    for (Daemon* daemon : daemons) {
+        daemon->manager.adopt(makeConfiguration(2, largeBudget));
+        if (daemon != &fixture.first)
+            daemon->allocator = &fixture.first;
+        Core::spawn(fixture.context.get_executor(), "maintain", daemon->manager.maintain());
+    }
+    Tokens spent = 0;
+    for (size_t i = 0; spent < largeBudget * 85 / 100; ++i) {
+        Daemon& daemon = *daemons[i % daemons.size()];
+        cr_assert_eq(fixture.hold(daemon, request), HoldResult::Granted);
+        daemon.manager.settle("w", request, request);
+        spent += request;
+    }
+    // Time in which the daemons return what they no longer need, at the load of these requests.
+    Core::Deadline end = Core::Deadline::after(std::chrono::milliseconds(2'500));
+    for (size_t i = 0; !end.hasPassed() && spent < largeBudget * 88 / 100; ++i) {
+        Daemon& daemon = *daemons[i % daemons.size()];
+        cr_assert_eq(fixture.hold(daemon, request), HoldResult::Granted);
+        daemon.manager.settle("w", request, request);
+        spent += request;
+        TestSupport::runTask(fixture.context, []() -> Core::Task<bool> {
+            co_await Core::sleepUntil(Core::Deadline::after(std::chrono::milliseconds(80)));
+            co_return true;
+        }());
+    }
+    // No process of before the loss returns anything, so what is granted but not spent is stranded.
+    Tokens stranded = largeBudget - ungranted(fixture) - spent;
+    cr_assert_geq(stranded, 0);
+    cr_assert_lt(stranded, largeBudget / 40, "stranded %ld", stranded);
+    for (Daemon* daemon : daemons)
+        daemon->manager.stop();
+}
+
+// Guards against a stopping daemon that keeps its reserve until the end of its time to stop: if the store is cut off by then, the
+// tokens are lost.
+Test(BudgetManager, stoppingDaemonReturnsItsReserveEarly)
+{
+    BudgetFixture fixture;
+    cr_assert_eq(fixture.hold(fixture.first, 100), HoldResult::Granted);
+    cr_assert_eq(fixture.hold(fixture.first, 50), HoldResult::Granted);
+    fixture.first.manager.settle("w", 50, 50);
+    Core::spawn(fixture.context.get_executor(), "maintain", fixture.first.manager.maintain());
+    fixture.first.manager.stopReserving();
+    TestSupport::runUntil(fixture.context, [&fixture] { return ungranted(fixture) == budget - 150; });
+    // A request that ends later returns what it did not use.
+    fixture.first.manager.settle("w", 100, 30);
+    TestSupport::runUntil(fixture.context, [&fixture] { return ungranted(fixture) == budget - 80; });
+    fixture.first.manager.stop();
+}
+
+// Load pattern: the budget of a busy workspace is used up while its callers go on.
+// Guards against waiting requests asking the allocator again without a pause: 71 daemons sent it 20,000 calls in 1.5 s.
+Test(BudgetManager, usedUpBudgetIsAskedForSparingly)
+{
+    BudgetFixture fixture;
+    fixture.second.allocator = &fixture.first;
+    cr_assert_eq(fixture.hold(fixture.first, 950), HoldResult::Granted);
+    cr_assert_eq(fixture.hold(fixture.second, 500), HoldResult::Exhausted);
+    cr_assert_leq(fixture.second.transferRequests, 5, "%d requests", fixture.second.transferRequests);
+}
+
+// Load pattern: all hosts are reachable again after a cut, and the allocator answers late because all of them ask it.
+// Guards against each daemon then writing its own row to the store, where all but one of the writers conflict.
+Test(BudgetManager, silentAllocatorIsAskedAgainBeforeTheStore)
+{
+    BudgetFixture fixture;
+    fixture.second.allocator = &fixture.first;
+    fixture.second.lostReplies = 2;
+    cr_assert_eq(fixture.hold(fixture.second, 300), HoldResult::Granted);
+    cr_assert_eq(fixture.second.writer.writes(), 0);
+}
