A request whose caller has left before it was read is not sent

Ruled out: processor time (no host_overloaded line), a cut (none at that time), bytes kept by a closed connection.

Change: the caller's connection is looked at when its request is handled and again before it is sent.

Test: requestOfACallerThatHasLeftIsNotSent, seen failing first.

--- a/Libraries/LibHTTP/include/LibHTTP/ResponseWriter.h
+++ b/Libraries/LibHTTP/include/LibHTTP/ResponseWriter.h
@@ -27,6 +27,9 @@
     // Registers a function that is called once if the client closes the connection before the response is complete.
     virtual void onClientDisconnect(std::function<void()>) { }
 
+    // False if the client has closed the connection already, which onClientDisconnect() may report only later.
+    virtual bool isClientConnected() const { return true; }
+
     // Closes the connection without completing the response.
     virtual void abort() = 0;
 
--- a/Libraries/LibHTTP/src/Server.cpp
+++ b/Libraries/LibHTTP/src/Server.cpp
@@ -47,6 +47,14 @@
         beast::error_code ignored;
         stream.socket().close(ignored);
     }
+
+    // Whether the client has closed the connection. A closed connection reads as 0 bytes or an error.
+    bool isDisconnected()
+    {
+        char byte = 0;
+        ssize_t received = ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+    }
 };
 
 class StreamWriter final : public ResponseWriter {
@@ -103,6 +111,7 @@
 
     void onClientDisconnect(std::function<void()> handler) override { m_connection.onDisconnect = std::move(handler); }
 
+    bool isClientConnected() const override { return !m_connection.isDisconnected(); }
     void abort() override { m_connection.close(); }
 
     void abortAt(Core::Deadline deadline) override
@@ -172,18 +181,15 @@
     bool isClosing { false };
 };
 
-// Detects a disconnect while a request is handled by waiting until the socket is readable. A closed connection reads as 0
-// bytes or an error. Data of a pipelined request ends the detection.
+// Detects a disconnect while a request is handled by waiting until the socket is readable. Data of a pipelined request ends the
+// detection.
 static void detectDisconnect(const std::shared_ptr<Connection>& connection)
 {
     connection->stream.socket().async_wait(tcp::socket::wait_read,
         [connection, wait = ++connection->disconnectWaits](const beast::error_code& error) {
             if (error || wait != connection->disconnectWaits || !connection->onDisconnect)
                 return;
-            char byte = 0;
-            ssize_t received = ::recv(connection->stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-            bool isDisconnected = received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-            if (isDisconnected)
+            if (connection->isDisconnected())
                 std::exchange(connection->onDisconnect, {})();
         });
 }
--- a/Libraries/LibRelay/src/RequestExecution.cpp
+++ b/Libraries/LibRelay/src/RequestExecution.cpp
@@ -58,6 +58,12 @@
         if (m_cancellation)
             m_cancellation->cancel();
     });
+    // A busy host may read a request long after it has arrived, with the caller's close behind it.
+    if (!m_writer.isClientConnected()) {
+        *m_isCallerGone = true;
+        logCompletion("caller_gone", "reason=\"the caller had left before the request was read\"");
+        co_return;
+    }
     std::optional<Refusal> refusal = co_await authorize();
     if (!refusal)
         refusal = co_await holdTokens();
@@ -271,7 +277,7 @@
     m_wasConnectionStale = false;
     options.reusedConnectionFailed = [this] { m_wasConnectionStale = true; };
     options.guard = [this, &wasSent] {
-        if (*m_isCallerGone)
+        if (*m_isCallerGone || !m_writer.isClientConnected())
             return false;
         if (!wasSent) {
             ++m_sends;
--- a/Tests/LibRelay/TestRequestHandler.cpp
+++ b/Tests/LibRelay/TestRequestHandler.cpp
@@ -1,5 +1,8 @@
 #include "RelayFixture.h"
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
 using namespace RelayTest;
 
 static Core::Task<void> send(HTTP::ResponseWriter& writer, HTTP::Response response)
@@ -245,3 +248,27 @@
     cr_assert_eq(retryAfter(2'500), "2.500");
     cr_assert_eq(retryAfter(60'000), "5.000");
 }
+
+// Load pattern: the load balancer sends one host a large part of all requests, and it reads them after their callers have left.
+// Guards against sending such a request to an endpoint: the caller's close stands behind it in the socket, and is noticed only after
+// the request has been sent (46 requests of one host in a second).
+Test(RequestHandler, requestOfACallerThatHasLeftIsNotSent)
+{
+    Fixture fixture(1);
+    fixture.answer = [](const HTTP::Request& request, HTTP::ResponseWriter& writer) { return send(writer, { 200, sealed(request), "ok" }); };
+    // Leaves an idle connection to the endpoint, on which the next request is written at once.
+    cr_assert_eq(fixture.call(fixture.makeRequest("/once/a"))->status, 200);
+    fixture.arrivals.clear();
+    // Both wait in the socket before the relay runs for the first time.
+    boost::asio::ip::tcp::socket caller(fixture.context);
+    caller.connect({ boost::asio::ip::make_address("127.0.0.1"), fixture.address.port });
+    std::string request = "POST /once/a HTTP/1.1\r\nHost: test\r\nId: r1\r\nKey: key\r\nContent-Length: 0\r\n\r\n";
+    boost::asio::write(caller, boost::asio::buffer(request));
+    caller.close();
+    Core::Deadline end = Core::Deadline::after(std::chrono::milliseconds(300));
+    TestSupport::runTask(fixture.context, [](Core::Deadline until) -> Core::Task<bool> {
+        co_await Core::sleepUntil(until);
+        co_return true;
+    }(end));
+    cr_assert(fixture.arrivals.empty());
+}
