A caller that has left is not the endpoint's failure

The check before sending left the caller marked as present, so the attempt was recorded as a failure of an endpoint that was never asked, and the next endpoint was tried. Found on reading the change; requestOfACallerThatHasLeftIsNotSent stays green.

--- a/Libraries/LibRelay/src/RequestExecution.cpp
+++ b/Libraries/LibRelay/src/RequestExecution.cpp
@@ -277,7 +277,8 @@
     m_wasConnectionStale = false;
     options.reusedConnectionFailed = [this] { m_wasConnectionStale = true; };
     options.guard = [this, &wasSent] {
-        if (*m_isCallerGone || !m_writer.isClientConnected())
+        *m_isCallerGone = *m_isCallerGone || !m_writer.isClientConnected();
+        if (*m_isCallerGone)
             return false;
         if (!wasSent) {
             ++m_sends;
