LibHTTP: split the server's connection and its response writer from Server.cpp

Cause: Server.cpp had grown to 405 lines with three jobs (a connection, the writer of a response, the server).

--- a/Libraries/LibHTTP/src/Server.cpp
+++ b/Libraries/LibHTTP/src/Server.cpp
@@ -1,11 +1,10 @@
 #include "LibHTTP/Server.h"
 
+#include "StreamWriter.h"
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <netinet/in.h>
@@ -19,148 +18,10 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
-static constexpr asio::as_tuple_t<asio::use_awaitable_t<>> asTuple(asio::use_awaitable);
 // TCP_USER_TIMEOUT: closes connections to clients that stop acknowledging data.
 static constexpr int tcpUserTimeoutMs = 3'000;
 // Time limit for sending the error response to a request that could not be parsed.
 static constexpr int64_t errorResponseTimeoutMs = 1'000;
-// Bounds what is buffered of a chunk header or a trailer. Heads and bodies have limits of their own.
-static constexpr size_t maxReadBufferBytes = 1024 * 1024;
-
-namespace {
-
-struct Connection {
-    explicit Connection(tcp::socket socket)
-        : stream(std::move(socket))
-    {
-    }
-    beast::tcp_stream stream;
-    beast::flat_buffer buffer { maxReadBufferBytes };
-    bool isBusy { false };
-    // Set while a request is handled; see ResponseWriter::onClientDisconnect.
-    std::function<void()> onDisconnect {};
-    // Incremented for each wait, so that the wait of a previous request on the connection is ignored.
-    uint64_t disconnectWaits { 0 };
-
-    void close()
-    {
-        beast::error_code ignored;
-        stream.socket().close(ignored);
-    }
-
-    // Whether the client has closed the connection. A closed connection reads as 0 bytes or an error.
-    bool isDisconnected()
-    {
-        char byte = 0;
-        ssize_t received = ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-    }
-};
-
-class StreamWriter final : public ResponseWriter {
-public:
-    // The connection is kept alive if the client requested it and isClosing is false when the response starts.
-    StreamWriter(Connection& connection, unsigned version, bool keepAlive, const bool& isClosing)
-        : m_connection(connection)
-        , m_version(version)
-        , m_keepAlive(keepAlive)
-        , m_isClosing(isClosing)
-    {
-    }
-
-    Core::Task<bool> send(Response response, Core::Reason& reason) override
-    {
-        beginResponse();
-        http::response<http::string_body> message(http::int_to_status(response.status), m_version);
-        message.result(response.status);
-        addHeaders(message, response.headers);
-        message.keep_alive(m_keepAlive);
-        message.body() = std::move(response.body);
-        message.prepare_payload();
-        auto [error, size] = co_await http::async_write(m_connection.stream, message, asTuple);
-        m_isComplete = !error;
-        co_return checkWrite(error, reason);
-    }
-
-    Core::Task<bool> startStream(unsigned status, Headers headers, Core::Reason& reason) override
-    {
-        beginResponse();
-        http::response<http::empty_body> message(http::int_to_status(status), m_version);
-        message.result(status);
-        addHeaders(message, headers);
-        message.keep_alive(m_keepAlive);
-        message.chunked(true);
-        http::response_serializer<http::empty_body> serializer(message);
-        auto [error, size] = co_await http::async_write_header(m_connection.stream, serializer, asTuple);
-        co_return checkWrite(error, reason);
-    }
-
-    Core::Task<bool> writeChunk(std::string_view bytes, Core::Reason& reason) override
-    {
-        auto [error, size] = co_await asio::async_write(
-            m_connection.stream, http::make_chunk(asio::const_buffer(bytes.data(), bytes.size())), asTuple);
-        co_return checkWrite(error, reason);
-    }
-
-    Core::Task<bool> finishStream(Core::Reason& reason) override
-    {
-        auto [error, size] = co_await asio::async_write(m_connection.stream, http::make_chunk_last(), asTuple);
-        m_isComplete = !error;
-        co_return checkWrite(error, reason);
-    }
-
-    void onClientDisconnect(std::function<void()> handler) override { m_connection.onDisconnect = std::move(handler); }
-
-    bool isClientConnected() const override { return !m_connection.isDisconnected(); }
-    void abort() override { m_connection.close(); }
-
-    void abortAt(Core::Deadline deadline) override
-    {
-        m_timeout = std::make_shared<asio::steady_timer>(m_connection.stream.get_executor(), deadline.at());
-        // A wait that ends after the response has been completed must not close the connection, which may serve another request.
-        m_timeout->async_wait([timeout = std::weak_ptr(m_timeout), &connection = m_connection](const beast::error_code& error) {
-            if (!error && !timeout.expired())
-                connection.close();
-        });
-    }
-
-    bool hasStarted() const override { return m_hasStarted; }
-    // True if the response is complete and the connection can serve another request.
-    bool isConnectionReusable() const { return m_isComplete && m_keepAlive; }
-
-private:
-    void beginResponse()
-    {
-        m_hasStarted = true;
-        m_keepAlive = m_keepAlive && !m_isClosing;
-    }
-
-    template <typename Message>
-    static void addHeaders(Message& message, const Headers& headers)
-    {
-        for (const Header& header : headers)
-            message.insert(header.name, header.value);
-    }
-
-    static bool checkWrite(const beast::error_code& error, Core::Reason& reason)
-    {
-        if (!error)
-            return true;
-        reason = { Core::FailureKind::Unavailable, "write response", "client", error.message() };
-        return false;
-    }
-
-    Connection& m_connection;
-    unsigned m_version;
-    bool m_keepAlive;
-    const bool& m_isClosing;
-    bool m_hasStarted { false };
-    bool m_isComplete { false };
-    // See abortAt.
-    std::shared_ptr<asio::steady_timer> m_timeout;
-};
-
-}
 
 struct Server::State {
     State(const asio::any_io_executor& executor, Handler handler, ServerLimits limits)
@@ -175,7 +36,7 @@
     tcp::acceptor acceptor;
     Handler handler;
     ServerLimits limits;
-    std::set<Connection*> connections;
+    std::set<ServerConnection*> connections;
     size_t activeRequests { 0 };
     bool isStopping { false };
     bool isClosing { false };
@@ -183,7 +44,7 @@
 
 // Detects a disconnect while a request is handled by waiting until the socket is readable. Data of a pipelined request ends the
 // detection.
-static void detectDisconnect(const std::shared_ptr<Connection>& connection)
+static void detectDisconnect(const std::shared_ptr<ServerConnection>& connection)
 {
     connection->stream.socket().async_wait(tcp::socket::wait_read,
         [connection, wait = ++connection->disconnectWaits](const beast::error_code& error) {
@@ -219,7 +80,7 @@
     return response;
 }
 
-static void setTimeout(Connection& connection, int64_t milliseconds)
+static void setTimeout(ServerConnection& connection, int64_t milliseconds)
 {
     if (milliseconds > 0)
         connection.stream.expires_after(std::chrono::milliseconds(milliseconds));
@@ -228,7 +89,7 @@
 }
 
 // Reads the first bytes of a request. Returns false if the connection was closed or the idle timeout expired.
-static Core::Task<bool> waitForRequest(Server::State& state, Connection& connection)
+static Core::Task<bool> waitForRequest(Server::State& state, ServerConnection& connection)
 {
     static constexpr size_t firstReadBytes = 4096;
     if (connection.buffer.size() > 0)
@@ -240,7 +101,7 @@
 }
 
 // Sends an error response to a request that could not be parsed. Connection errors and timeouts get no response.
-static Core::Task<void> sendParseError(Connection& connection, const beast::error_code& error)
+static Core::Task<void> sendParseError(ServerConnection& connection, const beast::error_code& error)
 {
     bool isParseError = error.category() == beast::error_code(http::error::bad_method).category()
         && error != http::error::end_of_stream && error != http::error::partial_message;
@@ -262,9 +123,9 @@
 }
 
 // Reads and handles one request. Returns false if the connection must be closed.
-static Core::Task<bool> serveRequest(Server::State& state, const std::shared_ptr<Connection>& connectionPointer)
+static Core::Task<bool> serveRequest(Server::State& state, const std::shared_ptr<ServerConnection>& connectionPointer)
 {
-    Connection& connection = *connectionPointer;
+    ServerConnection& connection = *connectionPointer;
     connection.isBusy = false;
     if (!co_await waitForRequest(state, connection))
         co_return false;
@@ -308,7 +169,7 @@
     beast::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &tcpUserTimeoutMs, sizeof(tcpUserTimeoutMs));
-    std::shared_ptr<Connection> connection = std::make_shared<Connection>(std::move(socket));
+    std::shared_ptr<ServerConnection> connection = std::make_shared<ServerConnection>(std::move(socket));
     state->connections.insert(connection.get());
     bool keepsAlive = true;
     while (keepsAlive)
@@ -384,7 +245,7 @@
 
 void Server::closeIdle()
 {
-    for (Connection* connection : m_state->connections) {
+    for (ServerConnection* connection : m_state->connections) {
         if (!connection->isBusy)
             connection->close();
     }
@@ -398,7 +259,7 @@
 void Server::closeAll()
 {
     stopAccepting();
-    for (Connection* connection : m_state->connections)
+    for (ServerConnection* connection : m_state->connections)
         connection->close();
 }
 
--- /dev/null
+++ b/Libraries/LibHTTP/src/ServerConnection.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <functional>
+#include <sys/socket.h>
+
+namespace HTTP {
+
+// Bounds what is buffered of a chunk header or a trailer. Heads and bodies have limits of their own.
+inline constexpr size_t maxRequestBufferBytes = 1024 * 1024;
+
+// A client's connection to the server.
+struct ServerConnection {
+    explicit ServerConnection(boost::asio::ip::tcp::socket socket)
+        : stream(std::move(socket))
+    {
+    }
+    boost::beast::tcp_stream stream;
+    boost::beast::flat_buffer buffer { maxRequestBufferBytes };
+    bool isBusy { false };
+    // Set while a request is handled; see ResponseWriter::onClientDisconnect.
+    std::function<void()> onDisconnect {};
+    // Incremented for each wait, so that the wait of a previous request on the connection is ignored.
+    uint64_t disconnectWaits { 0 };
+
+    void close()
+    {
+        boost::beast::error_code ignored;
+        stream.socket().close(ignored);
+    }
+
+    // Whether the client has closed the connection. A closed connection reads as 0 bytes or an error.
+    bool isDisconnected()
+    {
+        char byte = 0;
+        ssize_t received = ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+    }
+};
+
+}
--- a/Tests/LibRelay/TestStoreFollower.cpp
+++ b/Tests/LibRelay/TestStoreFollower.cpp
@@ -210,3 +210,31 @@
     cr_assert_eq(storeWatches, 0);
     follower.stop();
 }
+
+// Guards against a restarted process using a key that was withdrawn or an endpoint that has left, because a peer with an old copy
+// answers before the store: the first state comes from the store, and older answers of peers change nothing.
+Test(StoreFollower, restartedProcessDoesNotAdoptTheCopyOfALaggingPeer)
+{
+    FollowerFixture fixture;
+    fixture.put("config/left", "1");
+    Core::Reason reason;
+    Platform::Version old = fixture.store.table().get("config/left", reason)->version;
+    fixture.put("config/main", "2");
+    TestSupport::runTask(fixture.context, fixture.store.hooks().remove("config/left", old, Core::Deadline::after(std::chrono::seconds(1)), reason));
+    int peerAnswers = 0;
+    fixture.watchAtPeer = [&peerAnswers, old](WatchRequest, Core::Reason&) -> Core::Task<std::optional<WatchReply>> {
+        ++peerAnswers;
+        co_await Core::sleepUntil(Core::Deadline::after(std::chrono::milliseconds(2)));
+        ObjectChanges changes;
+        changes.revision = old;
+        changes.changed.push_back({ "config/left", old, "1" });
+        co_return WatchReply { changes, std::chrono::milliseconds(0), std::chrono::milliseconds(2) };
+    };
+    Core::spawn(fixture.context.get_executor(), "follow", fixture.follower.run());
+    TestSupport::runUntil(fixture.context, [&fixture, &peerAnswers] {
+        cr_assert_not(fixture.seen.contains("config/left"));
+        return peerAnswers > 5;
+    });
+    cr_assert_eq(fixture.seen["config/main"], "2");
+    fixture.follower.stop();
+}
