Log the timeouts of an adopted configuration and count idle timeouts

An incident's record could not tell a connection that the idle timeout closed from one that a fault closed: neither the timeout in force nor the closing of idle connections was visible. E1707 names both timeouts, and jujuberelay_relay_idle_timeouts_total counts what the idle timeout closed.

--- a/Libraries/LibHTTP/include/LibHTTP/Server.h
+++ b/Libraries/LibHTTP/include/LibHTTP/Server.h
@@ -46,6 +46,9 @@
     // Number of requests in progress.
     size_t activeRequests() const;
 
+    // Number of connections that were closed by the idle timeout since construction.
+    uint64_t idleTimeouts() const;
+
     // Stops accepting and closes all connections immediately.
     void closeAll();
 
--- a/Libraries/LibHTTP/src/Server.cpp
+++ b/Libraries/LibHTTP/src/Server.cpp
@@ -38,6 +38,7 @@
     ServerLimits limits;
     std::set<ServerConnection*> connections;
     size_t activeRequests { 0 };
+    uint64_t idleTimeouts { 0 };
     bool isStopping { false };
     bool isClosing { false };
 };
@@ -97,6 +98,8 @@
     setTimeout(connection, state.limits.idleTimeoutMs);
     auto [error, size] = co_await connection.stream.async_read_some(connection.buffer.prepare(firstReadBytes), asTuple);
     connection.buffer.commit(size);
+    if (error == beast::error::timeout)
+        ++state.idleTimeouts;
     co_return !error;
 }
 
@@ -256,6 +259,11 @@
     return m_state->activeRequests;
 }
 
+uint64_t Server::idleTimeouts() const
+{
+    return m_state->idleTimeouts;
+}
+
 void Server::closeAll()
 {
     stopAccepting();
--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -107,6 +107,8 @@
     m_metrics.observe("jujuberelay_relay_active_requests", "Requests in progress.", [this] { return static_cast<double>(m_callerServer.activeRequests()); });
     m_metrics.observeCounter("jujuberelay_relay_connections_opened_total", "Connections opened to endpoints and the store.",
         [this] { return m_client->connectionsOpened(); });
+    m_metrics.observeCounter("jujuberelay_relay_idle_timeouts_total", "Connections of callers that were closed by the idle timeout.",
+        [this] { return m_callerServer.idleTimeouts(); });
     m_metrics.observeCounter("jujuberelay_relay_ledger_writes_total", "Writes of budget ledgers.", [this] { return m_grants.writes(); });
 }
 
@@ -193,7 +195,7 @@
     m_configuration = std::make_shared<const Relay::Configuration>(std::move(*configuration));
     m_callerServer.setLimits(limitsOf(m_configuration->callerLimits()));
     m_budgets.adopt(*m_configuration);
-    Core::logEvent(RelayEvents::configurationAdopted, "version=" + std::to_string(m_configuration->version()) + " before=" + std::to_string(current) + " store_version=" + std::to_string(object.version) + " routes=" + std::to_string(m_configuration->routes().size()) + " workspaces=" + std::to_string(m_configuration->workspaces().size()));
+    Core::logEvent(RelayEvents::configurationAdopted, "version=" + std::to_string(m_configuration->version()) + " before=" + std::to_string(current) + " store_version=" + std::to_string(object.version) + " routes=" + std::to_string(m_configuration->routes().size()) + " workspaces=" + std::to_string(m_configuration->workspaces().size()) + " idle_timeout_ms=" + std::to_string(m_configuration->callerLimits().idleTimeoutMs) + " request_timeout_ms=" + std::to_string(m_configuration->callerLimits().requestTimeoutMs));
 }
 
 std::optional<Relay::Endpoint> RelayDaemon::readEndpoint(const Platform::Object& object)
