Failing test: a request that a link delays past the idle timeout is lost

The test sends a request on a kept connection 4 idle timeouts after the last response, as it arrives over a link that a large configuration fills. It fails: the connection is closed without an answer.

--- /dev/null
+++ b/Tests/LibHTTP/TestIdleConnections.cpp
@@ -0,0 +1,109 @@
+#include "LibHTTP/Server.h"
+#include "RunTask.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <sys/socket.h>
+#include <thread>
+
+// Kept connections whose next request and whose closing are close to each other.
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr std::chrono::milliseconds timeout(200);
+constexpr const char* request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+
+struct Fixture {
+    asio::io_context context;
+    HTTP::Server server { context.get_executor(), [this](HTTP::Request, HTTP::ResponseWriter& writer) -> Core::Task<void> {
+                             ++requests;
+                             Core::Reason ignored;
+                             co_await writer.send({ 200, {}, "ok" }, ignored);
+                         },
+        HTTP::ServerLimits { 1024, 4096, timeout.count(), timeout.count() } };
+    tcp::socket caller { context };
+    size_t requests { 0 };
+
+    Fixture()
+    {
+        Core::Reason reason;
+        Core::Address address = server.listen({ "127.0.0.1", 0 }, reason).value();
+        caller.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), address.port));
+    }
+
+    void send() { asio::write(caller, asio::buffer(std::string(request))); }
+
+    void runFor(std::chrono::milliseconds duration)
+    {
+        context.restart();
+        context.run_for(duration);
+    }
+
+    // Runs the server until it has answered or closed the connection. Returns the response, which is empty if the connection was
+    // closed.
+    std::string receive()
+    {
+        TestSupport::runUntil(context, [this] {
+            char byte = 0;
+            return ::recv(caller.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 || errno != EAGAIN;
+        });
+        std::string response(4096, 0);
+        boost::system::error_code ignored;
+        response.resize(caller.receive(asio::buffer(response), 0, ignored));
+        return response;
+    }
+};
+
+}
+
+// Guards against a request that was sent within the idle timeout getting no answer because a slow link delayed it past the timeout.
+Test(IdleConnections, requestThatALinkDelaysIsServed)
+{
+    Fixture fixture;
+    fixture.send();
+    cr_assert(fixture.receive().starts_with("HTTP/1.1 200"));
+    fixture.runFor(4 * timeout);
+    fixture.send();
+    cr_assert(fixture.receive().starts_with("HTTP/1.1 200"), "the connection was closed without an answer");
+}
+
+// Guards against the loss of requests that arrived before the idle timeout while the process did not run. They are more than the
+// reactor takes from the kernel at once.
+Test(IdleConnections, requestsThatArrivedWhileTheProcessDidNotRunAreServed)
+{
+    static constexpr size_t connectionCount = 400;
+    Fixture fixture;
+    std::vector<tcp::socket> callers;
+    for (size_t i = 0; i < connectionCount; ++i) {
+        callers.emplace_back(fixture.context);
+        callers.back().connect(fixture.caller.remote_endpoint());
+    }
+    fixture.context.poll();
+    for (tcp::socket& caller : callers)
+        asio::write(caller, asio::buffer(std::string(request)));
+    std::this_thread::sleep_for(2 * timeout);
+    fixture.runFor(timeout);
+    cr_assert_eq(fixture.requests, connectionCount);
+}
+
+// Guards against callers that hold connections for ever, idle or by sending a request without end byte by byte.
+Test(IdleConnections, idleAndSlowConnectionsAreClosed)
+{
+    Fixture idle;
+    idle.send();
+    cr_assert(idle.receive().starts_with("HTTP/1.1 200"));
+    cr_assert_eq(idle.receive(), "");
+    TestSupport::runUntil(idle.context, [&idle] { return idle.server.idleTimeouts() == 1; });
+    Fixture slow;
+    Core::Deadline limit = Core::Deadline::after(std::chrono::seconds(20));
+    boost::system::error_code error;
+    while (!error && !limit.hasPassed()) {
+        asio::write(slow.caller, asio::buffer("G", 1), error);
+        slow.runFor(std::chrono::milliseconds(5));
+    }
+    cr_assert(error, "the connection was not closed");
+    cr_assert_eq(slow.requests, 0);
+}
