A request that a link delays past the idle timeout is served

Callers may send the next request on a kept connection until the end of the idle timeout. On a link that a large configuration fills, the request arrives after that, and the server had closed the connection: the caller gets neither an answer nor a refusal. IdleConnections.requestThatALinkDelaysIsServed failed before. The server now waits 3 s longer than callers may, as long as it waits for a client that stops acknowledging.

--- a/Libraries/LibHTTP/include/LibHTTP/Server.h
+++ b/Libraries/LibHTTP/include/LibHTTP/Server.h
@@ -12,8 +12,9 @@
 struct ServerLimits {
     size_t maxBodyBytes { 8 * 1024 * 1024 };
     size_t maxHeaderBytes { 64 * 1024 };
-    // Time limit for receiving a request after its first byte, and for an idle connection before it is closed. 0 means
-    // unlimited.
+    // Time limit for receiving a request after its first byte, and for how long a client may leave a connection idle before it
+    // sends the next request. The server closes an idle connection some seconds later, so that a request that was sent in time
+    // and is delayed on the way is served. 0 means unlimited.
     int64_t requestTimeoutMs { 0 };
     int64_t idleTimeoutMs { 0 };
 };
--- a/Libraries/LibHTTP/src/Server.cpp
+++ b/Libraries/LibHTTP/src/Server.cpp
@@ -20,6 +20,9 @@
 using tcp = asio::ip::tcp;
 // TCP_USER_TIMEOUT: closes connections to clients that stop acknowledging data.
 static constexpr int tcpUserTimeoutMs = 3'000;
+// A request that a client sends at the end of the idle timeout may be delayed on a congested link. The connection stays open for
+// it as long as a client that stops acknowledging data is waited for.
+static constexpr std::chrono::milliseconds requestTransitTime(tcpUserTimeoutMs);
 // Time limit for sending the error response to a request that could not be parsed.
 static constexpr int64_t errorResponseTimeoutMs = 1'000;
 
@@ -81,10 +84,11 @@
     return response;
 }
 
-static void setTimeout(ServerConnection& connection, int64_t milliseconds)
+// A limit of 0 ms means unlimited.
+static void setTimeout(ServerConnection& connection, int64_t limitMs, std::chrono::milliseconds margin = {})
 {
-    if (milliseconds > 0)
-        connection.stream.expires_after(std::chrono::milliseconds(milliseconds));
+    if (limitMs > 0)
+        connection.stream.expires_after(std::chrono::milliseconds(limitMs) + margin);
     else
         connection.stream.expires_never();
 }
@@ -95,7 +99,7 @@
     static constexpr size_t firstReadBytes = 4096;
     if (connection.buffer.size() > 0)
         co_return true;
-    setTimeout(connection, state.limits.idleTimeoutMs);
+    setTimeout(connection, state.limits.idleTimeoutMs, requestTransitTime);
     auto [error, size] = co_await connection.stream.async_read_some(connection.buffer.prepare(firstReadBytes), asTuple);
     connection.buffer.commit(size);
     if (error == beast::error::timeout)
