A stop answers requests that have arrived before it closes their connections

Server::stopAccepting() closed connections without a request in progress. One whose request was in the receive buffer, or that waited in the accept backlog, was closed or reset without an answer; so was a connection whose response had just been sent without Connection: close. On a busy host this is the request that was sent some milliseconds before the end of a stop.

Both tests of IdleConnections failed before: the connection was closed or reset.

--- a/Libraries/LibHTTP/include/LibHTTP/Server.h
+++ b/Libraries/LibHTTP/include/LibHTTP/Server.h
@@ -32,7 +32,7 @@
     // contains the bound port.
     std::optional<Core::Address> listen(const Core::Address&, Core::Reason&);
 
-    // Stops accepting connections and closes idle ones. Requests in progress continue.
+    // Stops accepting connections and closes idle ones. Requests that have arrived are served, and their connections closed.
     void stopAccepting();
 
     // Applies to requests that start after the call.
@@ -41,7 +41,7 @@
     // Closes each connection after its next response. New connections are still accepted.
     void closeAfterResponses();
 
-    // Closes connections without a request in progress.
+    // Closes connections without a request in progress or in the receive buffer.
     void closeIdle();
 
     // Number of requests in progress.
@@ -56,6 +56,8 @@
     struct State;
 
 private:
+    void closeAcceptor();
+
     std::shared_ptr<State> m_state;
 };
 
--- a/Libraries/LibHTTP/src/Server.cpp
+++ b/Libraries/LibHTTP/src/Server.cpp
@@ -168,7 +168,7 @@
     }
     --state.activeRequests;
     connection.isBusy = false;
-    co_return writer.isConnectionReusable() && !state.isClosing;
+    co_return writer.isConnectionReusable() && (!state.isClosing || connection.hasUnreadData());
 }
 
 static Core::Task<void> serveConnection(std::shared_ptr<Server::State> state, tcp::socket socket)
@@ -201,6 +201,19 @@
     }
 }
 
+// Accepts the connections that wait in the backlog, which closing the acceptor would reset.
+static void acceptBacklog(const std::shared_ptr<Server::State>& state)
+{
+    beast::error_code error;
+    state->acceptor.non_blocking(true, error);
+    while (!error) {
+        tcp::socket socket(state->executor);
+        state->acceptor.accept(socket, error);
+        if (!error)
+            Core::spawn(state->executor, "connection", serveConnection(state, std::move(socket)));
+    }
+}
+
 Server::Server(const asio::any_io_executor& executor, Handler handler, ServerLimits limits)
     : m_state(std::make_shared<State>(executor, std::move(handler), limits))
 {
@@ -232,12 +245,18 @@
 }
 
 void Server::stopAccepting()
+{
+    acceptBacklog(m_state);
+    closeAcceptor();
+    closeIdle();
+}
+
+void Server::closeAcceptor()
 {
     m_state->isStopping = true;
     m_state->isClosing = true;
     beast::error_code ignored;
     m_state->acceptor.close(ignored);
-    closeIdle();
 }
 
 void Server::setLimits(ServerLimits limits)
@@ -253,7 +272,7 @@
 void Server::closeIdle()
 {
     for (ServerConnection* connection : m_state->connections) {
-        if (!connection->isBusy)
+        if (!connection->isBusy && !connection->hasUnreadData())
             connection->close();
     }
 }
@@ -270,7 +289,7 @@
 
 void Server::closeAll()
 {
-    stopAccepting();
+    closeAcceptor();
     for (ServerConnection* connection : m_state->connections)
         connection->close();
 }
--- a/Libraries/LibHTTP/src/ServerConnection.h
+++ b/Libraries/LibHTTP/src/ServerConnection.h
@@ -30,6 +30,13 @@
         stream.socket().close(ignored);
     }
 
+    // Whether a request, or a part of it, has arrived and has not been handled.
+    bool hasUnreadData()
+    {
+        char byte = 0;
+        return buffer.size() > 0 || ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+    }
+
     // Whether the client has closed the connection. A closed connection reads as 0 bytes or an error.
     bool isDisconnected()
     {
--- a/Tests/LibHTTP/TestIdleConnections.cpp
+++ b/Tests/LibHTTP/TestIdleConnections.cpp
@@ -89,6 +89,27 @@
     cr_assert_eq(fixture.requests, connectionCount);
 }
 
+// Guards against a stop that closes a connection as idle although a request has arrived on it and has not been read.
+Test(IdleConnections, requestThatArrivedBeforeAStopIsAnswered)
+{
+    Fixture fixture;
+    fixture.send();
+    cr_assert(fixture.receive().starts_with("HTTP/1.1 200"));
+    fixture.send();
+    fixture.server.stopAccepting();
+    cr_assert(fixture.receive().starts_with("HTTP/1.1 200"), "the connection was closed without an answer");
+    cr_assert_eq(fixture.receive(), "", "the connection stayed open after the stop");
+}
+
+// Guards against a stop that resets a connection which the process has not accepted yet.
+Test(IdleConnections, connectionThatWaitsForAStoppingServerIsServed)
+{
+    Fixture fixture;
+    fixture.send();
+    fixture.server.stopAccepting();
+    cr_assert(fixture.receive().starts_with("HTTP/1.1 200"), "the connection was reset");
+}
+
 // Guards against callers that hold connections for ever, idle or by sending a request without end byte by byte.
 Test(IdleConnections, idleAndSlowConnectionsAreClosed)
 {
