Reject response heads that contain another status line

Callers could be told "not run, try again" for a request that had run, or it ran at a second endpoint.

An endpoint that writes the first part of an earlier refusal on a kept connection and then the answer to the present request makes the parser read both as one head if the refusal ends in the reason phrase or in a header value. This head has the status of the refusal, and its mark if that came before the break, but the request id and the seal of the answer. It was believed.

A head with a status line in the reason phrase or a header value now fails the call with an unknown outcome, and its connection is closed. Only a complete status line up to its code counts, so that a protocol name as in a Via header is accepted.

The raw server of TestFaultyPeers.cpp moves to Tests/Support.

--- a/Libraries/LibHTTP/src/PooledStream.h
+++ b/Libraries/LibHTTP/src/PooledStream.h
@@ -33,6 +33,21 @@
     return { kind, step, address.text(), error.message() };
 }
 
+// Whether the text contains a status line up to its code. A header value or reason phrase that does results from a response that
+// broke off and was followed by another one: the parser reads them as one head, with the status of the first.
+inline bool containsStatusLine(std::string_view text)
+{
+    static constexpr std::string_view version = "HTTP/1.";
+    // Minor version, space, three digits.
+    static constexpr size_t restLength = 5;
+    for (size_t at = text.find(version); at != std::string_view::npos; at = text.find(version, at + 1)) {
+        std::string_view rest = text.substr(at + version.size(), restLength);
+        if (rest.size() == restLength && rest[1] == ' ' && rest.substr(2).find_first_not_of("0123456789") == std::string_view::npos)
+            return true;
+    }
+    return false;
+}
+
 // Cancels reads of a response at the deadline. The timeout of beast::tcp_stream starts and cancels a timer for every
 // read, which costs more than the read itself when each event of a stream is read separately. This timer is only set when
 // the deadline changes.
@@ -118,8 +133,15 @@
                 co_return false;
             }
             m_headers.clear();
-            for (const http::fields::value_type& field : m_parser->get())
+            bool isJoined = containsStatusLine(m_parser->get().reason());
+            for (const http::fields::value_type& field : m_parser->get()) {
+                isJoined = isJoined || containsStatusLine(field.value());
                 m_headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+            }
+            if (isJoined) {
+                reason = { Core::FailureKind::OutcomeUnknown, "read response", m_address.text(), "the response head contains the status line of another response" };
+                co_return false;
+            }
             m_status = m_parser->get().result_int();
             bool isInformational = m_status / 100 == 1;
             if (isInformational)
--- a/Tests/LibHTTP/TestFaultyPeers.cpp
+++ b/Tests/LibHTTP/TestFaultyPeers.cpp
@@ -1,5 +1,6 @@
 #include "LibHTTP/Client.h"
 #include "LibHTTP/Server.h"
+#include "RawServer.h"
 #include "RunTask.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -13,41 +14,11 @@
 
 namespace asio = boost::asio;
 using tcp = asio::ip::tcp;
+using TestSupport::RawServer;
 static constexpr asio::as_tuple_t<asio::use_awaitable_t<>> asTuple(asio::use_awaitable);
 
 namespace {
 
-// Accepts connections and gives each to the script.
-struct RawServer {
-    using Script = std::function<Core::Task<void>(tcp::socket&)>;
-
-    RawServer(boost::asio::io_context& context, Script script)
-        : acceptor(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
-        , script(std::move(script))
-    {
-        Core::spawn(context.get_executor(), "accept", run());
-    }
-
-    Core::Task<void> run()
-    {
-        for (;;) {
-            auto [error, socket] = co_await acceptor.async_accept(asTuple);
-            if (error)
-                co_return;
-            ++connections;
-            Core::spawn(acceptor.get_executor(), "serve", serve(std::move(socket)));
-        }
-    }
-
-    Core::Task<void> serve(tcp::socket socket) { co_await script(socket); }
-
-    Core::Address address() const { return { "127.0.0.1", acceptor.local_endpoint().port() }; }
-
-    tcp::acceptor acceptor;
-    Script script;
-    int connections { 0 };
-};
-
 struct Fixture {
     boost::asio::io_context context;
     HTTP::Client client { context.get_executor() };
--- a/Tests/LibHTTP/TestGeneratedInput.cpp
+++ b/Tests/LibHTTP/TestGeneratedInput.cpp
@@ -1,6 +1,8 @@
 #include "LibHTTP/Client.h"
 #include "LibHTTP/Server.h"
 #include "Mutation.h"
+#include "RawServer.h"
+#include "RunTask.h"
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -78,3 +80,41 @@
         cr_assert(response.empty() || response.starts_with("HTTP/1.1 4"), "%s: %s", lengths, response.c_str());
     }
 }
+
+// Guards against the status or a header of an earlier response, which a faulty server begins to send again, being taken for a part of
+// the answer that follows it.
+Test(GeneratedInput, answersAfterBrokenResponses)
+{
+    static constexpr int caseCount = 500;
+    std::mt19937_64 random(6);
+    const std::string answer = "HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 6\r\n\r\nanswer";
+    const std::vector<std::string> earlier { "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nRetry-After: 1\r\nContent-Length: 4\r\n\r\nfull",
+        "HTTP/1.1 429 Too Many Requests\r\nId: other\r\nNot-Run: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n0\r\n\r\n",
+        "HTTP/1.0 421 Misdirected Request\r\nNot-Run: 1\r\n\r\n", "HTTP/1.1 200 OK\r\nNot-Run: 1\r\nContent-Length: 0\r\nServer: a\r\n\r\n" };
+    boost::asio::io_context context;
+    HTTP::Client client(context.get_executor());
+    std::string bytes;
+    TestSupport::RawServer server(context, [&bytes](boost::asio::ip::tcp::socket& socket) -> Core::Task<void> {
+        if (co_await TestSupport::readRawRequest(socket))
+            co_await TestSupport::writeRaw(socket, bytes);
+    });
+    HTTP::CallOptions options;
+    options.isExpected = [](unsigned, const HTTP::Headers& headers) { return HTTP::findHeader(headers, "Id") == "own"; };
+    int answered = 0;
+    for (int i = 0; i < caseCount; ++i) {
+        std::string piece = earlier[random() % earlier.size()];
+        if (random() % 2 == 0)
+            piece = TestSupport::mutateBytes(piece, random);
+        bytes = piece.substr(0, random() % (piece.size() + 1)) + answer;
+        Core::Reason reason;
+        Core::Deadline deadline = Core::Deadline::after(std::chrono::seconds(5));
+        std::optional<std::unique_ptr<HTTP::ResponseStream>> stream = TestSupport::runTask(context, client.call(server.address(), { "GET", "/", {}, {} }, deadline, options, reason));
+        if (!stream)
+            continue;
+        ++answered;
+        cr_assert_eq((*stream)->status(), 200, "case %d: %s", i, bytes.c_str());
+        cr_assert_not(HTTP::findHeader((*stream)->headers(), "Not-Run"), "case %d: %s", i, bytes.c_str());
+        cr_assert_eq(TestSupport::runTask(context, (*stream)->readAll(100, deadline, reason)).value_or(""), "answer", "case %d: %s", i, bytes.c_str());
+    }
+    cr_assert_gt(answered, 0);
+}
