Repeat a request at the same address on a new connection

A request that had run could be refused as not run.

After a refusal with 421 the request may go to another endpoint that has taken over the address. The pool keeps connections by address, so the repeat used the connection of the refusal. If a faulty endpoint writes that refusal once more, it names this request, and was taken for the answer to the repeat.

FaultyEndpoints.repeatAtTheSameAddressUsesANewConnection failed before with the status 503 for a request that ran once. The execution of a request now remembers the addresses that it used and opens a new connection for a repeat, so that a response on it cannot belong to an earlier send.

--- a/Libraries/LibRelay/src/RequestExecution.cpp
+++ b/Libraries/LibRelay/src/RequestExecution.cpp
@@ -271,7 +271,9 @@
     dispatch.lastEvent = m_lastEvent;
     bool wasSent = false;
     HTTP::CallOptions options;
-    options.use = connectionUse;
+    // A copy of an earlier response to this request could follow on the connection that it was sent on before.
+    bool isFirstAtAddress = m_addresses.insert(endpoint.address).second;
+    options.use = isFirstAtAddress ? connectionUse : HTTP::ConnectionUse::Fresh;
     options.cancellation = m_cancellation = std::make_shared<HTTP::Cancellation>();
     options.connectDeadline = Deadline::after(std::chrono::milliseconds(m_handler.m_settings.connectTimeoutMs));
     m_wasConnectionStale = false;
--- a/Libraries/LibRelay/src/RequestExecution.h
+++ b/Libraries/LibRelay/src/RequestExecution.h
@@ -66,6 +66,8 @@
     bool m_isEngine { false };
 
     std::set<std::string> m_excluded;
+    // Addresses to which the request was sent. Another endpoint may take over an address.
+    std::set<Core::Address> m_addresses;
     // Number of endpoints to which the request was sent.
     int m_sends { 0 };
     // Number of sends after which the request may have run.
--- a/Tests/LibRelay/TestFaultyEndpoints.cpp
+++ b/Tests/LibRelay/TestFaultyEndpoints.cpp
@@ -170,3 +170,31 @@
         }
     }
 }
+
+// Guards against a request being sent twice on one connection, as happens when an endpoint has taken over the address of the one that
+// refused the request: a copy of the first refusal names the same request.
+Test(FaultyEndpoints, repeatAtTheSameAddressUsesANewConnection)
+{
+    RawFixture fixture;
+    int runs = 0;
+    std::string refusal = makeRefusal(421, "Id: r1\r\n");
+    RawServer::Script script = [&](tcp::socket& socket) -> Core::Task<void> {
+        bool isNew = true;
+        while (co_await readRawRequest(socket)) {
+            if (fixture.directory.find("e1")) {
+                fixture.directory.remove("e1", Core::SteadyClock::now());
+                fixture.directory.put(RawFixture::makeEndpoint("e2", fixture.servers.front()->address()));
+                co_await writeRaw(socket, refusal);
+            } else {
+                ++runs;
+                co_await writeRaw(socket, isNew ? ranAnswer : refusal);
+            }
+            isNew = false;
+        }
+    };
+    fixture.addEndpoint(script);
+    std::optional<HTTP::Response> response = fixture.callAs("r1", "/once/a");
+    cr_assert_eq(runs, 1);
+    cr_assert_eq(response->status, 200, "status %u for a request that ran", response->status);
+    cr_assert_eq(response->body, "ran");
+}
