Resume a stream only with sealed events of the same kind

The caller of a stream whose first endpoint failed could receive the error of the next endpoint as a part of its stream, or a stream that ended as if it were complete.

Once a stream had begun, every 2xx was read as its continuation. A response without a body (an empty one with a length, in chunks or up to the end of the connection, or a 204) ended the stream as complete, since the check for events asked whether the caller had received any. Events of a response without the seal, with another content type or of the type "error" were forwarded if their ids fitted. A first response without the seal was forwarded as well.

FaultyEndpoints.failedResumptionBreaksTheStream lets one endpoint break off within event 3, in four kinds of framing, and the next one answer in 23 ways; it compares all bytes that the caller receives.

A response is now forwarded as a stream only with its seal. A response that continues a stream must name the media type of the first one, if any, and its events must not be errors; and each response must contain an event before its end counts. Otherwise the attempt has failed: another endpoint may go on, or the stream is broken off. This includes a resumption after the last event, which a sound endpoint answers with an empty stream, as this cannot be told from a fault.

--- a/Libraries/LibHTTP/include/LibHTTP/Message.h
+++ b/Libraries/LibHTTP/include/LibHTTP/Message.h
@@ -19,6 +19,9 @@
 // Returns the value of the first header with this name.
 std::optional<std::string> findHeader(const Headers&, std::string_view name);
 
+// Returns the media type of the Content-Type header in lower case, without parameters; empty if there is none.
+std::string mediaType(const Headers&);
+
 struct Request {
     std::string method { "GET" };
     std::string target { "/" };
--- a/Libraries/LibHTTP/src/Message.cpp
+++ b/Libraries/LibHTTP/src/Message.cpp
@@ -1,6 +1,8 @@
 #include "LibHTTP/Message.h"
 
+#include <algorithm>
 #include <boost/beast/core/string.hpp>
+#include <cctype>
 
 namespace HTTP {
 
@@ -13,6 +15,14 @@
     return std::nullopt;
 }
 
+std::string mediaType(const Headers& headers)
+{
+    std::string text = findHeader(headers, "Content-Type").value_or("");
+    text.erase(std::min(text.find_first_of("; \t"), text.size()));
+    std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) { return std::tolower(c); });
+    return text;
+}
+
 std::string pathOf(std::string_view target)
 {
     return std::string(target.substr(0, target.find('?')));
--- a/Libraries/LibRelay/include/LibRelay/EventStream.h
+++ b/Libraries/LibRelay/include/LibRelay/EventStream.h
@@ -10,6 +10,8 @@
 // One complete event, including the blank line that terminates it.
 struct StreamEvent {
     std::optional<uint64_t> id;
+    // Whether the event's type is "error".
+    bool isError { false };
     std::string bytes;
     bool operator==(const StreamEvent&) const = default;
 };
--- a/Libraries/LibRelay/src/EventStream.cpp
+++ b/Libraries/LibRelay/src/EventStream.cpp
@@ -4,29 +4,37 @@
 
 namespace Relay {
 
-static std::optional<uint64_t> readId(std::string_view event)
+// Value of the event's first field with this name, which includes the colon.
+static std::optional<std::string_view> readField(std::string_view event, std::string_view name)
 {
-    static constexpr std::string_view field = "id:";
     while (!event.empty()) {
         size_t end = event.find('\n');
         std::string_view line = event.substr(0, end);
         event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
-        if (!line.starts_with(field))
+        if (!line.starts_with(name))
             continue;
-        line.remove_prefix(field.size());
+        line.remove_prefix(name.size());
         if (line.starts_with(' '))
             line.remove_prefix(1);
         if (line.ends_with('\r'))
             line.remove_suffix(1);
-        uint64_t id = 0;
-        std::from_chars_result result = std::from_chars(line.data(), line.data() + line.size(), id);
-        if (result.ec != std::errc() || result.ptr != line.data() + line.size())
-            return std::nullopt;
-        return id;
+        return line;
     }
     return std::nullopt;
 }
 
+static std::optional<uint64_t> readId(std::string_view event)
+{
+    std::optional<std::string_view> text = readField(event, "id:");
+    uint64_t id = 0;
+    if (!text)
+        return std::nullopt;
+    std::from_chars_result result = std::from_chars(text->data(), text->data() + text->size(), id);
+    if (result.ec != std::errc() || result.ptr != text->data() + text->size())
+        return std::nullopt;
+    return id;
+}
+
 // Length of the first complete event in the bytes, or 0 if there is none. The search starts at the given offset.
 static size_t eventLength(std::string_view bytes, size_t offset)
 {
@@ -49,6 +57,7 @@
         StreamEvent event;
         event.bytes = m_pending.substr(0, length);
         event.id = readId(event.bytes);
+        event.isError = readField(event.bytes, "event:") == "error";
         m_pending.erase(0, length);
         events.push_back(std::move(event));
     }
--- a/Libraries/LibRelay/src/RequestExecution.h
+++ b/Libraries/LibRelay/src/RequestExecution.h
@@ -41,7 +41,7 @@
     std::optional<std::string> lossReason() const;
     Core::Task<Outcome> handleResponse(const Endpoint&, std::unique_ptr<HTTP::ResponseStream>);
     Core::Task<Outcome> forwardWholeResponse(const Endpoint&, HTTP::ResponseStream&, bool isSealed);
-    Core::Task<Outcome> forwardStream(const Endpoint&, HTTP::ResponseStream&);
+    Core::Task<Outcome> forwardStream(const Endpoint&, HTTP::ResponseStream&, bool isSealed);
     Core::Task<bool> forwardEvent(const StreamEvent&, const HTTP::ResponseStream&);
     bool canRetry(Outcome) const;
     // When a request that needs the store can be retried with some prospect.
@@ -74,6 +74,8 @@
     int m_possibleRuns { 0 };
     uint64_t m_events { 0 };
     std::optional<uint64_t> m_lastEvent;
+    // Media type of the stream that was started.
+    std::string m_mediaType;
     std::shared_ptr<HTTP::Cancellation> m_cancellation;
     // The current attempt; null if it is not watched.
     std::shared_ptr<WatchedStream> m_watched;
--- a/Libraries/LibRelay/src/ResponseForwarding.cpp
+++ b/Libraries/LibRelay/src/ResponseForwarding.cpp
@@ -33,7 +33,7 @@
         Reason ignored;
         co_await stream->readAll(maxBufferedResponseBytes, Deadline::after(refusalDrainTimeout), ignored);
     } else if (m_route.isStream && stream->status() / 100 == 2) {
-        outcome = co_await forwardStream(endpoint, *stream);
+        outcome = co_await forwardStream(endpoint, *stream, metadata.isSealed);
         end = outcome == Outcome::Finished ? EndpointSelector::End::Success : EndpointSelector::End::Failure;
     } else if (m_writer.hasStarted()) {
         // The caller has already received part of a stream, so a different response cannot be sent.
@@ -86,16 +86,25 @@
     Reason reason;
     if (!m_writer.hasStarted()) {
         m_firstByteMs = elapsedMs();
+        m_mediaType = HTTP::mediaType(stream.headers());
         if (!co_await m_writer.startStream(stream.status(), m_handler.m_codec.callerHeaders(stream.headers()), reason))
             co_return false;
     }
     co_return co_await m_writer.writeChunk(event.bytes, reason);
 }
 
-Core::Task<RequestExecution::Outcome> RequestExecution::forwardStream(const Endpoint& endpoint, HTTP::ResponseStream& stream)
+Core::Task<RequestExecution::Outcome> RequestExecution::forwardStream(const Endpoint& endpoint, HTTP::ResponseStream& stream, bool isSealed)
 {
+    // The response continues a stream that another endpoint began.
+    bool isResumption = m_writer.hasStarted();
+    std::string mediaType = HTTP::mediaType(stream.headers());
+    if (!isSealed || (isResumption && !mediaType.empty() && mediaType != m_mediaType)) {
+        m_lastFailure = "endpoint " + endpoint.id + " sent " + (isSealed ? "\"" + mediaType + "\" in place of the rest of the stream" : "a stream without its seal");
+        co_return Outcome::Unknown;
+    }
     EventStreamParser parser;
     Reason reason;
+    bool hasEvents = false;
     for (;;) {
         std::optional<std::string> chunk = co_await stream.readSome(m_deadline, reason);
         if (!chunk) {
@@ -111,6 +120,11 @@
                 m_lastFailure = "endpoint " + endpoint.id + " sent event " + (event.id ? std::to_string(*event.id) : "without an id") + " after " + std::to_string(previousEvent.value_or(0));
                 co_return Outcome::Unknown;
             }
+            if (isResumption && event.isError) {
+                m_lastFailure = "endpoint " + endpoint.id + " sent an error in place of event " + std::to_string(*event.id);
+                co_return Outcome::Unknown;
+            }
+            hasEvents = true;
             ++m_events;
             m_lastEvent = event.id;
             if (m_watched) {
@@ -129,7 +143,7 @@
             co_return Outcome::Unknown;
         }
     }
-    if (parser.hasIncompleteEvent() || !m_writer.hasStarted()) {
+    if (parser.hasIncompleteEvent() || !hasEvents) {
         m_lastFailure = "endpoint " + endpoint.id + " ended its stream within an event or before the first one";
         co_return Outcome::Unknown;
     }
--- a/Tests/LibRelay/TestEventStream.cpp
+++ b/Tests/LibRelay/TestEventStream.cpp
@@ -29,6 +29,18 @@
     cr_assert_not(events[1].id.has_value());
 }
 
+// Guards against taking data that mentions an error for an error, and against missing one.
+Test(EventStream, errorsAreRecognizedByTheirType)
+{
+    EventStreamParser reader;
+    std::vector<StreamEvent> events = reader.feed("id: 1\nevent: error\ndata: a\n\nevent:error\r\nid:2\r\n\r\nid: 3\ndata: event: error\n\nid: 4\nevent: errors\n\n");
+    cr_assert_eq(events.size(), 4);
+    cr_assert(events[0].isError);
+    cr_assert(events[1].isError);
+    cr_assert_not(events[2].isError);
+    cr_assert_not(events[3].isError);
+}
+
 // Guards against losing or adding bytes at any chunk boundary of the stream.
 Test(EventStream, chunkBoundariesDoNotChangeTheBytes)
 {
--- a/Tests/LibRelay/TestFaultyEndpoints.cpp
+++ b/Tests/LibRelay/TestFaultyEndpoints.cpp
@@ -198,3 +198,159 @@
     cr_assert_eq(response->status, 200, "status %u for a request that ran", response->status);
     cr_assert_eq(response->body, "ran");
 }
+
+namespace {
+
+// Endpoints that answer the arrivals of one request, in this order; the last answer is repeated.
+struct AnswerSequence {
+    std::vector<std::string> answers;
+    size_t arrivals { 0 };
+
+    void addEndpoints(RawFixture& fixture, size_t count)
+    {
+        for (size_t i = 0; i < count; ++i) {
+            fixture.addEndpoint([this](tcp::socket& socket) -> Core::Task<void> {
+                if (co_await readRawRequest(socket))
+                    co_await writeRaw(socket, answers.at(std::min(arrivals++, answers.size() - 1)));
+            });
+        }
+    }
+};
+
+}
+
+static const std::string streamHead = "HTTP/1.1 200 OK\r\nId: r1\r\nSeal: s\r\nContent-Type: text/event-stream\r\n";
+
+static std::string makeChunk(const std::string& bytes)
+{
+    std::ostringstream size;
+    size << std::hex << bytes.size();
+    return size.str() + "\r\n" + bytes + "\r\n";
+}
+
+static std::string makeResponse(const std::string& head, const std::string& body)
+{
+    return head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+static std::shared_ptr<const Relay::Configuration> makeConfigurationWithAttempts(int attempts)
+{
+    Relay::Workspace workspace;
+    workspace.name = "w";
+    workspace.keys = { "key" };
+    Relay::Service service;
+    service.name = "service";
+    std::vector<Relay::Route> routes { makeRoute("/stream/", true, false, true, attempts) };
+    return std::make_shared<const Relay::Configuration>(1, routes, std::vector { service }, std::vector { workspace }, true, Relay::CallerLimits {});
+}
+
+// Sends the request and returns all bytes that the relay sends until it closes the connection.
+static Core::Task<std::string> exchangeRaw(const Core::Address& relay, std::string request)
+{
+    tcp::socket socket(co_await boost::asio::this_coro::executor);
+    co_await socket.async_connect({ boost::asio::ip::make_address(relay.ip), relay.port }, TestSupport::rawTuple);
+    co_await writeRaw(socket, std::move(request));
+    std::string received;
+    std::array<char, 4096> bytes {};
+    for (;;) {
+        auto [error, size] = co_await socket.async_read_some(boost::asio::buffer(bytes), TestSupport::rawTuple);
+        received.append(bytes.data(), size);
+        if (error)
+            co_return received;
+    }
+}
+
+static std::string requestTo(const std::string& target)
+{
+    return "POST " + target + " HTTP/1.1\r\nHost: test\r\nConnection: close\r\nId: r1\r\nKey: key\r\nTimeout: 5000\r\nContent-Length: 4\r\n\r\nbody";
+}
+
+// Answers of an endpoint that was to resume a stream after event 2 and does not. A piece of each that must not reach the caller
+// contains "failed".
+static std::vector<std::pair<std::string, std::string>> makeFailedResumptions()
+{
+    std::string sealed = "Id: r1\r\nSeal: other\r\n";
+    std::string event = "id: 3\ndata: failed\n\n";
+    std::string ok = "HTTP/1.1 200 OK\r\n" + sealed;
+    std::string stream = ok + "Content-Type: text/event-stream\r\n";
+    return {
+        { "500", makeResponse("HTTP/1.1 500 failed\r\n" + sealed, event) },
+        { "500 without a seal", makeResponse("HTTP/1.1 500 failed\r\nId: r1\r\n", event) },
+        { "500 in chunks", "HTTP/1.1 500 failed\r\n" + sealed + "Transfer-Encoding: chunked\r\n\r\n" + makeChunk(event) + "0\r\n\r\n" },
+        { "503, not run", makeResponse("HTTP/1.1 503 failed\r\nNot-Run: 1\r\n" + sealed, event) },
+        { "503", makeResponse("HTTP/1.1 503 failed\r\n" + sealed, event) },
+        { "404", makeResponse("HTTP/1.1 404 failed\r\n" + sealed, event) },
+        { "302", makeResponse("HTTP/1.1 302 failed\r\n" + sealed, event) },
+        { "JSON", makeResponse(ok + "Content-Type: application/json\r\n", "{\"error\":\"failed\"}") },
+        { "JSON with a blank line", makeResponse(ok + "Content-Type: application/json\r\n", "{\"error\":\"failed\"}\n\n") },
+        { "event in another content type", makeResponse(ok + "Content-Type: text/plain\r\n", event) },
+        { "no seal", makeResponse("HTTP/1.1 200 OK\r\nId: r1\r\nContent-Type: text/event-stream\r\n", event) },
+        { "broken head", stream + "Content-Le" },
+        { "broken body", stream + "Content-Length: 100\r\n\r\nid: 3\ndata: failed" },
+        { "error event without an id", makeResponse(stream, "event: error\ndata: failed\n\n") },
+        { "error event", makeResponse(stream, "id: 3\nevent: error\ndata: failed\n\n") },
+        { "error event in CRLF", makeResponse(stream, "event:error\r\nid:3\r\ndata: failed\r\n\r\n") },
+        { "event 1", makeResponse(stream, "id: 1\ndata: failed\n\n") },
+        { "event 2", makeResponse(stream, "id: 2\ndata: failed\n\n") },
+        { "event 4", makeResponse(stream, "id: 4\ndata: failed\n\n") },
+        { "empty", makeResponse(stream, "") },
+        { "empty in chunks", stream + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" },
+        { "empty until the connection ends", stream + "\r\n" },
+        { "204", "HTTP/1.1 204 failed\r\n" + sealed + "\r\n" },
+    };
+}
+
+// The ways in which the first endpoint of a stream frames it, up to its middle.
+static std::vector<std::string> makeBrokenStreams()
+{
+    std::string events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda";
+    return { streamHead + "Transfer-Encoding: chunked\r\n\r\n" + makeChunk(events), streamHead + "Content-Length: 500\r\n\r\n" + events,
+        streamHead + "Trailer: Status\r\nTransfer-Encoding: chunked\r\n\r\n" + makeChunk(events) + "0\r\nStatus: failed\r\n\r\n", streamHead + "\r\n" + events };
+}
+
+// Guards against the error of the endpoint that was to resume a stream reaching the caller as a part of the stream, and against the
+// stream ending as if it were complete.
+Test(FaultyEndpoints, failedResumptionBreaksTheStream)
+{
+    for (const std::string& broken : makeBrokenStreams()) {
+        for (const auto& [name, failure] : makeFailedResumptions()) {
+            RawFixture fixture;
+            fixture.configuration = makeConfigurationWithAttempts(2);
+            AnswerSequence sequence { { broken, failure } };
+            sequence.addEndpoints(fixture, 2);
+            std::string received = TestSupport::runTask(fixture.context, exchangeRaw(fixture.address, requestTo("/stream/a")));
+            size_t end = received.find("\r\n\r\n");
+            cr_assert_neq(end, std::string::npos);
+            cr_assert(received.starts_with("HTTP/1.1 200 OK\r\n"), "%s: %s", name.c_str(), received.c_str());
+            cr_assert(received.find("\r\nSeal: s\r\n") < end);
+            cr_assert_eq(received.substr(end + 4), makeChunk("id: 1\ndata: a\n\n") + makeChunk("id: 2\ndata: b\n\n"), "%s: %s", name.c_str(), received.c_str());
+            cr_assert_eq(sequence.arrivals, 2, "%s: %zu arrivals", name.c_str(), sequence.arrivals);
+        }
+    }
+}
+
+// Guards against giving up a stream, or losing an event of it, while a third endpoint can resume it.
+Test(FaultyEndpoints, thirdEndpointResumesTheStream)
+{
+    for (const std::string& broken : makeBrokenStreams()) {
+        for (const auto& [name, failure] : makeFailedResumptions()) {
+            RawFixture fixture;
+            fixture.configuration = makeConfigurationWithAttempts(3);
+            AnswerSequence sequence { { broken, failure, makeResponse(streamHead, "id: 3\ndata: c\n\nid: 4\ndata: d\n\n") } };
+            sequence.addEndpoints(fixture, 3);
+            std::optional<HTTP::Response> response = fixture.callAs("r1", "/stream/a");
+            cr_assert(response, "%s: the stream broke off", name.c_str());
+            cr_assert_eq(response->body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\nid: 4\ndata: d\n\n", "%s: %s", name.c_str(), response->body.c_str());
+            cr_assert_eq(sequence.arrivals, 3);
+        }
+    }
+}
+
+// Guards against forwarding a stream without its endpoint's seal as a success.
+Test(FaultyEndpoints, streamWithoutASealIsNoSuccess)
+{
+    RawFixture fixture;
+    AnswerSequence sequence { { makeResponse("HTTP/1.1 200 OK\r\nId: r1\r\nContent-Type: text/event-stream\r\n", "id: 1\ndata: a\n\n") } };
+    sequence.addEndpoints(fixture, 1);
+    cr_assert_eq(fixture.callAs("r1", "/single/a")->status, 502);
+}
--- a/Tests/PlatformAdapter/TestCodec.cpp
+++ b/Tests/PlatformAdapter/TestCodec.cpp
@@ -54,6 +54,15 @@
     cr_assert_eq(HTTP::findHeader(kept, "X-Attempt-Id").value(), "r1");
 }
 
+// Guards against a length or trailer that an endpoint announced for its part of a stream framing the whole stream of the caller.
+Test(Codec, framingOfAnEndpointIsNotForwarded)
+{
+    HTTP::Headers headers { { "X-Attempt-Id", "r1" }, { "X-Server-Seal", "s" }, { "content-length", "500" }, { "Trailer", "X-Status" },
+        { "TE", "trailers" }, { "Transfer-Encoding", "chunked" }, { "Connection", "close" }, { "Keep-Alive", "timeout=4" }, { "Content-Type", "text/event-stream" } };
+    HTTP::Headers expected { { "X-Attempt-Id", "r1" }, { "X-Server-Seal", "s" }, { "Content-Type", "text/event-stream" } };
+    cr_assert(PlatformAdapter::makeCodec().callerHeaders(headers) == expected);
+}
+
 // Malformed numbers must be rejected instead of being read as zero.
 Test(Codec, malformedNumbersAreRefused)
 {
