Test answers that stop at any byte behind the relay

Other operators saw servers that stop in the middle of their answer's head, whose callers got a 200 with an empty or short body framed as whole.

It stops plain answers and streams, with a length and in chunks, and one after an informational response, at each byte of head and body, by a close and by a reset, on new and on kept connections. The caller gets a 502, or a stream without its last chunk where an event had arrived. Only a repeatable request whose kept connection ended before any byte arrived is sent again.

--- a/Tests/LibRelay/TestFaultyEndpoints.cpp
+++ b/Tests/LibRelay/TestFaultyEndpoints.cpp
@@ -354,3 +354,56 @@
     sequence.addEndpoints(fixture, 1);
     cr_assert_eq(fixture.callAs("r1", "/single/a")->status, 502);
 }
+
+// Guards against an answer that stops at any byte of its head or body, with a close or a reset, on a new or a kept connection,
+// reaching the caller as a success, and against repeating a request that may have run.
+Test(FaultyEndpoints, answerThatStopsAtAnyByteIsNoSuccess)
+{
+    std::string event = "id: 1\ndata: a\n\n";
+    std::string head = "HTTP/1.1 200 OK\r\nId: r1\r\nSeal: s\r\nKeep-Alive: timeout=5\r\n";
+    const std::vector<std::pair<std::string, std::string>> cases { { "/once/a", makeResponse(head, "body") }, { "/again/a", makeResponse(head, "body") },
+        { "/again/a", "HTTP/1.1 100 Continue\r\n\r\n" + makeResponse(head, "body") },
+        { "/single/a", makeResponse(head, event) }, { "/stream/a", makeResponse(head, event) },
+        { "/single/a", head + "Transfer-Encoding: chunked\r\n\r\n" + makeChunk(event) + "0\r\n\r\n" } };
+    for (const std::pair<std::string, std::string>& targetAndAnswer : cases) {
+        const std::string& target = targetAndAnswer.first;
+        const std::string& answer = targetAndAnswer.second;
+        for (bool isKept : { false, true }) {
+            for (bool isReset : { false, true }) {
+                for (size_t length = 0; length < answer.size(); ++length) {
+                    RawFixture fixture;
+                    int arrivals = 0;
+                    fixture.addEndpoint([&, bytes = answer.substr(0, length)](tcp::socket& socket) -> Core::Task<void> {
+                        std::optional<std::string> request = co_await readRawRequest(socket);
+                        if (request && isRequestOf(*request, "r0")) {
+                            co_await writeRaw(socket, "HTTP/1.1 200 OK\r\nId: r0\r\nSeal: s\r\nKeep-Alive: timeout=5\r\nContent-Length: 0\r\n\r\n");
+                            request = co_await readRawRequest(socket);
+                        }
+                        if (!request)
+                            co_return;
+                        ++arrivals;
+                        co_await writeRaw(socket, arrivals == 1 ? bytes : answer);
+                        if (isReset)
+                            TestSupport::resetConnection(socket);
+                    });
+                    if (isKept)
+                        cr_assert_eq(fixture.callAs("r0", "/once/a")->status, 200);
+                    std::string received = TestSupport::runTask(fixture.context, exchangeRaw(fixture.address, requestTo(target)));
+                    bool isRepeatable = target == "/again/a" || target == "/stream/a";
+                    // Nothing may have arrived of an answer that is followed by a reset.
+                    bool mayRepeat = isRepeatable && isKept && (length == 0 || isReset);
+                    std::string where = target + (isKept ? ", kept" : ", new") + (isReset ? ", reset" : ", closed") + ", after " + std::to_string(length) + " bytes: " + received;
+                    if (arrivals == 2 && mayRepeat) {
+                        cr_assert(received.starts_with("HTTP/1.1 200 OK\r\n") && received.find(target == "/again/a" ? "body" : event) != std::string::npos, "%s", where.c_str());
+                        continue;
+                    }
+                    cr_assert_eq(arrivals, 1, "%d arrivals at %s", arrivals, where.c_str());
+                    cr_assert_not(isRepeatable && isKept && length == 0 && !isReset, "no repeat at %s", where.c_str());
+                    // Events that arrived are forwarded at once, and the end of the stream is missing.
+                    bool isBrokenStream = received.starts_with("HTTP/1.1 200 OK\r\n") && received.ends_with("\r\n\r\n" + makeChunk(event)) && answer.substr(0, length).find(event) != std::string::npos;
+                    cr_assert(received.starts_with("HTTP/1.1 502 ") || isBrokenStream, "%s", where.c_str());
+                }
+            }
+        }
+    }
+}
