--- a/Tests/LibRelay/TestFaultyEndpoints.cpp
+++ b/Tests/LibRelay/TestFaultyEndpoints.cpp
@@ -407,3 +407,112 @@
         }
     }
 }
+
+// Guards against answers without a length or chunks, which end with their connection, being refused, cut or used for another answer.
+Test(FaultyEndpoints, answersThatEndWithTheirConnectionAreWhole)
+{
+    for (const std::string& target : { std::string("/once/a"), std::string("/single/a") }) {
+        RawFixture fixture;
+        std::string body = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+        RawServer& server = fixture.addEndpoint([&body](tcp::socket& socket) -> Core::Task<void> {
+            if (!co_await readRawRequest(socket))
+                co_return;
+            // The connection stays open for a while, although the answer says that it can be kept.
+            co_await writeRaw(socket, streamHead + "Keep-Alive: timeout=5\r\nConnection: keep-alive\r\n\r\n" + body.substr(0, 20));
+            co_await Core::sleepUntil(Core::Deadline::after(std::chrono::milliseconds(30)));
+            co_await writeRaw(socket, body.substr(20));
+        });
+        for (int i = 1; i <= 2; ++i) {
+            std::string received = TestSupport::runTask(fixture.context, exchangeRaw(fixture.address, requestTo(target)));
+            size_t end = received.find("\r\n\r\n");
+            cr_assert(received.starts_with("HTTP/1.1 200 OK\r\n"), "%s", received.c_str());
+            if (target == "/once/a") {
+                cr_assert_lt(received.find("\r\nContent-Length: " + std::to_string(body.size()) + "\r\n"), end);
+                cr_assert_eq(received.substr(end + 4), body);
+            } else {
+                cr_assert_lt(received.find("\r\nTransfer-Encoding: chunked\r\n"), end);
+                cr_assert_eq(received.substr(end + 4), makeChunk(body.substr(0, 15)) + makeChunk(body.substr(15)) + "0\r\n\r\n", "%s", received.c_str());
+            }
+            cr_assert_eq(server.connections, i);
+        }
+    }
+}
+
+// Guards against such an answer appearing complete if its connection is reset, or if its stream ends within an event, and against a
+// stream like this not being resumed.
+Test(FaultyEndpoints, answersBrokenOffWithTheirConnectionAreNotWhole)
+{
+    const std::vector<std::pair<std::string, bool>> ends { { "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", true }, { "id: 1\ndata: a\n\nid: 2\ndata: b", false },
+        { "id: 1\ndata: a\n\nid: 2\ndata: b\n", false }, { "id: 1\ndata: a\n\ni", false }, { "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r", false } };
+    for (const std::string& target : { std::string("/once/a"), std::string("/single/a"), std::string("/stream/a") }) {
+        for (const std::pair<std::string, bool>& bodyAndEnd : ends) {
+            const std::string& body = bodyAndEnd.first;
+            bool isReset = bodyAndEnd.second;
+            if (target == "/once/a" && !isReset)
+                continue;
+            RawFixture fixture;
+            int arrivals = 0;
+            RawServer::Script script = [&](tcp::socket& socket) -> Core::Task<void> {
+                std::optional<std::string> request = co_await readRawRequest(socket);
+                ++arrivals;
+                size_t lastEvent = request->find("\r\nLast-Event: ");
+                bool isResumption = lastEvent != std::string::npos;
+                co_await writeRaw(socket, streamHead + "\r\n" + (isResumption ? request->at(lastEvent + 14) == '1' ? "id: 2\ndata: b\n\nid: 3\ndata: c\n\n" : "id: 3\ndata: c\n\n" : body));
+                if (!isReset || isResumption)
+                    co_return;
+                // The bytes have to be read before the reset discards them.
+                co_await Core::sleepUntil(Core::Deadline::after(std::chrono::milliseconds(50)));
+                TestSupport::resetConnection(socket);
+            };
+            fixture.addEndpoint(script);
+            fixture.addEndpoint(script);
+            std::optional<HTTP::Response> response = fixture.callAs("r1", target);
+            cr_assert_eq(arrivals, target == "/stream/a" ? 2 : 1);
+            if (target == "/once/a")
+                cr_assert_eq(response->status, 502);
+            else if (target == "/single/a")
+                cr_assert_not(response, "complete: %s", response->body.c_str());
+            else
+                cr_assert_eq(response->body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n", "%s", response->body.c_str());
+        }
+    }
+}
+
+// Guards against waiting past the deadline for the end of a connection, and against taking the deadline for this end.
+Test(FaultyEndpoints, silenceBeforeTheEndOfTheConnectionEndsAtTheDeadline)
+{
+    for (const std::string& target : { std::string("/once/a"), std::string("/single/a") }) {
+        RawFixture fixture;
+        fixture.addEndpoint([](tcp::socket& socket) -> Core::Task<void> {
+            co_await readRawRequest(socket);
+            co_await writeRaw(socket, streamHead + "\r\nid: 1\ndata: a\n\n");
+            // Ends when the relay closes the connection.
+            co_await readRawRequest(socket);
+        });
+        Core::SteadyClock::time_point startedAt = Core::SteadyClock::now();
+        std::optional<HTTP::Response> response = fixture.call(fixture.makeRequest(target, { { "Timeout", "200" } }));
+        Core::SteadyClock::duration duration = Core::SteadyClock::now() - startedAt;
+        if (target == "/once/a")
+            cr_assert_eq(response->status, 504);
+        else
+            cr_assert_not(response);
+        cr_assert_geq(duration, std::chrono::milliseconds(190));
+        cr_assert_lt(duration, std::chrono::milliseconds(700));
+    }
+}
+
+// Guards against buffering a body without an end until the deadline.
+Test(FaultyEndpoints, bodyWithoutAnEndIsCutOff)
+{
+    for (const std::string& target : { std::string("/once/a"), std::string("/single/a") }) {
+        RawFixture fixture;
+        fixture.addEndpoint([](tcp::socket& socket) -> Core::Task<void> {
+            co_await readRawRequest(socket);
+            co_await writeRaw(socket, streamHead + "\r\n");
+            while (co_await writeRaw(socket, std::string(16 * 1024, 'x'))) { }
+        });
+        Core::SteadyClock::time_point startedAt = Core::SteadyClock::now();
+        cr_assert_eq(fixture.callAs("r1", target)->status, 502);
+        cr_assert_lt(Core::SteadyClock::now() - startedAt, std::chrono::seconds(3));
+    }
+}
