Pass on a refusal's status only if the endpoint has not run the request

A caller of a request that may run once only could be told "not run" by the status of an endpoint that had run it.

Callers take 408, 421, 429 and 503 for a guarantee, but an endpoint gives it only with its mark. A sealed answer with such a status and without the mark was forwarded unchanged.

FaultyEndpoints.statusWithoutTheMarkIsNoRefusal failed before: a 408 was passed on as 408. The caller now gets a 502, which leaves the outcome open. Routes whose requests may run again are not affected.

--- a/Libraries/LibRelay/src/ResponseForwarding.cpp
+++ b/Libraries/LibRelay/src/ResponseForwarding.cpp
@@ -1,5 +1,7 @@
 #include "Events.h"
 #include "RequestExecution.h"
+#include <algorithm>
+#include <array>
 
 // The part of RequestExecution that forwards an endpoint's response to the caller.
 namespace Relay {
@@ -12,6 +14,8 @@
 // Time limit for draining the body of a refusal, which allows its connection to be reused.
 static constexpr std::chrono::milliseconds refusalDrainTimeout(50);
 static constexpr unsigned misdirectedStatus = 421;
+// Callers understand these statuses as a guarantee that the request has not run and will not run.
+static constexpr std::array<unsigned, 4> refusalStatuses { 408, misdirectedStatus, 429, 503 };
 
 Core::Task<RequestExecution::Outcome> RequestExecution::handleResponse(const Endpoint& endpoint, std::unique_ptr<HTTP::ResponseStream> stream)
 {
@@ -74,6 +78,10 @@
         m_lastFailure = "endpoint " + endpoint.id + " failed with status " + std::to_string(stream.status());
         co_return Outcome::Unknown;
     }
+    if (!m_route.mayRunAgain() && std::find(refusalStatuses.begin(), refusalStatuses.end(), stream.status()) != refusalStatuses.end()) {
+        m_lastFailure = "endpoint " + endpoint.id + " answered with status " + std::to_string(stream.status()) + " and does not say that the request has not run";
+        co_return Outcome::Unknown;
+    }
     m_firstByteMs = elapsedMs();
     HTTP::Response response { stream.status(), m_handler.m_codec.callerHeaders(stream.headers()), std::move(*body) };
     bool isSent = co_await m_writer.send(std::move(response), reason);
--- a/Tests/LibRelay/TestFaultyEndpoints.cpp
+++ b/Tests/LibRelay/TestFaultyEndpoints.cpp
@@ -171,6 +171,27 @@
     }
 }
 
+// Guards against passing on a status that tells the caller that its request has not run, if the endpoint does not say so.
+Test(FaultyEndpoints, statusWithoutTheMarkIsNoRefusal)
+{
+    for (unsigned status : { 408U, 421U, 429U, 503U }) {
+        RawFixture fixture;
+        int runs = 0;
+        RawServer::Script script = [&runs, status](tcp::socket& socket) -> Core::Task<void> {
+            while (co_await readRawRequest(socket)) {
+                ++runs;
+                co_await writeRaw(socket, "HTTP/1.1 " + std::to_string(status) + " Failed\r\nId: r1\r\nSeal: s\r\nContent-Length: 0\r\n\r\n");
+            }
+        };
+        fixture.addEndpoint(script);
+        fixture.addEndpoint(script);
+        std::optional<HTTP::Response> response = fixture.callAs("r1", "/once/a");
+        cr_assert_eq(response->status, 502, "status %u was passed on as %u", status, response->status);
+        cr_assert(response->body.find("\"ran\":\"unknown\"") != std::string::npos);
+        cr_assert_eq(runs, 1);
+    }
+}
+
 // Guards against a request being sent twice on one connection, as happens when an endpoint has taken over the address of the one that
 // refused the request: a copy of the first refusal names the same request.
 Test(FaultyEndpoints, repeatAtTheSameAddressUsesANewConnection)
