--- a/Libraries/LibRelay/src/RequestExecution.h
+++ b/Libraries/LibRelay/src/RequestExecution.h
@@ -41,7 +41,7 @@
     std::optional<std::string> lossReason() const;
     Core::Task<Outcome> handleResponse(const Endpoint&, std::unique_ptr<HTTP::ResponseStream>);
     Core::Task<Outcome> forwardWholeResponse(const Endpoint&, HTTP::ResponseStream&, bool isSealed);
-    Core::Task<Outcome> forwardStream(const Endpoint&, HTTP::ResponseStream&);
+    Core::Task<Outcome> forwardStream(const Endpoint&, HTTP::ResponseStream&, bool isSealed);
     Core::Task<bool> forwardEvent(const StreamEvent&, const HTTP::ResponseStream&);
     bool canRetry(Outcome) const;
     // When a request that needs the store can be retried with some prospect.
@@ -66,12 +66,16 @@
     bool m_isEngine { false };
 
     std::set<std::string> m_excluded;
+    // Addresses to which the request was sent. Another endpoint may take over an address.
+    std::set<Core::Address> m_addresses;
     // Number of endpoints to which the request was sent.
     int m_sends { 0 };
     // Number of sends after which the request may have run.
     int m_possibleRuns { 0 };
     uint64_t m_events { 0 };
     std::optional<uint64_t> m_lastEvent;
+    // Media type of the stream that was started.
+    std::string m_mediaType;
     std::shared_ptr<HTTP::Cancellation> m_cancellation;
     // The current attempt; null if it is not watched.
     std::shared_ptr<WatchedStream> m_watched;
