Send nothing more to an endpoint that says it is leaving

An endpoint that leaves says so in its answers, but this daemon went on sending requests to it until the store listed it as leaving: late when the store lags behind, never while it is away, and again when it lists the endpoint as ready. Callers got answers from a process that was about to end, or lost them.

The adapter decodes the notice (Server-Leaving: 1) of any answer except 421, which another endpoint sent. EndpointDirectory keeps it per process (id and start time) apart from the store's entries, so that no listing, lapse or rejection undoes it; a later start time is a new process, an entry without one is a new process after removal and registration. Answers to status requests and discarded answers to other requests count too. E1710 names the source.

A request that is being connected when the notice arrives is stopped by the send guard. It was not sent, so it is neither a failure of the endpoint nor a retry: RetryBudget::returnRetry gives the retry back.

--- a/Libraries/LibRelay/include/LibRelay/CallerRequest.h
+++ b/Libraries/LibRelay/include/LibRelay/CallerRequest.h
@@ -64,6 +64,8 @@
     bool isNotRun { false };
     // The response carries the endpoint's seal.
     bool isSealed { false };
+    // The endpoint's process is leaving and wants no further requests.
+    bool isLeaving { false };
 };
 
 // An engine's report about itself. It is some hundred milliseconds old when it arrives.
--- a/Libraries/LibRelay/include/LibRelay/Endpoint.h
+++ b/Libraries/LibRelay/include/LibRelay/Endpoint.h
@@ -19,6 +19,11 @@
     bool isLeaving { false };
     // Start time in milliseconds since the Unix epoch. An endpoint that restarts under the same id has a later one.
     int64_t startedAtMs { 0 };
+
+    // Whether this entry may describe the process that started at processStartMs, or an earlier one. Only a later start time proves
+    // a new process; 0 is unknown.
+    bool isWithinLifeOf(int64_t processStartMs) const { return processStartMs == 0 || startedAtMs <= processStartMs; }
+
     bool operator==(const Endpoint&) const = default;
 };
 
--- a/Libraries/LibRelay/include/LibRelay/EndpointDirectory.h
+++ b/Libraries/LibRelay/include/LibRelay/EndpointDirectory.h
@@ -31,17 +31,39 @@
     // Called when a different endpoint answered at the registered address. The entry is ignored until it changes.
     void reject(const std::string& id);
 
+    // Called when the endpoint itself said that its process is leaving. The process stays leaving whatever the store lists; an
+    // entry with a later start time is a new process. An entry without a start time is one only after it has been removed from the
+    // store. Returns false if the process was known to be leaving.
+    bool markLeaving(const Endpoint&, Core::SteadyClock::time_point now);
+
+    // Whether the process that the entry describes is leaving, although the entry may have been removed or replaced since.
+    bool isLeaving(const Endpoint&) const;
+
     const std::map<std::string, Endpoint>& endpoints() const { return m_endpoints; }
     const Endpoint* find(const std::string& id) const;
+    // Number of processes that are remembered as leaving, registered or not.
+    size_t leavingProcesses() const { return m_leaving.size(); }
 
 private:
+    // A process that said that it is leaving.
+    struct LeavingProcess {
+        int64_t startedAtMs { 0 };
+        // While the endpoint is not registered: when this is forgotten.
+        Core::SteadyClock::time_point keptUntil {};
+    };
+
     bool isInGracePeriod(Core::SteadyClock::time_point now) const { return m_isStoreLost || now < m_graceUntil; }
     void erase(const std::string& id, const char* reason);
+    // Forgets a leaving process without a start time, whose next registration is a new process.
+    void forgetUnknownProcess(const std::string& id);
+    bool isMarkedLeaving(const Endpoint&) const;
 
     RemovedCallback m_removed;
     std::map<std::string, Endpoint> m_endpoints;
     std::vector<std::string> m_lapsed;
     std::map<std::string, Endpoint> m_rejected;
+    // By endpoint id.
+    std::map<std::string, LeavingProcess> m_leaving;
     bool m_isStoreLost { false };
     Core::SteadyClock::time_point m_graceUntil {};
 };
--- a/Libraries/LibRelay/include/LibRelay/EndpointSelector.h
+++ b/Libraries/LibRelay/include/LibRelay/EndpointSelector.h
@@ -28,6 +28,10 @@
     const Endpoint* choose(const SelectionQuery&, Core::SteadyClock::time_point now) const;
     // Whether choose() would return an endpoint without recent failures or refusals.
     bool hasHealthy(const SelectionQuery&, Core::SteadyClock::time_point now) const;
+    // Whether any endpoint of the service takes requests.
+    bool hasAny(const std::string& service) const;
+    // Whether the endpoint's process takes further requests, as far as this daemon knows.
+    bool takesRequests(const Endpoint& endpoint) const { return !m_directory.isLeaving(endpoint); }
 
     void recordStart(const std::string& endpoint, Core::SteadyClock::time_point now);
     // Records that data arrived from the endpoint.
--- a/Libraries/LibRelay/include/LibRelay/RequestHandler.h
+++ b/Libraries/LibRelay/include/LibRelay/RequestHandler.h
@@ -35,6 +35,9 @@
     std::function<std::optional<Core::Deadline>()> servesUntil {};
     // Called when the endpoint reported that it is not the registered one.
     std::function<void(const std::string& endpoint)> rejectEndpoint;
+    // Called for each answer in which an endpoint's process says that it is leaving, with the id of the request that brought it.
+    // May be unset.
+    std::function<void(const Endpoint&, const std::string& request)> endpointLeaves {};
 };
 
 struct HandlerSettings {
@@ -64,6 +67,8 @@
     friend class RequestExecution;
 
     Routing::RetryBudget& retryBudget(const std::string& service);
+    // Acts on what an answer says about the endpoint itself, whether or not it answers the request.
+    void recordAnswer(const Endpoint&, const std::string& request, const ResponseMetadata&);
 
     boost::asio::any_io_executor m_executor;
     WireCodec m_codec;
--- a/Libraries/LibRelay/src/EndpointDirectory.cpp
+++ b/Libraries/LibRelay/src/EndpointDirectory.cpp
@@ -8,6 +8,8 @@
 
 // Running endpoints register again within about two seconds after the store has recovered.
 static constexpr std::chrono::milliseconds reregistrationGracePeriod(2'200);
+// A leaving process that is no longer registered may be registered again, by a store that lags behind or by itself, until it ends.
+static constexpr std::chrono::minutes leavingProcessRetention(10);
 
 EndpointDirectory::EndpointDirectory(RemovedCallback removed)
     : m_removed(std::move(removed))
@@ -17,6 +19,7 @@
 void EndpointDirectory::put(Endpoint endpoint)
 {
     std::erase(m_lapsed, endpoint.id);
+    endpoint.isLeaving = endpoint.isLeaving || isMarkedLeaving(endpoint);
     auto rejected = m_rejected.find(endpoint.id);
     if (rejected != m_rejected.end() && rejected->second == endpoint)
         return;
@@ -41,6 +44,7 @@
     m_rejected.erase(id);
     if (!isInGracePeriod(now)) {
         erase(id, "registration removed from the store");
+        forgetUnknownProcess(id);
         return;
     }
     if (std::find(m_lapsed.begin(), m_lapsed.end(), id) == m_lapsed.end())
@@ -55,13 +59,14 @@
         put(std::move(endpoint));
     }
     std::vector<std::string> missing;
-    for (const auto& [id, endpoint] : m_endpoints) {
-        if (!present.contains(id))
-            missing.push_back(id);
+    for (const std::map<std::string, Endpoint>* entries : { &m_endpoints, &m_rejected }) {
+        for (const auto& [id, endpoint] : *entries) {
+            if (!present.contains(id))
+                missing.push_back(id);
+        }
     }
     for (const std::string& id : missing)
         remove(id, now);
-    std::erase_if(m_rejected, [&present](const auto& entry) { return !present.contains(entry.first); });
 }
 
 void EndpointDirectory::storeRegained(Core::SteadyClock::time_point now)
@@ -76,8 +81,15 @@
 {
     if (isInGracePeriod(now))
         return;
-    for (const std::string& id : std::exchange(m_lapsed, {}))
+    for (const std::string& id : std::exchange(m_lapsed, {})) {
         erase(id, "registration lapsed during a store outage and was not renewed");
+        forgetUnknownProcess(id);
+    }
+    for (auto& [id, process] : m_leaving) {
+        if (m_endpoints.contains(id))
+            process.keptUntil = now + leavingProcessRetention;
+    }
+    std::erase_if(m_leaving, [now](const auto& entry) { return now >= entry.second.keptUntil; });
 }
 
 void EndpointDirectory::reject(const std::string& id)
@@ -89,6 +101,38 @@
     erase(id, "a different endpoint answered at its address");
 }
 
+bool EndpointDirectory::isMarkedLeaving(const Endpoint& endpoint) const
+{
+    auto it = m_leaving.find(endpoint.id);
+    return it != m_leaving.end() && endpoint.isWithinLifeOf(it->second.startedAtMs);
+}
+
+bool EndpointDirectory::isLeaving(const Endpoint& endpoint) const
+{
+    const Endpoint* registered = find(endpoint.id);
+    return isMarkedLeaving(endpoint) || (registered && registered->isLeaving);
+}
+
+bool EndpointDirectory::markLeaving(const Endpoint& endpoint, Core::SteadyClock::time_point now)
+{
+    auto registered = m_endpoints.find(endpoint.id);
+    if (endpoint.startedAtMs == 0 && registered == m_endpoints.end())
+        return false;
+    LeavingProcess& process = m_leaving[endpoint.id];
+    process.startedAtMs = std::max(process.startedAtMs, endpoint.startedAtMs);
+    process.keptUntil = now + leavingProcessRetention;
+    if (registered == m_endpoints.end() || registered->second.isLeaving || !isMarkedLeaving(registered->second))
+        return false;
+    return registered->second.isLeaving = true;
+}
+
+void EndpointDirectory::forgetUnknownProcess(const std::string& id)
+{
+    auto it = m_leaving.find(id);
+    if (it != m_leaving.end() && it->second.startedAtMs == 0)
+        m_leaving.erase(it);
+}
+
 const Endpoint* EndpointDirectory::find(const std::string& id) const
 {
     auto it = m_endpoints.find(id);
--- a/Libraries/LibRelay/src/EndpointSelector.cpp
+++ b/Libraries/LibRelay/src/EndpointSelector.cpp
@@ -82,6 +82,12 @@
         [this, &query, now](const auto& entry) { return isCandidate(entry.second, query) && isHealthy(entry.second, now); });
 }
 
+bool EndpointSelector::hasAny(const std::string& service) const
+{
+    return std::any_of(m_directory.endpoints().begin(), m_directory.endpoints().end(),
+        [&service](const auto& entry) { return entry.second.service == service && !entry.second.isLeaving; });
+}
+
 const Endpoint* EndpointSelector::choose(const SelectionQuery& query, TimePoint now) const
 {
     std::vector<const Endpoint*> candidates;
--- a/Libraries/LibRelay/src/RequestExecution.cpp
+++ b/Libraries/LibRelay/src/RequestExecution.cpp
@@ -65,6 +65,8 @@
         co_return;
     }
     std::optional<Refusal> refusal = co_await authorize();
+    if (!refusal)
+        refusal = findService();
     if (!refusal)
         refusal = co_await holdTokens();
     if (refusal) {
@@ -161,6 +163,14 @@
     return m_route.split.back().service;
 }
 
+std::optional<Refusal> RequestExecution::findService()
+{
+    m_service = selectService();
+    if (m_handler.m_selector.hasAny(m_service))
+        return std::nullopt;
+    return Refusal { 503, "no_endpoint", "no endpoint of service " + m_service, retryAfterOverloadMs };
+}
+
 // Hash of the last shareable prompt part. The very last part is specific to the request.
 uint64_t RequestExecution::affinity() const
 {
@@ -184,7 +194,7 @@
 
 Core::Task<void> RequestExecution::dispatch()
 {
-    std::string service = selectService();
+    const std::string& service = m_service;
     if (const Service* known = m_configuration->findService(service); known && known->engine) {
         m_isEngine = true;
         m_tokensPerEvent = known->engine->tokensPerEvent;
@@ -198,17 +208,26 @@
             m_lastFailure += m_lastFailure.empty() ? "no endpoint of service " + service : "; no other endpoint available";
             break;
         }
-        if (m_sends > 0 && !retries.takeRetry(Core::SteadyClock::now())) {
+        Core::SteadyClock::time_point startedAt = Core::SteadyClock::now();
+        bool isRetry = m_sends > 0;
+        if (isRetry && !retries.takeRetry(startedAt)) {
             m_lastFailure += "; retry budget of service " + service + " exhausted";
             break;
         }
         Endpoint chosen = *endpoint;
         last = co_await attempt(chosen, HTTP::ConnectionUse::Pooled);
+        if (m_wasWithheld && isRetry)
+            retries.returnRetry(startedAt);
+        Core::SteadyClock::time_point repeatedAt = Core::SteadyClock::now();
         // The endpoint most likely closed the idle connection and never saw the request.
         if (m_wasConnectionStale && last == Outcome::Unknown && m_route.mayRunAgain() && !*m_isCallerGone && !m_deadline.hasPassed()
-            && retries.takeRetry(Core::SteadyClock::now())) {
+            && retries.takeRetry(repeatedAt)) {
             --m_sends;
             last = co_await attempt(chosen, HTTP::ConnectionUse::Fresh);
+            if (m_wasWithheld) {
+                ++m_sends;
+                retries.returnRetry(repeatedAt);
+            }
         }
         if (last == Outcome::Finished)
             co_return;
@@ -245,6 +264,9 @@
         Core::SteadyClock::time_point now = Core::SteadyClock::now();
         return canRetry(Outcome::Unknown) && !m_handler.retryBudget(service).isExhausted(now) && m_handler.m_selector.hasHealthy(selectionQuery(service), now);
     };
+    m_watched->statusAnswered = [&handler = m_handler, endpoint, id = m_request.id](unsigned status, const HTTP::Headers& headers) {
+        handler.recordAnswer(endpoint, id, handler.m_codec.decodeResponseMetadata(status, headers));
+    };
     Core::spawn(m_handler.m_executor, "watch stream",
         watchStream(m_watched, m_handler.m_client, m_handler.m_codec, m_handler.m_settings, m_handler.m_selector));
 }
@@ -275,19 +297,26 @@
     options.cancellation = m_cancellation = std::make_shared<HTTP::Cancellation>();
     options.connectDeadline = Deadline::after(std::chrono::milliseconds(m_handler.m_settings.connectTimeoutMs));
     m_wasConnectionStale = false;
+    m_wasWithheld = false;
     options.reusedConnectionFailed = [this] { m_wasConnectionStale = true; };
-    options.guard = [this, &wasSent] {
+    options.guard = [this, &wasSent, &selector, &endpoint] {
         *m_isCallerGone = *m_isCallerGone || !m_writer.isClientConnected();
         if (*m_isCallerGone)
             return false;
+        m_wasWithheld = !selector.takesRequests(endpoint);
+        if (m_wasWithheld)
+            return false;
         if (!wasSent) {
             ++m_sends;
             ++m_possibleRuns;
         }
         return wasSent = true;
     };
-    options.isExpected = [this](unsigned status, const HTTP::Headers& headers) {
-        return m_handler.m_codec.decodeResponseMetadata(status, headers).requestId == m_request.id;
+    // Sees every answer, also those to earlier requests on the connection, which are discarded.
+    options.isExpected = [this, &endpoint](unsigned status, const HTTP::Headers& headers) {
+        ResponseMetadata metadata = m_handler.m_codec.decodeResponseMetadata(status, headers);
+        m_handler.recordAnswer(endpoint, metadata.requestId, metadata);
+        return metadata.requestId == m_request.id;
     };
     selector.recordStart(endpoint.id, now);
     Core::logEvent(Events::requestSent, "request=" + m_request.id + " endpoint=" + endpoint.id + " service=" + endpoint.service + " in_flight=" + std::to_string(selector.inFlight(endpoint.id)) + " left_ms=" + std::to_string(m_deadline.remaining().count()) + " configuration=" + std::to_string(m_configuration->version()) + " after_event=" + std::to_string(m_lastEvent.value_or(0)) + describeTokens(m_request));
@@ -301,9 +330,9 @@
         co_return outcome;
     }
     endWatch();
-    bool isAborted = *m_isCallerGone || m_deadline.hasPassed();
+    bool isAborted = *m_isCallerGone || m_wasWithheld || m_deadline.hasPassed();
     selector.recordEnd(endpoint.id, isAborted ? EndpointSelector::End::Neutral : EndpointSelector::End::Failure, Core::SteadyClock::now());
-    m_lastFailure = lossReason().value_or(reason.text());
+    m_lastFailure = m_wasWithheld ? "endpoint " + endpoint.id + " began to refuse all requests before this one was sent" : lossReason().value_or(reason.text());
     Core::logEvent(Events::attemptFailed, "request=" + m_request.id + " endpoint=" + endpoint.id + " sent=" + std::to_string(wasSent) + " reused_connection=" + std::to_string(m_wasConnectionStale) + " reason=\"" + m_lastFailure + "\"");
     if (*m_isCallerGone) {
         logCompletion("caller_gone", "");
--- a/Libraries/LibRelay/src/RequestExecution.h
+++ b/Libraries/LibRelay/src/RequestExecution.h
@@ -28,6 +28,8 @@
     };
 
     Core::Task<std::optional<Refusal>> authorize();
+    // Chooses the service. Refuses the request if none of its endpoints takes requests.
+    std::optional<Refusal> findService();
     Core::Task<std::optional<Refusal>> holdTokens();
     Core::Task<void> dispatch();
     std::string selectService() const;
@@ -58,6 +60,7 @@
     std::shared_ptr<const Configuration> m_configuration;
     CallerRequest m_request;
     Route m_route;
+    std::string m_service;
     std::optional<Workspace> m_workspace;
     Core::Deadline m_deadline { Core::Deadline::never() };
     Tokens m_heldTokens { 0 };
@@ -77,6 +80,8 @@
     std::shared_ptr<WatchedStream> m_watched;
     // The last attempt failed on a reused connection before any byte of a response arrived.
     bool m_wasConnectionStale { false };
+    // The last attempt was not sent, because its endpoint had begun to refuse all requests while it was connected.
+    bool m_wasWithheld { false };
     std::shared_ptr<bool> m_isCallerGone { std::make_shared<bool>(false) };
     std::optional<int64_t> m_firstByteMs;
     std::string m_lastFailure;
--- a/Libraries/LibRelay/src/RequestHandler.cpp
+++ b/Libraries/LibRelay/src/RequestHandler.cpp
@@ -34,4 +34,10 @@
     return budget;
 }
 
+void RequestHandler::recordAnswer(const Endpoint& endpoint, const std::string& request, const ResponseMetadata& metadata)
+{
+    if (metadata.isLeaving && m_hooks.endpointLeaves)
+        m_hooks.endpointLeaves(endpoint, request);
+}
+
 }
--- a/Libraries/LibRelay/src/StreamWatch.cpp
+++ b/Libraries/LibRelay/src/StreamWatch.cpp
@@ -82,6 +82,7 @@
             = co_await m_client->open(m_stream->endpoint.address, m_codec.statusRequest(), deadline, reason, HTTP::ConnectionUse::Fresh);
         if (!response)
             co_return std::nullopt;
+        m_stream->statusAnswered((*response)->status(), (*response)->headers());
         std::optional<std::string> body = co_await (*response)->readAll(maxStatusBytes, deadline, reason);
         if (!body)
             co_return std::nullopt;
--- a/Libraries/LibRelay/src/StreamWatch.h
+++ b/Libraries/LibRelay/src/StreamWatch.h
@@ -18,6 +18,8 @@
     bool hasEvents { false };
     // Whether the request could be sent to a better endpoint. Not called once the attempt is over.
     std::function<bool()> canMove;
+    // Called with the head of each answer to a status request, also once the attempt is over.
+    std::function<void(unsigned status, const HTTP::Headers&)> statusAnswered;
     bool isOver { false };
     // Why the watch cancelled the attempt.
     std::optional<std::string> lossReason;
--- a/Libraries/LibRouting/include/LibRouting/RetryBudget.h
+++ b/Libraries/LibRouting/include/LibRouting/RetryBudget.h
@@ -24,6 +24,8 @@
     void recordRequest(TimePoint now);
     // Takes one retry from the budget. Returns false if the budget is exhausted.
     bool takeRetry(TimePoint now);
+    // Returns a retry that was taken at this time and not sent.
+    void returnRetry(TimePoint takenAt);
     bool isExhausted(TimePoint now) const;
 
 private:
--- a/Libraries/LibRouting/src/RetryBudget.cpp
+++ b/Libraries/LibRouting/src/RetryBudget.cpp
@@ -48,4 +48,12 @@
     return true;
 }
 
+void RetryBudget::returnRetry(TimePoint takenAt)
+{
+    int64_t number = secondNumber(takenAt);
+    Bucket& bucket = m_buckets[static_cast<size_t>(number % windowSeconds)];
+    if (bucket.number == number && bucket.retries > 0)
+        --bucket.retries;
+}
+
 }
--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -211,7 +211,7 @@
     if (!known)
         Core::logEvent(RelayEvents::endpointAdded, detail);
     if (endpoint->isLeaving && (!known || !known->isLeaving))
-        Core::logEvent(RelayEvents::endpointLeaving, detail);
+        Core::logEvent(RelayEvents::endpointLeaving, detail + " source=store");
     return endpoint;
 }
 
@@ -230,6 +230,10 @@
     hooks.storeSilence = [this] { return std::chrono::milliseconds(configurationAgeMs()); };
     hooks.servesUntil = [this] { return m_servesUntil; };
     hooks.rejectEndpoint = [this](const std::string& endpoint) { m_endpoints.reject(endpoint); };
+    hooks.endpointLeaves = [this](const Relay::Endpoint& endpoint, const std::string& request) {
+        if (m_endpoints.markLeaving(endpoint, Core::SteadyClock::now()))
+            Core::logEvent(RelayEvents::endpointLeaving, "endpoint=" + endpoint.id + " service=" + endpoint.service + " address=" + endpoint.address.text() + " source=answer request=" + request);
+    };
     return hooks;
 }
 
--- a/Tests/LibRelay/RelayFixture.h
+++ b/Tests/LibRelay/RelayFixture.h
@@ -10,7 +10,7 @@
 // A relay with endpoints and callers on loopback and a minimal wire codec.
 namespace RelayTest {
 
-// "Id" identifies the request, "Not-Run" and "Seal" are an endpoint's response metadata, "Tokens" is the prompt's size.
+// "Id" identifies the request, "Not-Run", "Seal" and "Leaving" are an endpoint's response metadata, "Tokens" is the prompt's size.
 inline Relay::WireCodec makeCodec()
 {
     Relay::WireCodec codec;
@@ -42,6 +42,7 @@
         metadata.requestId = HTTP::findHeader(headers, "Id").value_or("");
         metadata.isNotRun = HTTP::findHeader(headers, "Not-Run").has_value();
         metadata.isSealed = HTTP::findHeader(headers, "Seal").has_value();
+        metadata.isLeaving = HTTP::findHeader(headers, "Leaving").has_value();
         return metadata;
     };
     codec.callerHeaders = [](const HTTP::Headers& headers) {
@@ -122,6 +123,7 @@
     // Body of the answers to status requests; empty: the endpoints do not answer them.
     std::optional<std::string> status { "0" };
     int statusRequests { 0 };
+    HTTP::Headers statusHeaders;
 
     // Every endpoint calls the current `answer`.
     explicit Fixture(size_t endpointCount = 2)
@@ -136,7 +138,7 @@
                     ++statusRequests;
                     Core::Reason ignored;
                     if (status)
-                        co_await response.send({ 200, {}, *status }, ignored);
+                        co_await response.send({ 200, statusHeaders, *status }, ignored);
                     else
                         co_await Core::sleepUntil(Core::Deadline::after(std::chrono::seconds(5)));
                     co_return;
@@ -180,6 +182,7 @@
         hooks.storeSilence = [this] { return storeSilence; };
         hooks.servesUntil = [this] { return servesUntil; };
         hooks.rejectEndpoint = [this](const std::string& endpoint) { rejected.push_back(endpoint); };
+        hooks.endpointLeaves = [this](const Relay::Endpoint& endpoint, const std::string&) { directory.markLeaving(endpoint, Core::SteadyClock::now()); };
         return hooks;
     }
 
--- a/Tests/LibRelay/TestEndpointDirectory.cpp
+++ b/Tests/LibRelay/TestEndpointDirectory.cpp
@@ -58,3 +58,99 @@
     directory.put(makeEndpoint("a", 2));
     cr_assert_not_null(directory.find("a"));
 }
+
+// Guards against sending requests to a process that has said that it is leaving, because the store lags behind, is away, or lists it
+// as ready again.
+Test(EndpointDirectory, leavingProcessStaysLeavingWhateverTheStoreLists)
+{
+    EndpointDirectory directory({});
+    directory.put(makeEndpoint("a", 5));
+    cr_assert(directory.markLeaving(makeEndpoint("a", 5), start));
+    cr_assert_not(directory.markLeaving(makeEndpoint("a", 5), start));
+    cr_assert(directory.find("a")->isLeaving);
+    directory.put(makeEndpoint("a", 5));
+    cr_assert(directory.find("a")->isLeaving);
+    directory.replaceAll({ makeEndpoint("a", 5) }, start);
+    cr_assert(directory.find("a")->isLeaving);
+    // An earlier process, from a listing that lags behind, has ended: the leaving one answers at its address.
+    directory.put(makeEndpoint("a", 4));
+    cr_assert(directory.find("a")->isLeaving);
+    directory.storeLost();
+    directory.storeRegained(start + 1s);
+    directory.replaceAll({}, start + 1s);
+    directory.put(makeEndpoint("a", 5));
+    cr_assert(directory.find("a")->isLeaving);
+    directory.remove("a", start + 10s);
+    directory.expire(start + 10s);
+    cr_assert_null(directory.find("a"));
+    directory.put(makeEndpoint("a", 5));
+    cr_assert(directory.find("a")->isLeaving);
+    directory.reject("a");
+    directory.put(makeEndpoint("a", 5));
+    cr_assert_null(directory.find("a"));
+}
+
+// Guards against avoiding a new process because an earlier one under the same id has left, and against using the earlier one again
+// when a listing that lags behind follows.
+Test(EndpointDirectory, laterProcessUnderTheSameIdIsUsable)
+{
+    EndpointDirectory directory({});
+    directory.put(makeEndpoint("a", 5));
+    directory.markLeaving(makeEndpoint("a", 5), start);
+    directory.put(makeEndpoint("a", 6));
+    cr_assert_not(directory.find("a")->isLeaving);
+    cr_assert_not(directory.isLeaving(makeEndpoint("a", 6)));
+    cr_assert(directory.isLeaving(makeEndpoint("a", 5)));
+    // A late answer of the earlier process.
+    cr_assert_not(directory.markLeaving(makeEndpoint("a", 5), start));
+    cr_assert_not(directory.find("a")->isLeaving);
+    directory.put(makeEndpoint("a", 5));
+    cr_assert(directory.find("a")->isLeaving);
+    directory.put(makeEndpoint("a", 6));
+    cr_assert(directory.markLeaving(makeEndpoint("a", 6), start));
+    cr_assert_not(directory.markLeaving(makeEndpoint("a", 5), start));
+    directory.put(makeEndpoint("a", 6));
+    cr_assert(directory.find("a")->isLeaving);
+}
+
+// Guards against taking a changed entry for a new process where the start time is unknown.
+Test(EndpointDirectory, leavingEntryWithoutAStartTimeIsReplacedByRemovalOnly)
+{
+    EndpointDirectory directory({});
+    directory.put(makeEndpoint("a", 0));
+    directory.markLeaving(makeEndpoint("a", 0), start);
+    directory.put(makeEndpoint("a", 0));
+    cr_assert(directory.find("a")->isLeaving);
+    directory.put(makeEndpoint("a", 7));
+    cr_assert(directory.find("a")->isLeaving);
+    // A lapse during an outage of the store is no removal.
+    directory.storeLost();
+    directory.remove("a", start);
+    directory.put(makeEndpoint("a", 0));
+    cr_assert(directory.find("a")->isLeaving);
+    directory.storeRegained(start);
+    directory.remove("a", start + 10s);
+    directory.put(makeEndpoint("a", 0));
+    cr_assert_not(directory.find("a")->isLeaving);
+    // An answer that arrives after the removal says nothing about the next process.
+    directory.remove("a", start + 10s);
+    cr_assert_not(directory.markLeaving(makeEndpoint("a", 0), start + 10s));
+    directory.put(makeEndpoint("a", 0));
+    cr_assert_not(directory.find("a")->isLeaving);
+}
+
+// Guards against memory that grows with each endpoint that has left.
+Test(EndpointDirectory, leavingProcessIsForgottenOnceItIsNoLongerRegistered)
+{
+    EndpointDirectory directory({});
+    directory.put(makeEndpoint("a", 5));
+    directory.markLeaving(makeEndpoint("a", 5), start);
+    directory.expire(start + 1h);
+    directory.put(makeEndpoint("a", 5));
+    cr_assert(directory.find("a")->isLeaving);
+    directory.remove("a", start + 1h);
+    directory.expire(start + 1h + 1min);
+    cr_assert_eq(directory.leavingProcesses(), 1);
+    directory.expire(start + 2h);
+    cr_assert_eq(directory.leavingProcesses(), 0);
+}
--- a/Tests/LibRouting/TestAdmission.cpp
+++ b/Tests/LibRouting/TestAdmission.cpp
@@ -182,3 +182,17 @@
     TestSupport::runUntil(fixture.context, [&] { return slept.has_value(); });
     cr_assert(result && *result);
 }
+
+// Guards against a retry that was never sent using up the budget, and against a return that counts for a later window.
+Test(RetryBudget, returnedRetryCanBeTakenAgain)
+{
+    RetryBudget budget({ 0, 1 });
+    cr_assert(budget.takeRetry(at(0)));
+    cr_assert_not(budget.takeRetry(at(500)));
+    budget.returnRetry(at(0));
+    cr_assert(budget.takeRetry(at(500)));
+    cr_assert(budget.takeRetry(at(11'000)));
+    // The retry of 0 ms has left the window.
+    budget.returnRetry(at(0));
+    cr_assert_not(budget.takeRetry(at(11'000)));
+}
--- a/Tests/PlatformAdapter/TestCodec.cpp
+++ b/Tests/PlatformAdapter/TestCodec.cpp
@@ -150,3 +150,18 @@
     std::optional<Relay::CallerRequest> decoded = PlatformAdapter::makeCodec().decodeRequest(std::move(request), limit, reason);
     cr_assert(decoded && decoded->deadline.remaining() > std::chrono::minutes(1));
 }
+
+// An endpoint that leaves says so in any answer; one that answers for another endpoint says nothing about that one.
+Test(Codec, leavingEndpointIsRecognized)
+{
+    auto isLeaving = [](unsigned status, const std::string& value) {
+        return makeCodec().decodeResponseMetadata(status, { { "X-Attempt-Id", "r1" }, { "server-leaving", value } }).isLeaving;
+    };
+    for (unsigned status : { 200u, 404u, 429u, 500u, 503u })
+        cr_assert(isLeaving(status, "1"), "%u", status);
+    cr_assert(isLeaving(200, " 1 "));
+    cr_assert_not(isLeaving(421, "1"));
+    for (const char* value : { "", "0", "11", "yes" })
+        cr_assert_not(isLeaving(200, value), "%s", value);
+    cr_assert_not(makeCodec().decodeResponseMetadata(200, {}).isLeaving);
+}
