Send nothing to an endpoint during the pause that it asked for

An endpoint that refuses with 503 may add Retry-After: it wants no request from this daemon for so long. The daemon ignored that: it avoided the endpoint for 150 ms, used it even then if no other was left, and asked for its status. Callers waited for refusals that were known beforehand, and the endpoint got requests that it had asked not to get.

The adapter decodes the seconds to a deadline, at most 10 minutes ahead; dates, negative and malformed values are ignored. EndpointSelector keeps the pause per process, outside the state that ends with the registration, and choose() skips the endpoint until then, also as the last resort. Any 503 with the header counts, whatever request it answers. The send guard stops a request that was being connected, without counting a failure or a retry. Status requests are not sent during the pause, and one that is refused so is no evidence that a stream is lost: before, the stream was moved after it. If all endpoints of the service pause, a request is refused at once, with the rest of the shortest pause as Retry-After; otherwise Retry-After stays as it was. E1718 logs the pause.

The decoder's tests were written with the decoder and were not seen failing.

--- a/Libraries/LibRelay/include/LibRelay/CallerRequest.h
+++ b/Libraries/LibRelay/include/LibRelay/CallerRequest.h
@@ -66,6 +66,8 @@
     bool isSealed { false };
     // The endpoint's process is leaving and wants no further requests.
     bool isLeaving { false };
+    // The endpoint refused the request and wants no further ones from this daemon until then.
+    std::optional<Core::Deadline> pausedUntil;
 };
 
 // An engine's report about itself. It is some hundred milliseconds old when it arrives.
--- a/Libraries/LibRelay/include/LibRelay/EndpointSelector.h
+++ b/Libraries/LibRelay/include/LibRelay/EndpointSelector.h
@@ -5,7 +5,9 @@
 #include "LibRelay/EndpointDirectory.h"
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
+#include <unordered_map>
 #include <vector>
 
 namespace Relay {
@@ -29,9 +31,12 @@
     // Whether choose() would return an endpoint without recent failures or refusals.
     bool hasHealthy(const SelectionQuery&, Core::SteadyClock::time_point now) const;
     // Whether any endpoint of the service takes requests.
-    bool hasAny(const std::string& service) const;
+    bool hasAny(const std::string& service, Core::SteadyClock::time_point now) const;
     // Whether the endpoint's process takes further requests, as far as this daemon knows.
-    bool takesRequests(const Endpoint& endpoint) const { return !m_directory.isLeaving(endpoint); }
+    bool takesRequests(const Endpoint& endpoint, Core::SteadyClock::time_point now) const { return !m_directory.isLeaving(endpoint) && !isPaused(endpoint, now); }
+    bool isPaused(const Endpoint&, Core::SteadyClock::time_point now) const;
+    // When the first endpoint of the service ends its pause. Empty if one takes requests now, or if none will.
+    std::optional<Core::SteadyClock::time_point> pauseEnd(const std::string& service, Core::SteadyClock::time_point now) const;
 
     void recordStart(const std::string& endpoint, Core::SteadyClock::time_point now);
     // Records that data arrived from the endpoint.
@@ -44,6 +49,10 @@
     void recordEnd(const std::string& endpoint, End, Core::SteadyClock::time_point now);
     // Records that the endpoint refused a request because it is overloaded.
     void recordOverload(const std::string& endpoint, Core::SteadyClock::time_point now);
+    // Records that the endpoint's process wants no request before the given time. A pause is never shortened, and it outlasts the
+    // registration; a process with a later start time has none. Returns false if the pause was known.
+    bool recordPause(const Endpoint&, Core::SteadyClock::time_point until, Core::SteadyClock::time_point now);
+    // Called when the endpoint is no longer registered.
     void forget(const std::string& endpoint);
 
     size_t inFlight(const std::string& endpoint) const;
@@ -64,6 +73,13 @@
         Core::SteadyClock::time_point suspectUntil {};
     };
 
+    struct Pause {
+        // Start time of the process that asked for it; 0: unknown.
+        int64_t processStartMs { 0 };
+        Core::SteadyClock::time_point until {};
+    };
+
+    bool isCandidate(const Endpoint&, const SelectionQuery&, Core::SteadyClock::time_point now) const;
     const Endpoint* chooseByAffinity(const std::vector<const Endpoint*>& candidates, uint64_t affinity) const;
     const Endpoint* chooseByCost(const std::vector<const Endpoint*>& candidates, Core::SteadyClock::time_point now) const;
     // Lower is better.
@@ -75,6 +91,8 @@
     const EndpointDirectory& m_directory;
     std::string m_failureDomain;
     std::map<std::string, EndpointState> m_states;
+    // By endpoint id; hashed, since each choice looks up all candidates.
+    std::unordered_map<std::string, Pause> m_pauses;
 };
 
 }
--- a/Libraries/LibRelay/src/EndpointSelector.cpp
+++ b/Libraries/LibRelay/src/EndpointSelector.cpp
@@ -71,21 +71,43 @@
     return cost;
 }
 
-static bool isCandidate(const Endpoint& endpoint, const SelectionQuery& query)
+bool EndpointSelector::isCandidate(const Endpoint& endpoint, const SelectionQuery& query, TimePoint now) const
 {
-    return endpoint.service == query.service && !endpoint.isLeaving && !query.excluded.contains(endpoint.id);
+    return endpoint.service == query.service && !endpoint.isLeaving && !isPaused(endpoint, now) && !query.excluded.contains(endpoint.id);
 }
 
 bool EndpointSelector::hasHealthy(const SelectionQuery& query, TimePoint now) const
 {
     return std::any_of(m_directory.endpoints().begin(), m_directory.endpoints().end(),
-        [this, &query, now](const auto& entry) { return isCandidate(entry.second, query) && isHealthy(entry.second, now); });
+        [this, &query, now](const auto& entry) { return isCandidate(entry.second, query, now) && isHealthy(entry.second, now); });
 }
 
-bool EndpointSelector::hasAny(const std::string& service) const
+bool EndpointSelector::hasAny(const std::string& service, TimePoint now) const
 {
+    SelectionQuery query;
+    query.service = service;
     return std::any_of(m_directory.endpoints().begin(), m_directory.endpoints().end(),
-        [&service](const auto& entry) { return entry.second.service == service && !entry.second.isLeaving; });
+        [this, &query, now](const auto& entry) { return isCandidate(entry.second, query, now); });
+}
+
+bool EndpointSelector::isPaused(const Endpoint& endpoint, TimePoint now) const
+{
+    auto it = m_pauses.find(endpoint.id);
+    return it != m_pauses.end() && now < it->second.until && endpoint.isWithinLifeOf(it->second.processStartMs);
+}
+
+std::optional<TimePoint> EndpointSelector::pauseEnd(const std::string& service, TimePoint now) const
+{
+    std::optional<TimePoint> end;
+    for (const auto& [id, endpoint] : m_directory.endpoints()) {
+        if (endpoint.service != service || endpoint.isLeaving)
+            continue;
+        if (!isPaused(endpoint, now))
+            return std::nullopt;
+        TimePoint until = m_pauses.at(id).until;
+        end = std::min(end.value_or(until), until);
+    }
+    return end;
 }
 
 const Endpoint* EndpointSelector::choose(const SelectionQuery& query, TimePoint now) const
@@ -93,7 +115,7 @@
     std::vector<const Endpoint*> candidates;
     std::vector<const Endpoint*> unhealthy;
     for (const auto& [id, endpoint] : m_directory.endpoints()) {
-        if (!isCandidate(endpoint, query))
+        if (!isCandidate(endpoint, query, now))
             continue;
         (isHealthy(endpoint, now) ? candidates : unhealthy).push_back(&endpoint);
     }
@@ -192,9 +214,29 @@
     m_states[endpoint].overloadedUntil = now + overloadBackoff;
 }
 
+bool EndpointSelector::recordPause(const Endpoint& endpoint, TimePoint until, TimePoint now)
+{
+    std::erase_if(m_pauses, [now](const auto& entry) { return now >= entry.second.until; });
+    if (until <= now)
+        return false;
+    Pause& pause = m_pauses[endpoint.id];
+    if (!endpoint.isWithinLifeOf(pause.processStartMs))
+        pause = {};
+    // An answer of an earlier process says nothing about this one.
+    bool isOutdated = endpoint.startedAtMs != 0 && endpoint.startedAtMs < pause.processStartMs;
+    if (isOutdated || until <= pause.until)
+        return false;
+    pause = { std::max(pause.processStartMs, endpoint.startedAtMs), until };
+    return true;
+}
+
 void EndpointSelector::forget(const std::string& endpoint)
 {
     m_states.erase(endpoint);
+    // Without a start time, the next registration under this id is a new process.
+    auto pause = m_pauses.find(endpoint);
+    if (pause != m_pauses.end() && pause->second.processStartMs == 0)
+        m_pauses.erase(pause);
 }
 
 }
--- a/Libraries/LibRelay/src/Events.h
+++ b/Libraries/LibRelay/src/Events.h
@@ -4,6 +4,7 @@
 
 namespace Relay::Events {
 
+inline constexpr Core::Event endpointPaused { 1718, Core::Severity::Info, "endpoint_paused" };
 inline constexpr Core::Event requestRefused { 1721, Core::Severity::Info, "request_refused" };
 inline constexpr Core::Event requestSent { 1722, Core::Severity::Info, "request_sent" };
 inline constexpr Core::Event attemptFailed { 1723, Core::Severity::Info, "attempt_failed" };
--- a/Libraries/LibRelay/src/RequestExecution.cpp
+++ b/Libraries/LibRelay/src/RequestExecution.cpp
@@ -166,9 +166,19 @@
 std::optional<Refusal> RequestExecution::findService()
 {
     m_service = selectService();
-    if (m_handler.m_selector.hasAny(m_service))
+    if (m_handler.m_selector.hasAny(m_service, Core::SteadyClock::now()))
         return std::nullopt;
-    return Refusal { 503, "no_endpoint", "no endpoint of service " + m_service, retryAfterOverloadMs };
+    return refusalWithoutEndpoint("no endpoint of service " + m_service);
+}
+
+Refusal RequestExecution::refusalWithoutEndpoint(std::string message) const
+{
+    Core::SteadyClock::time_point now = Core::SteadyClock::now();
+    std::optional<Core::SteadyClock::time_point> pauseEnd = m_handler.m_selector.pauseEnd(m_service, now);
+    if (!pauseEnd)
+        return { 503, m_wasOverloaded ? "overloaded" : "no_endpoint", std::move(message), retryAfterOverloadMs };
+    int64_t pauseMs = std::chrono::ceil<std::chrono::milliseconds>(*pauseEnd - now).count();
+    return { 503, "overloaded", message + "; all endpoints have asked for a pause", pauseMs };
 }
 
 // Hash of the last shareable prompt part. The very last part is specific to the request.
@@ -303,7 +313,7 @@
         *m_isCallerGone = *m_isCallerGone || !m_writer.isClientConnected();
         if (*m_isCallerGone)
             return false;
-        m_wasWithheld = !selector.takesRequests(endpoint);
+        m_wasWithheld = !selector.takesRequests(endpoint, Core::SteadyClock::now());
         if (m_wasWithheld)
             return false;
         if (!wasSent) {
@@ -353,7 +363,7 @@
         co_await refuse({ isDeadlineExceeded ? 504u : 502u, isDeadlineExceeded ? "deadline" : "endpoint_failed", m_lastFailure, std::nullopt });
         co_return;
     }
-    co_await refuse({ 503, m_wasOverloaded ? "overloaded" : "no_endpoint", m_lastFailure, retryAfterOverloadMs });
+    co_await refuse(refusalWithoutEndpoint(m_lastFailure));
 }
 
 Core::Task<void> RequestExecution::refuse(Refusal refusal)
--- a/Libraries/LibRelay/src/RequestExecution.h
+++ b/Libraries/LibRelay/src/RequestExecution.h
@@ -48,6 +48,8 @@
     bool canRetry(Outcome) const;
     // When a request that needs the store can be retried with some prospect.
     int64_t retryAfterStoreOutageMs() const;
+    // Refuses a request that no endpoint took, until the first one ends its pause if that is known.
+    Refusal refusalWithoutEndpoint(std::string message) const;
     Core::Task<void> refuse(Refusal);
     Core::Task<void> failRequest();
     void settleTokens();
--- a/Libraries/LibRelay/src/StreamWatch.cpp
+++ b/Libraries/LibRelay/src/StreamWatch.cpp
@@ -38,11 +38,12 @@
                 continue;
             }
             checkAt = Core::SteadyClock::now() + silenceLimit();
-            if (!m_stream->canMove())
+            if (!m_stream->canMove() || isEndpointPaused())
                 continue;
             Core::SteadyClock::time_point silentSince = m_stream->lastEventAt;
             co_await gatherEvidence();
-            if (m_stream->isOver || m_stream->lastEventAt != silentSince || !m_stream->canMove())
+            // A status request that the endpoint refused, or that was not sent because of a pause, is no evidence.
+            if (m_stream->isOver || m_stream->lastEventAt != silentSince || !m_stream->canMove() || isEndpointPaused())
                 continue;
             m_stream->lossReason = findStreamLoss(m_evidence, m_stream->requestId, m_stream->lastEvent);
             logCheck();
@@ -61,13 +62,16 @@
         return std::chrono::milliseconds(m_stream->hasEvents ? m_settings.streamIdleTimeoutMs : m_settings.firstEventTimeoutMs);
     }
 
+    bool isEndpointPaused() const { return m_selector.isPaused(m_stream->endpoint, Core::SteadyClock::now()); }
+
     Core::Task<void> gatherEvidence()
     {
         m_evidence.status = std::nullopt;
         if (m_codec.statusRequest) {
             Reason reason;
             m_evidence.status = co_await requestStatus(reason);
-            m_evidence.failedStatusRequests = m_evidence.status ? 0 : m_evidence.failedStatusRequests + 1;
+            if (!isEndpointPaused())
+                m_evidence.failedStatusRequests = m_evidence.status ? 0 : m_evidence.failedStatusRequests + 1;
         }
         const std::string& id = m_stream->endpoint.id;
         m_evidence.isRegistered = m_selector.isRegistered(id);
@@ -77,9 +81,12 @@
     Core::Task<std::optional<EngineStatus>> requestStatus(Reason& reason)
     {
         Deadline deadline = Deadline::after(std::chrono::milliseconds(m_settings.statusTimeoutMs));
+        HTTP::CallOptions options;
         // A new connection, since the pooled ones may have been cut silently together with the stream.
+        options.use = HTTP::ConnectionUse::Fresh;
+        options.guard = [this] { return !isEndpointPaused(); };
         std::optional<std::unique_ptr<HTTP::ResponseStream>> response
-            = co_await m_client->open(m_stream->endpoint.address, m_codec.statusRequest(), deadline, reason, HTTP::ConnectionUse::Fresh);
+            = co_await m_client->call(m_stream->endpoint.address, m_codec.statusRequest(), deadline, std::move(options), reason);
         if (!response)
             co_return std::nullopt;
         m_stream->statusAnswered((*response)->status(), (*response)->headers());
--- a/Tests/LibRelay/RelayFixture.h
+++ b/Tests/LibRelay/RelayFixture.h
@@ -10,7 +10,8 @@
 // A relay with endpoints and callers on loopback and a minimal wire codec.
 namespace RelayTest {
 
-// "Id" identifies the request, "Not-Run", "Seal" and "Leaving" are an endpoint's response metadata, "Tokens" is the prompt's size.
+// "Id" identifies the request, "Not-Run", "Seal", "Leaving" and, in a 503, "Pause-Ms" are an endpoint's response metadata, "Tokens" is the
+// prompt's size.
 inline Relay::WireCodec makeCodec()
 {
     Relay::WireCodec codec;
@@ -37,12 +38,14 @@
             message.headers.push_back({ "Last-Event", std::to_string(*dispatch.lastEvent) });
         return message;
     };
-    codec.decodeResponseMetadata = [](unsigned, const HTTP::Headers& headers) {
+    codec.decodeResponseMetadata = [](unsigned status, const HTTP::Headers& headers) {
         Relay::ResponseMetadata metadata;
         metadata.requestId = HTTP::findHeader(headers, "Id").value_or("");
         metadata.isNotRun = HTTP::findHeader(headers, "Not-Run").has_value();
         metadata.isSealed = HTTP::findHeader(headers, "Seal").has_value();
         metadata.isLeaving = HTTP::findHeader(headers, "Leaving").has_value();
+        if (std::optional<std::string> text = HTTP::findHeader(headers, "Pause-Ms"); text && status == 503)
+            metadata.pausedUntil = Core::Deadline::after(std::chrono::milliseconds(std::stoi(*text)));
         return metadata;
     };
     codec.callerHeaders = [](const HTTP::Headers& headers) {
@@ -123,6 +126,7 @@
     // Body of the answers to status requests; empty: the endpoints do not answer them.
     std::optional<std::string> status { "0" };
     int statusRequests { 0 };
+    unsigned statusCode { 200 };
     HTTP::Headers statusHeaders;
 
     // Every endpoint calls the current `answer`.
@@ -138,7 +142,7 @@
                     ++statusRequests;
                     Core::Reason ignored;
                     if (status)
-                        co_await response.send({ 200, statusHeaders, *status }, ignored);
+                        co_await response.send({ statusCode, statusHeaders, *status }, ignored);
                     else
                         co_await Core::sleepUntil(Core::Deadline::after(std::chrono::seconds(5)));
                     co_return;
--- a/Tests/LibRelay/TestEndpointNotices.cpp
+++ b/Tests/LibRelay/TestEndpointNotices.cpp
@@ -11,6 +11,12 @@
     co_await writer.send(std::move(response), ignored);
 }
 
+static Core::Task<bool> waitUntil(Core::Deadline deadline)
+{
+    co_await Core::sleepUntil(deadline);
+    co_return true;
+}
+
 static std::string expectedEndpoint(const HTTP::Request& request)
 {
     return HTTP::findHeader(request.headers, "Expect-Endpoint").value_or("");
@@ -186,3 +192,117 @@
         fixture.directory.markLeaving(*fixture.directory.find(expectedEndpoint(fixture.arrivals.at(1))), Core::SteadyClock::now());
     }
 }
+
+// Guards against sending requests to an endpoint that has asked for a pause, in a refusal, a failure of its own or an answer to another
+// request, and against avoiding it for longer.
+Test(EndpointNotices, pausedEndpointGetsNoRequestUntilThePauseEnds)
+{
+    static constexpr std::chrono::milliseconds pause(600);
+    // Longer than an endpoint is avoided after a refusal without a pause.
+    static constexpr std::chrono::milliseconds overloadBackoff(200);
+    const HTTP::Header id { "Id", "r1" };
+    const HTTP::Header pauseHeader { "Pause-Ms", std::to_string(pause.count()) };
+    for (const HTTP::Headers& headers : { HTTP::Headers { id, { "Not-Run", "1" }, pauseHeader }, HTTP::Headers { id, { "Seal", "s" }, pauseHeader },
+             HTTP::Headers { { "Id", "other" }, { "Not-Run", "1" }, pauseHeader } }) {
+        Fixture fixture;
+        fixture.answer = [&fixture, &headers](const HTTP::Request& request, HTTP::ResponseWriter& writer) {
+            return fixture.arrivals.size() == 1 ? answerWith(503, headers)(request, writer) : answerOk()(request, writer);
+        };
+        Core::SteadyClock::time_point startedAt = Core::SteadyClock::now();
+        fixture.call(fixture.makeRequest("/once/a", { { "Timeout", "100" } }));
+        std::string endpoint = expectedEndpoint(fixture.arrivals.at(0));
+        // The other one is loaded, so that the first would be preferred.
+        for (int i = 0; i < 5; ++i)
+            fixture.selector.recordStart(endpoint == "e0" ? "e1" : "e0", Core::SteadyClock::now());
+        Core::Deadline backoffEnd(startedAt + overloadBackoff);
+        TestSupport::runTask(fixture.context, waitUntil(backoffEnd));
+        expectNoRequestAt(fixture, endpoint);
+        Core::Deadline end = Core::Deadline::after(std::chrono::seconds(2));
+        do {
+            cr_assert_not(end.hasPassed());
+            fixture.arrivals.clear();
+            fixture.call(fixture.makeRequest("/once/a"));
+        } while (expectedEndpoint(fixture.arrivals.at(0)) != endpoint);
+        cr_assert_geq(Core::SteadyClock::now(), startedAt + pause);
+    }
+}
+
+// Guards against holding requests that no endpoint takes for now, and against inviting their callers back too late or too early.
+Test(EndpointNotices, requestsAreRefusedUntilTheShortestPauseEnds)
+{
+    Fixture fixture;
+    fixture.answer = [&fixture](const HTTP::Request& request, HTTP::ResponseWriter& writer) {
+        return answerWith(503, { { "Id", "r1" }, { "Not-Run", "1" }, { "Pause-Ms", fixture.arrivals.size() == 1 ? "9000" : "2500" } })(request, writer);
+    };
+    auto retryAfter = [](const HTTP::Response& response) { return std::stod(HTTP::findHeader(response.headers, "Retry-After").value_or("0")); };
+    std::optional<HTTP::Response> response = fixture.call(fixture.makeRequest("/once/a"));
+    cr_assert_eq(response->status, 503);
+    cr_assert(retryAfter(*response) > 2 && retryAfter(*response) <= 2.5, "%f", retryAfter(*response));
+    cr_assert_eq(fixture.arrivals.size(), 2);
+    fixture.store.setOutage(true);
+    Core::SteadyClock::time_point startedAt = Core::SteadyClock::now();
+    response = fixture.call(fixture.makeRequest("/once/a", { { "Tokens", "20" } }));
+    cr_assert_lt(Core::SteadyClock::now() - startedAt, std::chrono::milliseconds(200));
+    cr_assert_eq(response->status, 503);
+    cr_assert(response->body.find("\"ran\":\"not_run\"") != std::string::npos, "%s", response->body.c_str());
+    cr_assert(retryAfter(*response) > 2 && retryAfter(*response) <= 2.5, "%f", retryAfter(*response));
+    cr_assert_eq(fixture.arrivals.size(), 2);
+}
+
+// Guards against sending a request that was being connected when the pause began, and against counting that as the endpoint's failure:
+// with the failure, the other endpoint was always preferred.
+Test(EndpointNotices, requestIsNotSentIfAPauseBeginsWhileItIsConnected)
+{
+    Fixture fixture;
+    fixture.answer = answerOk();
+    HTTP::Client caller(fixture.context.get_executor());
+    std::optional<std::optional<HTTP::Response>> response;
+    std::string chosen = startUntilConnecting(fixture, caller, response);
+    Core::SteadyClock::time_point now = Core::SteadyClock::now();
+    Core::SteadyClock::time_point until = now + std::chrono::seconds(5);
+    fixture.selector.recordPause(*fixture.directory.find(chosen), until, now);
+    TestSupport::runUntil(fixture.context, [&response] { return response.has_value(); });
+    cr_assert_eq((*response)->status, 200);
+    cr_assert_eq(fixture.arrivals.size(), 1);
+    cr_assert_neq(expectedEndpoint(fixture.arrivals.at(0)), chosen);
+    cr_assert_eq(fixture.selector.inFlight(chosen), 0);
+    bool isChosenAgain = false;
+    for (int i = 0; i < 100; ++i)
+        isChosenAgain = isChosenAgain || fixture.selector.choose({ "service", false, 0, {} }, until)->id == chosen;
+    cr_assert(isChosenAgain);
+}
+
+// Answers with one event after several silence limits.
+static Core::Task<void> answerLate(const HTTP::Request& request, HTTP::ResponseWriter& writer)
+{
+    co_await Core::sleepUntil(Core::Deadline::after(std::chrono::milliseconds(600)));
+    co_await send(writer, { 200, sealed(request), "id: 1\ndata: a\n\n" });
+}
+
+// Guards against status requests at an endpoint that pauses.
+Test(EndpointNotices, pausedEndpointGetsNoStatusRequest)
+{
+    Fixture fixture;
+    fixture.answer = [&fixture](const HTTP::Request& request, HTTP::ResponseWriter& writer) {
+        Core::SteadyClock::time_point now = Core::SteadyClock::now();
+        fixture.selector.recordPause(*fixture.directory.find(expectedEndpoint(request)), now + std::chrono::seconds(5), now);
+        return answerLate(request, writer);
+    };
+    cr_assert_eq(fixture.call(fixture.makeRequest("/stream/a"))->status, 200);
+    cr_assert_eq(fixture.arrivals.size(), 1);
+    cr_assert_eq(fixture.statusRequests, 0);
+}
+
+// Guards against taking a refused status request for evidence that the engine has lost the stream, and against repeating it.
+Test(EndpointNotices, refusedStatusRequestIsNoEvidence)
+{
+    Fixture fixture;
+    fixture.status = "0";
+    fixture.statusCode = 503;
+    fixture.statusHeaders = { { "Pause-Ms", "5000" } };
+    fixture.answer = answerLate;
+    cr_assert_eq(fixture.call(fixture.makeRequest("/stream/a"))->status, 200);
+    cr_assert_eq(fixture.arrivals.size(), 1);
+    cr_assert_eq(fixture.statusRequests, 1);
+    expectNoRequestAt(fixture, expectedEndpoint(fixture.arrivals.at(0)));
+}
--- a/Tests/PlatformAdapter/TestCodec.cpp
+++ b/Tests/PlatformAdapter/TestCodec.cpp
@@ -165,3 +165,32 @@
         cr_assert_not(isLeaving(200, value), "%s", value);
     cr_assert_not(makeCodec().decodeResponseMetadata(200, {}).isLeaving);
 }
+
+static std::optional<std::chrono::milliseconds> decodePause(unsigned status, const std::string& value)
+{
+    std::optional<Core::Deadline> until = makeCodec().decodeResponseMetadata(status, { { "X-Attempt-Id", "r1" }, { "Retry-After", value } }).pausedUntil;
+    return until ? std::optional<std::chrono::milliseconds>(until->remaining()) : std::nullopt;
+}
+
+// An endpoint that refuses with 503 may ask for a pause in seconds, with a fraction. A huge value must not overflow the deadline.
+Test(Codec, pauseIsDecoded)
+{
+    auto isAbout = [](std::optional<std::chrono::milliseconds> pause, int64_t milliseconds) {
+        return pause && pause->count() <= milliseconds && pause->count() > milliseconds - 200;
+    };
+    cr_assert(isAbout(decodePause(503, "2"), 2'000));
+    cr_assert(isAbout(decodePause(503, " 0.75 "), 750));
+    cr_assert(isAbout(decodePause(503, "0"), 0));
+    cr_assert(isAbout(decodePause(503, "86400"), 600'000));
+    cr_assert(isAbout(decodePause(503, "99999999999999999999999999"), 600'000));
+    for (unsigned status : { 200u, 301u, 413u, 421u, 429u, 500u })
+        cr_assert_not(decodePause(status, "2"), "%u", status);
+}
+
+// A date, a negative value or text must not be read as a pause.
+Test(Codec, invalidPausesAreIgnored)
+{
+    for (const char* value : { "", " ", "-1", "-0.0", "+2", "2s", "1e3", "0x10", "nan", "inf", "-inf", "1,5", "1 2", "Fri, 31 Dec 1999 23:59:59 GMT" })
+        cr_assert_not(decodePause(503, value), "%s", value);
+    cr_assert_not(makeCodec().decodeResponseMetadata(503, {}).pausedUntil);
+}
--- a/Tests/PlatformAdapter/TestGeneratedInput.cpp
+++ b/Tests/PlatformAdapter/TestGeneratedInput.cpp
@@ -64,6 +64,26 @@
     }
 }
 
+// Mutated headers of an endpoint's answer must be decoded without ending the process, and never as a pause that is longer than the
+// maximum or ends in the past.
+Test(GeneratedInput, answerHeaders)
+{
+    std::mt19937_64 random(5);
+    Relay::WireCodec codec = PlatformAdapter::makeCodec();
+    const HTTP::Headers valid { { "X-Attempt-Id", "1" }, { "Server-Leaving", "1" }, { "Retry-After", "12.5" }, { "X-Server-Seal", "s" }, { "X-Not-Executed", "1" } };
+    int pauses = 0;
+    for (int i = 0; i < caseCount; ++i) {
+        HTTP::Headers headers = valid;
+        HTTP::Header& header = headers[random() % headers.size()];
+        header.value = TestSupport::mutateBytes(header.value, random);
+        Core::SteadyClock::time_point before = Core::SteadyClock::now();
+        std::optional<Core::Deadline> until = codec.decodeResponseMetadata(503, headers).pausedUntil;
+        cr_assert(!until || (until->at() >= before && until->remaining() <= std::chrono::minutes(10)), "case %d: %s", i, header.value.c_str());
+        pauses += until.has_value();
+    }
+    cr_assert(pauses > 0 && pauses < caseCount);
+}
+
 // A store response that deviates from the documented format must not throw: the exception would end the task that follows
 // the store, and the daemon would never receive another update.
 Test(GeneratedInput, storeResponses)
