Test endpoints' notices with a real relay

The library's tests use a codec and hooks of their own: a relay whose daemon does not connect them would pass. The soak's endpoints also say that they are leaving in each answer while they drain.

--- a/Tests/Soak/endpoints.py
+++ b/Tests/Soak/endpoints.py
@@ -39,6 +39,9 @@
         self.active = 0
         self.failure_probability = 0.0  # Probability that a run's response is lost or truncated.
         self.hanging = False
+        self.announces_leaving = False  # Says in its answers that it is leaving, though the store may list it as ready.
+        self.pause_s = None  # Refuses all requests and asks for a pause of this length.
+        self.arrivals = 0  # Requests that were meant for this endpoint.
         self.state = "ready"
         self.sequence = 0
         self.starts = 0
@@ -105,6 +108,11 @@
         body = await request.text()
         if request.headers.get(wire.EXPECTED_INSTANCE) != self.id:
             return web.Response(status=421, headers=headers)
+        self.arrivals += 1
+        if self.announces_leaving or self.state == "draining":
+            headers[wire.LEAVING] = "1"
+        if self.pause_s is not None:
+            return web.Response(status=503, headers={**headers, wire.NOT_RUN: "1", wire.PAUSE: str(self.pause_s)})
         if self.active >= self.slots:
             return web.Response(status=503, headers={**headers, wire.NOT_RUN: "1"})
         self.active += 1
--- a/Tests/Soak/wire.py
+++ b/Tests/Soak/wire.py
@@ -13,6 +13,8 @@
 NOT_RUN = "X-Not-Executed"
 SEAL = "X-Server-Seal"
 INSTANCE = "X-Instance-Id"
+LEAVING = "Server-Leaving"
+PAUSE = "Retry-After"
 
 HOST = "soak.example"
 STREAM_PATH = "/stream/"
