Soak: give each port to one daemon only

Both had been given port 10824: ports were drawn for each daemon separately, and those drawn for the daemons before are still free, since no daemon listens yet.

Ports that were given are not given again.

--- a/Tests/Soak/fleet.py
+++ b/Tests/Soak/fleet.py
@@ -15,16 +15,23 @@
 START_LIMIT_S = 10
 
 
+# Ports of this run, also those that no daemon listens at yet.
+assigned_ports = set()
+
+
 def free_ports(count):
     """Returns free ports outside the kernel's ephemeral range, so that no outgoing connection takes them."""
     ports = []
     while len(ports) < count:
         port = random.SystemRandom().randrange(10_000, 30_000)
+        if port in assigned_ports:
+            continue
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
             except OSError:
                 continue
+        assigned_ports.add(port)
         ports.append(port)
     return ports
 
