--- a/Libraries/LibRelay/src/StreamWatch.h
+++ b/Libraries/LibRelay/src/StreamWatch.h
@@ -18,12 +18,15 @@
     bool hasEvents { false };
     // Whether the request could be sent to a better endpoint. Not called once the attempt is over.
     std::function<bool()> canMove;
+    // Called with the head of each answer to a status request, also once the attempt is over.
+    std::function<void(unsigned status, const HTTP::Headers&)> statusAnswered;
     bool isOver { false };
     // Why the watch cancelled the attempt.
     std::optional<std::string> lossReason;
 };
 
-// Cancels the attempt if it is silent and there is evidence that it will not continue. Runs until the attempt is over.
+// Cancels the attempt if it is silent and there is evidence that it will not continue. An endpoint that pauses is not asked for its status.
+// Runs until the attempt is over.
 Core::Task<void> watchStream(
     std::shared_ptr<WatchedStream>, std::shared_ptr<HTTP::Client>, const WireCodec&, const HandlerSettings&, const EndpointSelector&);
 
