--- a/Tests/LibRelay/RelayFixture.h
+++ b/Tests/LibRelay/RelayFixture.h
@@ -10,7 +10,8 @@
 // A relay with endpoints and callers on loopback and a minimal wire codec.
 namespace RelayTest {
 
-// "Id" identifies the request, "Not-Run" and "Seal" are an endpoint's response metadata, "Tokens" is the prompt's size.
+// "Id" identifies the request, "Not-Run" and "Seal" are an endpoint's response metadata, "Tokens" is the prompt's size, "Parts" are
+// the ids of the prompt's parts, separated by commas.
 inline Relay::WireCodec makeCodec()
 {
     Relay::WireCodec codec;
@@ -24,6 +25,9 @@
             request.deadline = Core::Deadline::after(std::chrono::milliseconds(std::stoi(*text)));
         if (std::optional<std::string> text = HTTP::findHeader(message.headers, "Tokens"))
             request.tokens = Relay::TokenDemand { std::stoi(*text), 10 };
+        std::istringstream parts(HTTP::findHeader(message.headers, "Parts").value_or(""));
+        for (std::string id; std::getline(parts, id, ',');)
+            request.promptParts.push_back({ id, 1 });
         request.message = std::move(message);
         if (request.id.empty()) {
             reason = { Core::FailureKind::Invalid, "decode request", "caller", "no id" };
