Refuse requests with a prompt part that crashes engines

Nothing connected a crash with the content of the request that waited there, and a stream that may be resumed was sent to a second engine after it had crashed the first.

A PromptQuarantine now keeps the evidence against the shareable parts of prompts: an engine that refuses connections after a request's connection broke before its first event. After crashes of three engine processes, requests with the part are refused with 503 prompt_quarantined; after two, a request that has crashed an engine is not sent to another one. An answer that begins with a part refutes any suspicion for 20 s, which keeps the caller's key and the popular parts of the same prompts out of it. The evidence is an object for each suspect part in the store, merged under its revision, so that crashes at different daemons add up, a daemon that starts knows the part, and an operator can clear it by deleting the object.

A failure on a kept connection is checked too: a crash there looks like a stale connection, and only the refused status request tells them apart. It no longer leads to a repeat at the same address, which did not count as an attempt.

A daemon that has begun no answer for 20 s and has refused ten requests meanwhile refuses no more until an answer begins. After an outage of all engines, the quarantine of a part that all prompts share would otherwise keep itself up, since nothing could refute it.

CrashingPrompts.partThatCrashesThreeEnginesIsRefused failed before: the second deadly request reached a fourth engine.

--- a/Libraries/LibHTTP/include/LibHTTP/Client.h
+++ b/Libraries/LibHTTP/include/LibHTTP/Client.h
@@ -64,6 +64,8 @@
     // Called if a reused connection failed before any byte of the response was received, as happens when the peer closes an
     // idle connection at the moment at which it is reused. Whether the request is sent again is the caller's decision.
     std::function<void()> reusedConnectionFailed {};
+    // Called if the peer's host refused the connection, as it does when no process listens at the address.
+    std::function<void()> connectionRefused {};
 };
 
 // An HTTP/1.1 client with a pool of idle connections per address.
--- a/Libraries/LibHTTP/src/Client.cpp
+++ b/Libraries/LibHTTP/src/Client.cpp
@@ -35,7 +35,7 @@
 
 Client::~Client() = default;
 
-static Core::Task<bool> connect(Connection& connection, const Core::Address& address, Core::Deadline deadline, Core::Reason& reason)
+static Core::Task<bool> connect(Connection& connection, const Core::Address& address, Core::Deadline deadline, const CallOptions& options, Core::Reason& reason)
 {
     beast::error_code parseError;
     tcp::endpoint endpoint(asio::ip::make_address(address.ip, parseError), address.port);
@@ -43,6 +43,8 @@
     auto [error] = co_await connection.stream.async_connect(endpoint, asTuple);
     if (error) {
         reason = makeReason(error, Core::FailureKind::Unavailable, "connect", address);
+        if (error == asio::error::connection_refused && options.connectionRefused)
+            options.connectionRefused();
         co_return false;
     }
     beast::error_code ignored;
@@ -125,7 +127,7 @@
     CancellationGuard cancellationGuard { options.cancellation };
     if (!isReused) {
         ++m_pool->connectionsOpened;
-        if (!co_await connect(*connection, address, std::min(deadline, options.connectDeadline), reason))
+        if (!co_await connect(*connection, address, std::min(deadline, options.connectDeadline), options, reason))
             co_return std::nullopt;
     }
     if (options.guard && !options.guard()) {
--- a/Libraries/LibRelay/include/LibRelay/RequestHandler.h
+++ b/Libraries/LibRelay/include/LibRelay/RequestHandler.h
@@ -4,7 +4,9 @@
 #include "LibHTTP/ResponseWriter.h"
 #include "LibRelay/BudgetManager.h"
 #include "LibRelay/CallerRequest.h"
+#include "LibRelay/CrashCheck.h"
 #include "LibRelay/EndpointSelector.h"
+#include "LibRelay/PromptQuarantine.h"
 #include "LibRouting/RetryBudget.h"
 #include "LibTelemetry/Metrics.h"
 
@@ -50,13 +52,15 @@
     int64_t firstEventTimeoutMs { 2'500 };
     // Timeout of a status request to an engine.
     int64_t statusTimeoutMs { 400 };
+    // Timeout of the check whether an engine whose connection broke has ended. A retry waits for it.
+    int64_t crashCheckTimeoutMs { 250 };
 };
 
 // Serves callers' requests: authorizes them, holds their tokens, sends them to endpoints and forwards the responses.
 class RequestHandler {
 public:
     RequestHandler(const boost::asio::any_io_executor&, WireCodec, HandlerHooks, HandlerSettings, std::shared_ptr<HTTP::Client>,
-        EndpointSelector&, BudgetManager&, Telemetry::Metrics&);
+        EndpointSelector&, BudgetManager&, PromptQuarantine&, Telemetry::Metrics&);
 
     Core::Task<void> handle(HTTP::Request, HTTP::ResponseWriter&);
 
@@ -72,6 +76,8 @@
     std::shared_ptr<HTTP::Client> m_client;
     EndpointSelector& m_selector;
     BudgetManager& m_budgets;
+    PromptQuarantine& m_quarantine;
+    CrashCheck m_crashCheck;
     Telemetry::Metrics& m_metrics;
     std::map<std::string, Routing::RetryBudget> m_retryBudgets;
 };
--- a/Libraries/LibRelay/src/RequestExecution.cpp
+++ b/Libraries/LibRelay/src/RequestExecution.cpp
@@ -65,6 +65,8 @@
         co_return;
     }
     std::optional<Refusal> refusal = co_await authorize();
+    if (!refusal)
+        refusal = quarantineRefusal();
     if (!refusal)
         refusal = co_await holdTokens();
     if (refusal) {
@@ -198,6 +200,15 @@
             m_lastFailure += m_lastFailure.empty() ? "no endpoint of service " + service : "; no other endpoint available";
             break;
         }
+        std::optional<Refusal> refusal = quarantineRefusal();
+        if (refusal && m_possibleRuns == 0) {
+            co_await refuse(std::move(*refusal));
+            co_return;
+        }
+        if (refusal) {
+            m_lastFailure += "; " + refusal->message;
+            break;
+        }
         if (m_sends > 0 && !retries.takeRetry(Core::SteadyClock::now())) {
             m_lastFailure += "; retry budget of service " + service + " exhausted";
             break;
@@ -205,14 +216,14 @@
         Endpoint chosen = *endpoint;
         last = co_await attempt(chosen, HTTP::ConnectionUse::Pooled);
         // The endpoint most likely closed the idle connection and never saw the request.
-        if (m_wasConnectionStale && last == Outcome::Unknown && m_route.mayRunAgain() && !*m_isCallerGone && !m_deadline.hasPassed()
+        if (m_wasConnectionStale && last == Outcome::Unknown && !m_hasCrashedEngine && m_route.mayRunAgain() && !*m_isCallerGone && !m_deadline.hasPassed()
             && retries.takeRetry(Core::SteadyClock::now())) {
             --m_sends;
             last = co_await attempt(chosen, HTTP::ConnectionUse::Fresh);
         }
         if (last == Outcome::Finished)
             co_return;
-        if (!canRetry(last))
+        if (!canRetry(last) || mayCrashAnotherEngine())
             break;
     }
     co_await failRequest();
@@ -275,6 +286,7 @@
     options.cancellation = m_cancellation = std::make_shared<HTTP::Cancellation>();
     options.connectDeadline = Deadline::after(std::chrono::milliseconds(m_handler.m_settings.connectTimeoutMs));
     m_wasConnectionStale = false;
+    m_hasConnectionBroken = false;
     options.reusedConnectionFailed = [this] { m_wasConnectionStale = true; };
     options.guard = [this, &wasSent] {
         *m_isCallerGone = *m_isCallerGone || !m_writer.isClientConnected();
@@ -298,6 +310,8 @@
     if (stream) {
         Outcome outcome = co_await handleResponse(endpoint, std::move(*stream));
         endWatch();
+        if (outcome != Outcome::Finished)
+            co_await examineBreak(endpoint);
         co_return outcome;
     }
     endWatch();
@@ -305,6 +319,8 @@
     selector.recordEnd(endpoint.id, isAborted ? EndpointSelector::End::Neutral : EndpointSelector::End::Failure, Core::SteadyClock::now());
     m_lastFailure = lossReason().value_or(reason.text());
     Core::logEvent(Events::attemptFailed, "request=" + m_request.id + " endpoint=" + endpoint.id + " sent=" + std::to_string(wasSent) + " reused_connection=" + std::to_string(m_wasConnectionStale) + " reason=\"" + m_lastFailure + "\"");
+    m_hasConnectionBroken = wasSent;
+    co_await examineBreak(endpoint);
     if (*m_isCallerGone) {
         logCompletion("caller_gone", "");
         co_return Outcome::Finished;
--- a/Libraries/LibRelay/src/RequestExecution.h
+++ b/Libraries/LibRelay/src/RequestExecution.h
@@ -44,6 +44,13 @@
     Core::Task<Outcome> forwardStream(const Endpoint&, HTTP::ResponseStream&);
     Core::Task<bool> forwardEvent(const StreamEvent&, const HTTP::ResponseStream&);
     bool canRetry(Outcome) const;
+    // The refusal of a request with a quarantined prompt part.
+    std::optional<Refusal> quarantineRefusal();
+    // Whether a request that has crashed an engine is suspected to crash the next one too.
+    bool mayCrashAnotherEngine();
+    void recordAnswerBegun();
+    // After a failed attempt: records a crash if the engine has ended.
+    Core::Task<void> examineBreak(const Endpoint&);
     // When a request that needs the store can be retried with some prospect.
     int64_t retryAfterStoreOutageMs() const;
     Core::Task<void> refuse(Refusal);
@@ -77,6 +84,12 @@
     std::shared_ptr<WatchedStream> m_watched;
     // The last attempt failed on a reused connection before any byte of a response arrived.
     bool m_wasConnectionStale { false };
+    // The connection of the current attempt broke after the request had been sent on it.
+    bool m_hasConnectionBroken { false };
+    // An answer has begun, in any attempt.
+    bool m_hasAnswerBegun { false };
+    // An engine has ended while this request waited for its answer there.
+    bool m_hasCrashedEngine { false };
     std::shared_ptr<bool> m_isCallerGone { std::make_shared<bool>(false) };
     std::optional<int64_t> m_firstByteMs;
     std::string m_lastFailure;
--- a/Libraries/LibRelay/src/RequestHandler.cpp
+++ b/Libraries/LibRelay/src/RequestHandler.cpp
@@ -8,7 +8,7 @@
 static constexpr size_t minAssumedDaemons = 8;
 
 RequestHandler::RequestHandler(const boost::asio::any_io_executor& executor, WireCodec codec, HandlerHooks hooks, HandlerSettings settings,
-    std::shared_ptr<HTTP::Client> client, EndpointSelector& selector, BudgetManager& budgets, Telemetry::Metrics& metrics)
+    std::shared_ptr<HTTP::Client> client, EndpointSelector& selector, BudgetManager& budgets, PromptQuarantine& quarantine, Telemetry::Metrics& metrics)
     : m_executor(executor)
     , m_codec(std::move(codec))
     , m_hooks(std::move(hooks))
@@ -16,6 +16,8 @@
     , m_client(std::move(client))
     , m_selector(selector)
     , m_budgets(budgets)
+    , m_quarantine(quarantine)
+    , m_crashCheck(executor, m_client, m_codec, std::chrono::milliseconds(settings.crashCheckTimeoutMs))
     , m_metrics(metrics)
 {
 }
--- a/Libraries/LibRelay/src/ResponseForwarding.cpp
+++ b/Libraries/LibRelay/src/ResponseForwarding.cpp
@@ -62,6 +62,7 @@
     Reason reason;
     std::optional<std::string> body = co_await stream.readAll(maxBufferedResponseBytes, m_deadline, reason);
     if (!body) {
+        m_hasConnectionBroken = true;
         m_lastFailure = reason.text();
         co_return Outcome::Unknown;
     }
@@ -74,6 +75,8 @@
         m_lastFailure = "endpoint " + endpoint.id + " failed with status " + std::to_string(stream.status());
         co_return Outcome::Unknown;
     }
+    if (stream.status() / 100 == 2)
+        recordAnswerBegun();
     m_firstByteMs = elapsedMs();
     HTTP::Response response { stream.status(), m_handler.m_codec.callerHeaders(stream.headers()), std::move(*body) };
     bool isSent = co_await m_writer.send(std::move(response), reason);
@@ -99,6 +102,7 @@
     for (;;) {
         std::optional<std::string> chunk = co_await stream.readSome(m_deadline, reason);
         if (!chunk) {
+            m_hasConnectionBroken = true;
             m_lastFailure = lossReason().value_or(reason.text());
             co_return Outcome::Unknown;
         }
@@ -112,6 +116,7 @@
                 co_return Outcome::Unknown;
             }
             ++m_events;
+            recordAnswerBegun();
             m_lastEvent = event.id;
             if (m_watched) {
                 m_watched->lastEventAt = Core::SteadyClock::now();
@@ -130,6 +135,7 @@
         }
     }
     if (parser.hasIncompleteEvent() || !m_writer.hasStarted()) {
+        m_hasConnectionBroken = true;
         m_lastFailure = "endpoint " + endpoint.id + " ended its stream within an event or before the first one";
         co_return Outcome::Unknown;
     }
--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -90,10 +90,13 @@
     })
     , m_selector(m_endpoints, m_settings.failureDomain)
     , m_budgets(executor, makeBudgetHooks(), { m_settings.host })
+    , m_quarantine({}, [this] { m_quarantineStore.wake(); })
+    , m_quarantineStore(executor, m_store, m_quarantine)
     , m_configurationFollower(executor, m_store, PlatformAdapter::configurationPrefix, sharedFollowerSettings(), withSharedWatches(makeConfigurationHooks()))
     , m_endpointFollower(executor, m_store, PlatformAdapter::endpointPrefix, sharedFollowerSettings(), withSharedWatches(makeEndpointHooks()))
     , m_announcementFollower(executor, m_store, Relay::PeerDirectory::prefix, announcementSettings(), withSharedWatches(makeAnnouncementHooks()))
-    , m_handler(executor, PlatformAdapter::makeCodec(), makeHandlerHooks(), handlerSettingsOf(m_settings), m_client, m_selector, m_budgets, m_metrics)
+    , m_suspectFollower(executor, m_store, Relay::SuspectPart::prefix, sharedFollowerSettings(), withSharedWatches(makeSuspectHooks()))
+    , m_handler(executor, PlatformAdapter::makeCodec(), makeHandlerHooks(), handlerSettingsOf(m_settings), m_client, m_selector, m_budgets, m_quarantine, m_metrics)
     , m_callerServer(executor, [this](HTTP::Request request, HTTP::ResponseWriter& writer) { return m_handler.handle(std::move(request), writer); })
     , m_readinessServer(executor, [this](HTTP::Request request, HTTP::ResponseWriter& writer) { return handleReadiness(std::move(request), writer); })
     , m_metricsServer(executor, [this](HTTP::Request request, HTTP::ResponseWriter& writer) { return handleMetrics(std::move(request), writer); })
@@ -104,6 +107,8 @@
         [this] { return static_cast<double>(m_endpoints.endpoints().size()); });
     m_metrics.observe("jujuberelay_relay_timer_lag_seconds", "How late the last sample timer fired; a host that is short of processor time refuses requests.",
         [this] { return static_cast<double>(m_load.lag().count()) / 1'000; });
+    m_metrics.observe("jujuberelay_relay_quarantined_parts", "Prompt parts with which requests are refused, since they crashed engines.",
+        [this] { return static_cast<double>(m_quarantine.quarantinedParts(Core::SteadyClock::now())); });
     m_metrics.observe("jujuberelay_relay_active_requests", "Requests in progress.", [this] { return static_cast<double>(m_callerServer.activeRequests()); });
     m_metrics.observeCounter("jujuberelay_relay_connections_opened_total", "Connections opened to endpoints and the store.",
         [this] { return m_client->connectionsOpened(); });
@@ -123,6 +128,8 @@
     Core::spawn(m_executor, "follow configuration", m_configurationFollower.run());
     Core::spawn(m_executor, "follow endpoints", m_endpointFollower.run());
     Core::spawn(m_executor, "follow announcements", m_announcementFollower.run());
+    Core::spawn(m_executor, "follow suspect parts", m_suspectFollower.run());
+    Core::spawn(m_executor, "share suspect parts", m_quarantineStore.run());
     Core::spawn(m_executor, "expire endpoints", expireEndpoints());
     Core::spawn(m_executor, "maintain budgets", m_budgets.maintain());
     Core::spawn(m_executor, "monitor load", monitorLoad());
@@ -315,6 +322,8 @@
     m_configurationFollower.stop();
     m_endpointFollower.stop();
     m_announcementFollower.stop();
+    m_suspectFollower.stop();
+    m_quarantineStore.stop();
     m_peers.stop();
     co_await m_budgets.returnAll(std::max(limit, Deadline::after(grantReturnTime / 2)));
     co_await m_peers.withdraw(Deadline::after(grantReturnTime / 4));
--- a/Services/jujuberelayd/src/RelayDaemon.h
+++ b/Services/jujuberelayd/src/RelayDaemon.h
@@ -6,6 +6,7 @@
 #include "LibRelay/LoadMonitor.h"
 #include "LibRelay/PeerDirectory.h"
 #include "LibRelay/PeerStore.h"
+#include "LibRelay/QuarantineStore.h"
 #include "LibRelay/RequestHandler.h"
 #include "LibRelay/StoreFollower.h"
 #include "RelaySettings.h"
@@ -37,6 +38,7 @@
     Relay::FollowerHooks makeConfigurationHooks();
     Relay::FollowerHooks makeEndpointHooks();
     Relay::FollowerHooks makeAnnouncementHooks();
+    Relay::FollowerHooks makeSuspectHooks();
     // Extends the hooks so that the follower can use the watch of another daemon.
     Relay::FollowerHooks withSharedWatches(Relay::FollowerHooks);
     Core::Task<std::optional<Relay::WatchReply>> watchAtPeer(Relay::WatchRequest, Core::Reason&);
@@ -74,9 +76,12 @@
     Relay::EndpointDirectory m_endpoints;
     Relay::EndpointSelector m_selector;
     Relay::BudgetManager m_budgets;
+    Relay::PromptQuarantine m_quarantine;
+    Relay::QuarantineStore m_quarantineStore;
     Relay::StoreFollower m_configurationFollower;
     Relay::StoreFollower m_endpointFollower;
     Relay::StoreFollower m_announcementFollower;
+    Relay::StoreFollower m_suspectFollower;
     Relay::RequestHandler m_handler;
     HTTP::Server m_callerServer;
     HTTP::Server m_readinessServer;
--- a/Services/jujuberelayd/src/RelayDaemonLinks.cpp
+++ b/Services/jujuberelayd/src/RelayDaemonLinks.cpp
@@ -97,6 +97,16 @@
     return hooks;
 }
 
+Relay::FollowerHooks RelayDaemon::makeSuspectHooks()
+{
+    Relay::FollowerHooks hooks;
+    hooks.listed = [this](const std::vector<Platform::Object>& objects) { m_quarantineStore.replaceAll(objects); };
+    hooks.changed = [this](const Platform::Change& change) { m_quarantineStore.adopt(change); };
+    hooks.lost = [this](const Reason& reason) { logStoreAvailability("suspect_parts", true, " reason=\"" + reason.text() + "\""); };
+    hooks.regained = [this] { logStoreAvailability("suspect_parts", false, ""); };
+    return hooks;
+}
+
 Relay::FollowerHooks RelayDaemon::withSharedWatches(Relay::FollowerHooks hooks)
 {
     hooks.watchAtPeer = [this](Relay::WatchRequest request, Reason& reason) { return watchAtPeer(std::move(request), reason); };
@@ -137,7 +147,7 @@
     std::optional<Relay::WatchRequest> request = Relay::decodeWatchRequest(body, reason);
     if (!request)
         co_return std::nullopt;
-    for (Relay::StoreFollower* follower : { &m_configurationFollower, &m_endpointFollower, &m_announcementFollower }) {
+    for (Relay::StoreFollower* follower : { &m_configurationFollower, &m_endpointFollower, &m_announcementFollower, &m_suspectFollower }) {
         if (follower->prefix() != request->prefix)
             continue;
         std::optional<Relay::WatchReply> reply = co_await follower->serve(std::move(*request), reason);
--- a/Tests/LibRelay/RelayFixture.h
+++ b/Tests/LibRelay/RelayFixture.h
@@ -111,12 +111,13 @@
     Relay::EndpointSelector selector { directory, "zone-a" };
     Relay::LedgerWriter writer { context.get_executor(), store.hooks(), "relay-ledgers/shard-0", { 1, 1'000, 0, 1 } };
     Relay::BudgetManager budgets { context.get_executor(), makeBudgetHooks(), { "host", 5, 0.3, 30, 2, 300, 300, 1 } };
+    Relay::PromptQuarantine quarantine;
     std::shared_ptr<const Relay::Configuration> configuration { makeConfiguration() };
     bool isStoreAnswering { true };
     std::chrono::milliseconds storeSilence { 0 };
     std::optional<Core::Deadline> servesUntil;
     std::vector<std::string> rejected;
-    Relay::RequestHandler handler { context.get_executor(), makeCodec(), makeHooks(), makeHandlerSettings(), client, selector, budgets, metrics };
+    Relay::RequestHandler handler { context.get_executor(), makeCodec(), makeHooks(), makeHandlerSettings(), client, selector, budgets, quarantine, metrics };
     HTTP::Server relay { context.get_executor(), [this](HTTP::Request request, HTTP::ResponseWriter& response) { return handler.handle(std::move(request), response); } };
     Core::Address address;
     std::vector<std::unique_ptr<HTTP::Server>> endpoints;
