Refuse parts that crashed the same engines only together

A sound part that was in all crashed requests together with the deadly one was quarantined with it unless some daemon had an answer with it within 20 s. Requests with that part were then refused for ten minutes, and no answer could clear it, since none was sent on.

Where all crashes of a part were crashes of another quarantined part too, the evidence does not tell them apart, and only prompts with both are refused now. The next request with one of them decides: an answer clears the part, and a crash gives the other one a crash that the part was not in. The refusal names the part with the most crashes. A full record gives up its newest crash instead of its oldest, so that the comparison remains possible.

CrashingPrompts.soundRequestsWithAnUnprovenPartAreServed and PromptQuarantine.partsThatCrashedTheSameEnginesAreOnlyRefusedTogether failed before.

--- a/Libraries/LibRelay/include/LibRelay/PromptQuarantine.h
+++ b/Libraries/LibRelay/include/LibRelay/PromptQuarantine.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -64,7 +65,8 @@
 
     // Whether a crash would be evidence against one of the parts.
     bool hasUnprovenParts(const std::vector<PromptPart>&, Core::SteadyClock::time_point now) const;
-    // The quarantined part with the latest end; empty if the prompt may be sent.
+    // The quarantined part with the most crashes; empty if the prompt may be sent. Where another part may have caused all crashes of
+    // a part, only prompts with both are held back: the next answer or crash tells them apart.
     std::optional<QuarantinedPart> findQuarantined(const std::vector<PromptPart>&, Core::SteadyClock::time_point now) const;
     // Records that a request was refused because of a quarantined part.
     void recordRefusal() { ++m_refusalsSinceAnswer; }
@@ -106,6 +108,8 @@
 
     bool isProven(uint64_t key, Core::SteadyClock::time_point now) const;
     bool isQuarantined(uint64_t key, const Suspect&, Core::SteadyClock::time_point now) const;
+    // Whether a quarantined part that is not among the keys may have caused all of the suspect's crashes.
+    bool isExplainedByOthers(const Suspect&, const std::set<uint64_t>& keys, Core::SteadyClock::time_point now) const;
     Suspect& suspectOf(uint64_t key, const std::string& partId);
     void logIfQuarantined(uint64_t key, Suspect&, Core::SteadyClock::time_point now);
     // The part has crashed another engine.
--- a/Libraries/LibRelay/include/LibRelay/SuspectPart.h
+++ b/Libraries/LibRelay/include/LibRelay/SuspectPart.h
@@ -20,7 +20,7 @@
 };
 
 struct SuspectPart {
-    // Crashes that a record keeps at most; the oldest are dropped.
+    // Crashes that a record keeps at most. A further one takes the place of the newest.
     static constexpr size_t maxCrashes = 8;
     // The prefix of all records.
     static constexpr const char* prefix = "relay-suspect-parts/";
@@ -31,6 +31,8 @@
     std::vector<EngineCrash> crashes;
 
     bool contains(const EngineCrash&) const;
+    // Whether all crashes of the other part were crashes of this one too.
+    bool explains(const SuspectPart&) const;
     // Adds a crash; false if it is known already.
     bool add(const EngineCrash&);
     bool operator==(const SuspectPart&) const = default;
--- a/Libraries/LibRelay/src/PromptQuarantine.cpp
+++ b/Libraries/LibRelay/src/PromptQuarantine.cpp
@@ -142,19 +142,28 @@
     return std::any_of(shareable.begin(), shareable.end(), [this, now](const PromptPart& part) { return !isProven(suspectKeyOf(part.id), now); });
 }
 
+bool PromptQuarantine::isExplainedByOthers(const Suspect& suspect, const std::set<uint64_t>& keys, TimePoint now) const
+{
+    return std::any_of(m_suspects.begin(), m_suspects.end(), [&](const auto& other) {
+        return !keys.contains(other.first) && isQuarantined(other.first, other.second, now) && other.second.merged.explains(suspect.merged);
+    });
+}
+
 std::optional<QuarantinedPart> PromptQuarantine::findQuarantined(const std::vector<PromptPart>& parts, TimePoint now) const
 {
     std::optional<QuarantinedPart> found;
     bool isWithoutAnswers = now - m_answeredAt > m_settings.soundTime && m_refusalsSinceAnswer >= m_settings.maxRefusalsWithoutAnswer;
     if (m_suspects.empty() || isWithoutAnswers)
         return found;
+    std::set<uint64_t> keys;
+    for (const PromptPart& part : shareableParts(parts))
+        keys.insert(suspectKeyOf(part.id));
     for (const PromptPart& part : shareableParts(parts)) {
         auto it = m_suspects.find(suspectKeyOf(part.id));
-        if (it == m_suspects.end() || !isQuarantined(it->first, it->second, now))
+        if (it == m_suspects.end() || !isQuarantined(it->first, it->second, now) || isExplainedByOthers(it->second, keys, now))
             continue;
-        Core::Deadline until(it->second.expiresAt);
-        if (!found || found->until < until)
-            found = QuarantinedPart { part.id, it->second.merged.crashes, until };
+        if (!found || it->second.merged.crashes.size() >= found->crashes.size())
+            found = QuarantinedPart { part.id, it->second.merged.crashes, Core::Deadline(it->second.expiresAt) };
     }
     return found;
 }
--- a/Libraries/LibRelay/src/SuspectPart.cpp
+++ b/Libraries/LibRelay/src/SuspectPart.cpp
@@ -19,13 +19,18 @@
     return std::find(crashes.begin(), crashes.end(), crash) != crashes.end();
 }
 
+bool SuspectPart::explains(const SuspectPart& other) const
+{
+    return std::all_of(other.crashes.begin(), other.crashes.end(), [this](const EngineCrash& crash) { return contains(crash); });
+}
+
 bool SuspectPart::add(const EngineCrash& crash)
 {
     if (contains(crash))
         return false;
+    if (crashes.size() >= maxCrashes)
+        crashes.pop_back();
     crashes.push_back(crash);
-    if (crashes.size() > maxCrashes)
-        crashes.erase(crashes.begin());
     return true;
 }
 
--- a/Tests/LibRelay/TestCrashingPrompts.cpp
+++ b/Tests/LibRelay/TestCrashingPrompts.cpp
@@ -75,6 +75,18 @@
     }
 }
 
+// Guards against refusing sound requests that share a part with all deadly ones so far, where no answer has proven it.
+Test(CrashingPrompts, soundRequestsWithAnUnprovenPartAreServed)
+{
+    CrashFixture fixture(8);
+    for (int i = 0; i < 6; ++i)
+        fixture.ask("/once/a", "first,rare,deadly," + std::to_string(i), "deadly");
+    cr_assert_eq(fixture.crashed.size(), 3);
+    cr_assert_eq(fixture.ask("/once/a", "first,rare,x", "sound")->status, 200);
+    cr_assert_eq(fixture.ask("/once/a", "first,other,deadly,y", "deadly")->status, 503);
+    cr_assert_eq(fixture.crashed.size(), 3);
+}
+
 // Guards against blaming a part for servers that lose answers or reset requests while they go on running.
 Test(CrashingPrompts, brokenConnectionsOfRunningEnginesAreNoEvidence)
 {
--- a/Tests/LibRelay/TestPromptQuarantine.cpp
+++ b/Tests/LibRelay/TestPromptQuarantine.cpp
@@ -44,6 +44,29 @@
     cr_assert_eq(quarantine.suspects(), 1);
 }
 
+// Guards against refusing sound requests for ten minutes because they share a rare part with all deadly requests so far: no daemon
+// has an answer with it, and none could come while it is refused.
+Test(PromptQuarantine, partsThatCrashedTheSameEnginesAreOnlyRefusedTogether)
+{
+    for (bool isRefutedByAnswer : { false, true }) {
+        PromptQuarantine quarantine({}, {}, start);
+        for (int i = 0; i < 3; ++i)
+            quarantine.recordCrash(prompt({ "rare", "deadly", "x" }), crashOf(i), start);
+        cr_assert(quarantine.findQuarantined(prompt({ "rare", "deadly", "x" }), start));
+        cr_assert_not(quarantine.findQuarantined(prompt({ "rare", "sound", "x" }), start));
+        cr_assert_not(quarantine.findQuarantined(prompt({ "other", "deadly", "x" }), start));
+        if (isRefutedByAnswer) {
+            quarantine.recordAnswer(prompt({ "rare", "x" }), start);
+        } else {
+            quarantine.recordCrash(prompt({ "other", "deadly", "x" }), crashOf(3), start);
+            cr_assert_not(quarantine.mayRetry(prompt({ "other", "deadly", "x" }), start));
+        }
+        cr_assert_eq(quarantine.findQuarantined(prompt({ "other", "deadly", "x" }), start)->id, "deadly");
+        cr_assert_eq(quarantine.findQuarantined(prompt({ "rare", "deadly", "x" }), start)->id, "deadly");
+        cr_assert_not(quarantine.findQuarantined(prompt({ "rare", "sound", "x" }), start));
+    }
+}
+
 // Guards against blaming the part that is specific to one request or session.
 Test(PromptQuarantine, lastPartIsNoSuspect)
 {
