--- a/Tests/LibRelay/RelayFixture.h
+++ b/Tests/LibRelay/RelayFixture.h
@@ -11,7 +11,7 @@
 namespace RelayTest {
 
 // "Id" identifies the request, "Not-Run", "Seal", "Leaving" and, in a 503, "Pause-Ms" are an endpoint's response metadata, "Tokens" is the
-// prompt's size.
+// prompt's size, "Parts" are the ids of the prompt's parts, separated by commas.
 inline Relay::WireCodec makeCodec()
 {
     Relay::WireCodec codec;
@@ -25,6 +25,9 @@
             request.deadline = Core::Deadline::after(std::chrono::milliseconds(std::stoi(*text)));
         if (std::optional<std::string> text = HTTP::findHeader(message.headers, "Tokens"))
             request.tokens = Relay::TokenDemand { std::stoi(*text), 10 };
+        std::istringstream parts(HTTP::findHeader(message.headers, "Parts").value_or(""));
+        for (std::string id; std::getline(parts, id, ',');)
+            request.promptParts.push_back({ id, 1 });
         request.message = std::move(message);
         if (request.id.empty()) {
             reason = { Core::FailureKind::Invalid, "decode request", "caller", "no id" };
@@ -111,12 +114,13 @@
     Relay::EndpointSelector selector { directory, "zone-a" };
     Relay::LedgerWriter writer { context.get_executor(), store.hooks(), "relay-ledgers/shard-0", { 1, 1'000, 0, 1 } };
     Relay::BudgetManager budgets { context.get_executor(), makeBudgetHooks(), { "host", 5, 0.3, 30, 2, 300, 300, 1 } };
+    Relay::PromptQuarantine quarantine;
     std::shared_ptr<const Relay::Configuration> configuration { makeConfiguration() };
     bool isStoreAnswering { true };
     std::chrono::milliseconds storeSilence { 0 };
     std::optional<Core::Deadline> servesUntil;
     std::vector<std::string> rejected;
-    Relay::RequestHandler handler { context.get_executor(), makeCodec(), makeHooks(), makeHandlerSettings(), client, selector, budgets, metrics };
+    Relay::RequestHandler handler { context.get_executor(), makeCodec(), makeHooks(), makeHandlerSettings(), client, selector, budgets, quarantine, metrics };
     HTTP::Server relay { context.get_executor(), [this](HTTP::Request request, HTTP::ResponseWriter& response) { return handler.handle(std::move(request), response); } };
     Core::Address address;
     std::vector<std::unique_ptr<HTTP::Server>> endpoints;
