The idle timeout does not drop a request that has been read

While a small host decodes a large configuration, its event loop stands still for 0.3 to 0.6 s. If a kept connection's idle timeout ends in that time and its next request arrives, both are due when the loop continues. The wait that detected a disconnect during the previous request is still pending, so the reactor completes it first and queues the read, with its data, behind the expired timer. The timer of beast::tcp_stream closes the connection, and the read returns its bytes with an error.

The server now uses the timeout that the client reads bodies with, which cancels a read: one that has received data is not affected, and data that has arrived but is unread is read before the timeout counts. The same holds for the rest of a request after its first bytes. Cancelling is repeated, since a cancellation between two reads of one operation has no effect.

--- a/Libraries/LibHTTP/src/PooledStream.h
+++ b/Libraries/LibHTTP/src/PooledStream.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "ConnectionPool.h"
+#include "ReadTimeout.h"
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
 
@@ -33,57 +33,6 @@
     return { kind, step, address.text(), error.message() };
 }
 
-// Cancels reads of a response at the deadline. The timeout of beast::tcp_stream starts and cancels a timer for every
-// read, which costs more than the read itself when each event of a stream is read separately. This timer is only set when
-// the deadline changes.
-class ReadTimeout {
-public:
-    explicit ReadTimeout(Connection& connection)
-        : m_timer(connection.stream.get_executor())
-        , m_state(std::make_shared<State>(State { &connection, false }))
-    {
-    }
-    ~ReadTimeout() { m_state->connection = nullptr; }
-    ReadTimeout(const ReadTimeout&) = delete;
-    ReadTimeout& operator=(const ReadTimeout&) = delete;
-
-    void setDeadline(Core::SteadyClock::time_point at)
-    {
-        if (m_isSet && m_timer.expiry() == at)
-            return;
-        m_isSet = true;
-        m_state->hasExpired = false;
-        m_timer.expires_at(at);
-        m_timer.async_wait([state = m_state, at](const beast::error_code& error) {
-            if (error || !state->connection || state->at != at)
-                return;
-            state->hasExpired = true;
-            state->connection->stream.cancel();
-        });
-        m_state->at = at;
-    }
-
-    void stop()
-    {
-        m_state->connection = nullptr;
-        m_timer.cancel();
-    }
-
-    bool hasExpired() const { return m_state->hasExpired; }
-
-private:
-    struct State {
-        Connection* connection;
-        bool hasExpired;
-        // The current deadline. Completed waits for a previous deadline are ignored.
-        Core::SteadyClock::time_point at {};
-    };
-
-    asio::steady_timer m_timer;
-    std::shared_ptr<State> m_state;
-    bool m_isSet { false };
-};
-
 template <typename PoolPointer>
 class PooledStream final : public ResponseStream {
 public:
@@ -92,7 +41,7 @@
         , m_address(std::move(address))
         , m_connection(std::move(connection))
         , m_cancellation(std::move(cancellation))
-        , m_timeout(*m_connection)
+        , m_timeout(m_connection->stream)
     {
     }
 
--- a/Libraries/LibHTTP/src/Server.cpp
+++ b/Libraries/LibHTTP/src/Server.cpp
@@ -1,5 +1,6 @@
 #include "LibHTTP/Server.h"
 
+#include "ReadTimeout.h"
 #include "StreamWriter.h"
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -24,7 +25,7 @@
 // it as long as a client that stops acknowledging data is waited for.
 static constexpr std::chrono::milliseconds requestTransitTime(tcpUserTimeoutMs);
 // Time limit for sending the error response to a request that could not be parsed.
-static constexpr int64_t errorResponseTimeoutMs = 1'000;
+static constexpr std::chrono::milliseconds errorResponseTimeout(1'000);
 
 struct Server::State {
     State(const asio::any_io_executor& executor, Handler handler, ServerLimits limits)
@@ -84,13 +85,10 @@
     return response;
 }
 
-// A limit of 0 ms means unlimited.
-static void setTimeout(ServerConnection& connection, int64_t limitMs, std::chrono::milliseconds margin = {})
+// The end of a time limit, 0 ms being unlimited.
+static Core::Deadline deadlineAfter(int64_t limitMs, std::chrono::milliseconds margin = {})
 {
-    if (limitMs > 0)
-        connection.stream.expires_after(std::chrono::milliseconds(limitMs) + margin);
-    else
-        connection.stream.expires_never();
+    return limitMs > 0 ? Core::Deadline::after(std::chrono::milliseconds(limitMs) + margin) : Core::Deadline::never();
 }
 
 // Reads the first bytes of a request. Returns false if the connection was closed or the idle timeout expired.
@@ -99,12 +97,34 @@
     static constexpr size_t firstReadBytes = 4096;
     if (connection.buffer.size() > 0)
         co_return true;
-    setTimeout(connection, state.limits.idleTimeoutMs, requestTransitTime);
-    auto [error, size] = co_await connection.stream.async_read_some(connection.buffer.prepare(firstReadBytes), asTuple);
-    connection.buffer.commit(size);
-    if (error == beast::error::timeout)
-        ++state.idleTimeouts;
-    co_return !error;
+    ReadTimeout timeout(connection.stream);
+    timeout.setDeadline(deadlineAfter(state.limits.idleTimeoutMs, requestTransitTime).at());
+    for (;;) {
+        auto [error, size] = co_await connection.stream.async_read_some(connection.buffer.prepare(firstReadBytes), asTuple);
+        connection.buffer.commit(size);
+        if (!error)
+            co_return true;
+        if (!timeout.hasExpired())
+            co_return false;
+        // If the process did not run for a while, the timeout has expired although a request has arrived in time.
+        if (!connection.hasUnreadData())
+            break;
+    }
+    ++state.idleTimeouts;
+    co_return false;
+}
+
+// Reads the request whose first bytes have been received. Data that has arrived by the deadline is read also after it.
+static Core::Task<beast::error_code> readRequest(ServerConnection& connection, http::request_parser<http::string_body>& parser, Core::Deadline deadline)
+{
+    ReadTimeout timeout(connection.stream);
+    timeout.setDeadline(deadline.at());
+    for (;;) {
+        auto [error, size] = co_await http::async_read(connection.stream, connection.buffer, parser, asTuple);
+        bool isInterrupted = error == asio::error::operation_aborted && timeout.hasExpired() && connection.hasUnreadData();
+        if (!isInterrupted)
+            co_return error;
+    }
 }
 
 // Sends an error response to a request that could not be parsed. Connection errors and timeouts get no response.
@@ -117,7 +137,7 @@
     static constexpr bool isClosing = true;
     StreamWriter writer(connection, 11, false, isClosing);
     Core::Reason ignored;
-    setTimeout(connection, errorResponseTimeoutMs);
+    connection.stream.expires_after(errorResponseTimeout);
     co_await writer.send(parseErrorResponse(error), ignored);
 }
 
@@ -140,9 +160,7 @@
     parser.body_limit(state.limits.maxBodyBytes);
     parser.header_limit(static_cast<std::uint32_t>(state.limits.maxHeaderBytes));
     connection.isBusy = true;
-    setTimeout(connection, state.limits.requestTimeoutMs);
-    auto [error, size] = co_await http::async_read(connection.stream, connection.buffer, parser, asTuple);
-    connection.stream.expires_never();
+    beast::error_code error = co_await readRequest(connection, parser, deadlineAfter(state.limits.requestTimeoutMs));
     if (!error && !hasSupportedTransferCoding(parser.get()))
         error = http::error::bad_transfer_encoding;
     if (error) {
@@ -168,7 +186,7 @@
     }
     --state.activeRequests;
     connection.isBusy = false;
-    co_return writer.isConnectionReusable() && (!state.isClosing || connection.hasUnreadData());
+    co_return writer.isConnectionReusable() && (!state.isClosing || connection.hasNextRequest());
 }
 
 static Core::Task<void> serveConnection(std::shared_ptr<Server::State> state, tcp::socket socket)
@@ -272,7 +290,7 @@
 void Server::closeIdle()
 {
     for (ServerConnection* connection : m_state->connections) {
-        if (!connection->isBusy && !connection->hasUnreadData())
+        if (!connection->isBusy && !connection->hasNextRequest())
             connection->close();
     }
 }
--- a/Libraries/LibHTTP/src/ServerConnection.h
+++ b/Libraries/LibHTTP/src/ServerConnection.h
@@ -30,13 +30,16 @@
         stream.socket().close(ignored);
     }
 
-    // Whether a request, or a part of it, has arrived and has not been handled.
+    // Whether data has arrived that has not been read into the buffer.
     bool hasUnreadData()
     {
         char byte = 0;
-        return buffer.size() > 0 || ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+        return ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
     }
 
+    // Whether the next request, or a part of it, has arrived.
+    bool hasNextRequest() { return buffer.size() > 0 || hasUnreadData(); }
+
     // Whether the client has closed the connection. A closed connection reads as 0 bytes or an error.
     bool isDisconnected()
     {
