The request timeout ends a request that is sent without pause

A client that sent chunks with extensions of 500,000 bytes without pause, which count towards no limit, held its connection past the request timeout: cancelling has no effect on a read that has received data, and reading was resumed after each cancellation for which unread data had arrived.

The server now reads, after the timeout, only as much as the receive buffer held when the expiry was noticed. It checks this after each read of the parser, whose sizes are limited. Whether the fault shows depends on the moments of the cancellations: before, the test IdleConnections.requestThatIsSentWithoutPauseIsEndedByTheRequestTimeout failed in one of two runs, with 500,000 bytes per extension (open after 3 s, timeout 0.2 s), and passed with 0, 100 and 10,000.

--- a/Libraries/LibHTTP/src/Server.cpp
+++ b/Libraries/LibHTTP/src/Server.cpp
@@ -119,11 +119,23 @@
 {
     ReadTimeout timeout(connection.stream);
     timeout.setDeadline(deadline.at());
+    // What had arrived when the timeout expired and has not been read. It limits a client that sends without pause.
+    std::optional<size_t> lateBytes;
     for (;;) {
-        auto [error, size] = co_await http::async_read(connection.stream, connection.buffer, parser, asTuple);
-        bool isInterrupted = error == asio::error::operation_aborted && timeout.hasExpired() && connection.hasUnreadData();
-        if (!isInterrupted)
+        size_t bufferedBytes = connection.buffer.size();
+        auto [error, parsedBytes] = co_await http::async_read_some(connection.stream, connection.buffer, parser, asTuple);
+        bool isInterrupted = error == asio::error::operation_aborted && timeout.hasExpired();
+        if (error && !isInterrupted)
             co_return error;
+        if (parser.is_done())
+            co_return beast::error_code();
+        if (!timeout.hasExpired())
+            continue;
+        size_t readBytes = parsedBytes + connection.buffer.size() - bufferedBytes;
+        beast::error_code ignored;
+        lateBytes = lateBytes ? *lateBytes - std::min(*lateBytes, readBytes) : connection.stream.socket().available(ignored);
+        if (*lateBytes == 0)
+            co_return beast::error::timeout;
     }
 }
 
--- a/Tests/LibHTTP/TestIdleConnections.cpp
+++ b/Tests/LibHTTP/TestIdleConnections.cpp
@@ -1,6 +1,7 @@
 #include "LibHTTP/Server.h"
 #include "RunTask.h"
 
+#include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <sys/socket.h>
@@ -158,3 +159,32 @@
     cr_assert(error, "the connection was not closed");
     cr_assert_eq(slow.requests, 0);
 }
+
+// Guards against a client that holds a connection past the request timeout by sending without pause.
+Test(IdleConnections, requestThatIsSentWithoutPauseIsEndedByTheRequestTimeout)
+{
+    // Longer than the timeout by a margin for a busy machine.
+    static constexpr std::chrono::milliseconds limit(3'000);
+    // Chunk extensions don't count towards the limit of the body.
+    for (size_t extensionBytes : { 0, 100, 10'000, 500'000 }) {
+        Fixture fixture;
+        fixture.server.setLimits({ 1024 * 1024 * 1024, 4096, timeout.count(), timeout.count() });
+        std::atomic<bool> isDone { false };
+        std::thread sender([&] {
+            boost::system::error_code error;
+            asio::write(fixture.caller, asio::buffer(std::string("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n")), error);
+            std::string chunk = "1;" + std::string(extensionBytes, 'e') + "\r\nx\r\n";
+            while (!error && !isDone)
+                asio::write(fixture.caller, asio::buffer(chunk), error);
+            isDone = true;
+        });
+        Core::Deadline end = Core::Deadline::after(limit);
+        while (!isDone && !end.hasPassed())
+            fixture.runFor(std::chrono::milliseconds(5));
+        bool wasClosed = isDone.exchange(true);
+        fixture.server.closeAll();
+        fixture.runFor(timeout);
+        sender.join();
+        cr_expect(wasClosed, "with %zu bytes per extension, the connection was open after %d ms", extensionBytes, static_cast<int>(limit.count()));
+    }
+}
