closeAll ends accepted connections that are not served yet

A connection that had been accepted, but whose task had not started, was not yet in the list that closeAll closes. Its request was handled after closeAll, which the destructor calls too: the handler's owner may have been destroyed by then. Since stopAccepting accepts the backlog, a stop followed by closeAll shows it. IdleConnections.connectionsAcceptedBeforeCloseAllAreNotServed failed before: the handler was called. Such a task now ends without serving its connection.

--- a/Libraries/LibHTTP/src/Server.cpp
+++ b/Libraries/LibHTTP/src/Server.cpp
@@ -45,6 +45,8 @@
     uint64_t idleTimeouts { 0 };
     bool isStopping { false };
     bool isClosing { false };
+    // Set by closeAll. The handler isn't called any more, since its owner may have been destroyed.
+    bool isClosed { false };
 };
 
 // Detects a disconnect while a request is handled by waiting until the socket is readable. Data of a pipelined request ends the
@@ -203,6 +205,8 @@
 
 static Core::Task<void> serveConnection(std::shared_ptr<Server::State> state, tcp::socket socket)
 {
+    if (state->isClosed)
+        co_return;
     beast::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &tcpUserTimeoutMs, sizeof(tcpUserTimeoutMs));
@@ -320,6 +324,7 @@
 void Server::closeAll()
 {
     closeAcceptor();
+    m_state->isClosed = true;
     for (ServerConnection* connection : m_state->connections)
         connection->close();
 }
--- a/Tests/LibHTTP/TestIdleConnections.cpp
+++ b/Tests/LibHTTP/TestIdleConnections.cpp
@@ -188,3 +188,20 @@
         cr_expect(wasClosed, "with %zu bytes per extension, the connection was open after %d ms", extensionBytes, static_cast<int>(limit.count()));
     }
 }
+
+// Guards against a handler that is called after closeAll, when its owner may have been destroyed, for a connection that had been
+// accepted but not yet served.
+Test(IdleConnections, connectionsAcceptedBeforeCloseAllAreNotServed)
+{
+    static constexpr size_t maxSteps = 3;
+    for (size_t steps = 0; steps < maxSteps; ++steps) {
+        Fixture fixture;
+        fixture.send();
+        for (size_t step = 0; step < steps; ++step)
+            fixture.context.poll_one();
+        fixture.server.stopAccepting();
+        fixture.server.closeAll();
+        fixture.runFor(timeout);
+        cr_expect_eq(fixture.requests, 0, "the handler was called after %zu steps", steps);
+    }
+}
