Failing test: a stop closes connections that have been accepted but not served

The test stops the server after 0 to 11 steps of the event loop with two connections whose requests have arrived.

--- a/Tests/LibHTTP/TestIdleConnections.cpp
+++ b/Tests/LibHTTP/TestIdleConnections.cpp
@@ -205,3 +205,23 @@
         cr_expect_eq(fixture.requests, 0, "the handler was called after %zu steps", steps);
     }
 }
+
+// Guards against a stop that closes a connection which has been accepted but not yet served. The moment of the stop is varied, since
+// the connection passes through several steps of the event loop.
+Test(IdleConnections, connectionsAcceptedDuringAStopAreServed)
+{
+    static constexpr size_t maxSteps = 12;
+    for (size_t steps = 0; steps < maxSteps; ++steps) {
+        Fixture fixture;
+        tcp::socket second(fixture.context);
+        second.connect(fixture.caller.remote_endpoint());
+        fixture.send();
+        asio::write(second, asio::buffer(std::string(request)));
+        for (size_t step = 0; step < steps; ++step)
+            fixture.context.poll_one();
+        fixture.server.stopAccepting();
+        cr_expect(fixture.receive().starts_with("HTTP/1.1 200"), "the first connection was closed after %zu steps", steps);
+        std::swap(fixture.caller, second);
+        cr_expect(fixture.receive().starts_with("HTTP/1.1 200"), "the second connection was closed after %zu steps", steps);
+    }
+}
