closeIdle keeps connections whose read has received a request

closeIdle found no data in the receive buffer and none in the connection's, since a read had received the request and its completion was still queued; closing lost the request, as the idle timeout did. closeIdle now cancels the read, which has no effect on one that has received data; a cancelled one ends the connection.

--- a/Libraries/LibHTTP/src/Server.cpp
+++ b/Libraries/LibHTTP/src/Server.cpp
@@ -106,13 +106,13 @@
         connection.buffer.commit(size);
         if (!error)
             co_return true;
-        if (!timeout.hasExpired())
-            co_return false;
         // If the process did not run for a while, the timeout has expired although a request has arrived in time.
-        if (!connection.hasUnreadData())
+        bool isInterrupted = error == asio::error::operation_aborted && connection.hasUnreadData();
+        if (!isInterrupted)
             break;
     }
-    ++state.idleTimeouts;
+    if (timeout.hasExpired())
+        ++state.idleTimeouts;
     co_return false;
 }
 
@@ -306,8 +306,9 @@
 void Server::closeIdle()
 {
     for (ServerConnection* connection : m_state->connections) {
+        // Closing would lose a request that a read has received and not yet returned.
         if (!connection->isBusy && !connection->hasNextRequest())
-            connection->close();
+            connection->stream.cancel();
     }
 }
 
