A connection accepted right before a stop is served

While more connections wait, accepting completes at once and its result is queued. If the server was stopped before it was taken, the socket was dropped and the caller's connection reset. It is now served like the backlog is.

--- a/Libraries/LibHTTP/src/Server.cpp
+++ b/Libraries/LibHTTP/src/Server.cpp
@@ -224,7 +224,8 @@
 {
     while (!state->isStopping) {
         auto [error, socket] = co_await state->acceptor.async_accept(asTuple);
-        if (state->isStopping || error == asio::error::operation_aborted)
+        // A connection that was accepted before the stop is served.
+        if (error && (state->isStopping || error == asio::error::operation_aborted))
             co_return;
         if (error) {
             // Accepting fails while the process is out of file descriptors; wait instead of spinning.
