Failing test: a response that is due while the process does not run is dropped

A request's response is cut off 300 ms after its deadline (abortAt), less than the 0.3 to 0.6 s for which a small host's event loop stands still while it decodes a large configuration. The test lets a deadline and that limit pass in such a time; the handler answers when the process continues. It fails: the timer closes the connection before the answer is sent.

--- a/Tests/LibHTTP/TestFaultyPeers.cpp
+++ b/Tests/LibHTTP/TestFaultyPeers.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <fstream>
+#include <thread>
 #include <unistd.h>
 
 // Peers that break the protocol or stop in the middle of it, over real sockets.
@@ -269,3 +270,32 @@
         cr_assert(TestSupport::runTask(fixture.context, fixture.client.roundTrip(address, { "GET", target, {}, {} }, Core::Deadline::after(std::chrono::seconds(5)), fixture.reason)));
     cr_assert_eq(fixture.client.connectionsOpened(), 1);
 }
+
+// Guards against a request without an answer because the limit of its response passed while the process did not run. The handler
+// answers as soon as the process continues.
+Test(FaultyPeers, responseThatIsDueWhileTheProcessDoesNotRunIsSent)
+{
+    Fixture fixture;
+    HTTP::Server server(fixture.context.get_executor(), [](HTTP::Request, HTTP::ResponseWriter& writer) -> Core::Task<void> {
+        Core::Deadline deadline = Core::Deadline::after(std::chrono::milliseconds(100));
+        writer.abortAt(Core::Deadline(deadline.at() + std::chrono::milliseconds(300)));
+        co_await Core::sleepUntil(deadline);
+        // A refusal passes through several tasks.
+        co_await Core::sleepUntil(Core::Deadline::after(std::chrono::milliseconds(0)));
+        Core::Reason ignored;
+        co_await writer.send({ 503, {}, "late" }, ignored);
+    });
+    Core::Address address = server.listen({ "127.0.0.1", 0 }, fixture.reason).value();
+    tcp::socket caller(fixture.context);
+    caller.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), address.port));
+    asio::write(caller, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n")));
+    fixture.context.run_for(std::chrono::milliseconds(50));
+    std::this_thread::sleep_for(std::chrono::milliseconds(600));
+    fixture.context.restart();
+    fixture.context.run_for(std::chrono::milliseconds(300));
+    std::string response(4096, 0);
+    boost::system::error_code ignored;
+    caller.non_blocking(true);
+    response.resize(caller.receive(asio::buffer(response), 0, ignored));
+    cr_assert(response.starts_with("HTTP/1.1 503"), "the connection was closed without an answer");
+}
