--- a/Libraries/LibHTTP/src/Server.cpp
+++ b/Libraries/LibHTTP/src/Server.cpp
@@ -45,6 +45,8 @@
     uint64_t idleTimeouts { 0 };
     bool isStopping { false };
     bool isClosing { false };
+    // Set by closeAll. The handler isn't called any more, since its owner may have been destroyed.
+    bool isClosed { false };
 };
 
 // Detects a disconnect while a request is handled by waiting until the socket is readable. Data of a pipelined request ends the
@@ -104,13 +106,13 @@
         connection.buffer.commit(size);
         if (!error)
             co_return true;
-        if (!timeout.hasExpired())
-            co_return false;
         // If the process did not run for a while, the timeout has expired although a request has arrived in time.
-        if (!connection.hasUnreadData())
+        bool isInterrupted = error == asio::error::operation_aborted && connection.hasUnreadData();
+        if (!isInterrupted)
             break;
     }
-    ++state.idleTimeouts;
+    if (timeout.hasExpired())
+        ++state.idleTimeouts;
     co_return false;
 }
 
@@ -119,11 +121,23 @@
 {
     ReadTimeout timeout(connection.stream);
     timeout.setDeadline(deadline.at());
+    // What had arrived when the timeout expired and has not been read. It limits a client that sends without pause.
+    std::optional<size_t> lateBytes;
     for (;;) {
-        auto [error, size] = co_await http::async_read(connection.stream, connection.buffer, parser, asTuple);
-        bool isInterrupted = error == asio::error::operation_aborted && timeout.hasExpired() && connection.hasUnreadData();
-        if (!isInterrupted)
+        size_t bufferedBytes = connection.buffer.size();
+        auto [error, parsedBytes] = co_await http::async_read_some(connection.stream, connection.buffer, parser, asTuple);
+        bool isInterrupted = error == asio::error::operation_aborted && timeout.hasExpired();
+        if (error && !isInterrupted)
             co_return error;
+        if (parser.is_done())
+            co_return beast::error_code();
+        if (!timeout.hasExpired())
+            continue;
+        size_t readBytes = parsedBytes + connection.buffer.size() - bufferedBytes;
+        beast::error_code ignored;
+        lateBytes = lateBytes ? *lateBytes - std::min(*lateBytes, readBytes) : connection.stream.socket().available(ignored);
+        if (*lateBytes == 0)
+            co_return beast::error::timeout;
     }
 }
 
@@ -191,6 +205,8 @@
 
 static Core::Task<void> serveConnection(std::shared_ptr<Server::State> state, tcp::socket socket)
 {
+    if (state->isClosed)
+        co_return;
     beast::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &tcpUserTimeoutMs, sizeof(tcpUserTimeoutMs));
@@ -208,7 +224,8 @@
 {
     while (!state->isStopping) {
         auto [error, socket] = co_await state->acceptor.async_accept(asTuple);
-        if (state->isStopping || error == asio::error::operation_aborted)
+        // A connection that was accepted before the stop is served.
+        if (error && (state->isStopping || error == asio::error::operation_aborted))
             co_return;
         if (error) {
             // Accepting fails while the process is out of file descriptors; wait instead of spinning.
@@ -290,8 +307,9 @@
 void Server::closeIdle()
 {
     for (ServerConnection* connection : m_state->connections) {
+        // Closing would lose a request that a read has received and not yet returned.
         if (!connection->isBusy && !connection->hasNextRequest())
-            connection->close();
+            connection->stream.cancel();
     }
 }
 
@@ -308,6 +326,7 @@
 void Server::closeAll()
 {
     closeAcceptor();
+    m_state->isClosed = true;
     for (ServerConnection* connection : m_state->connections)
         connection->close();
 }
--- a/Tests/LibHTTP/TestIdleConnections.cpp
+++ b/Tests/LibHTTP/TestIdleConnections.cpp
@@ -1,6 +1,7 @@
 #include "LibHTTP/Server.h"
 #include "RunTask.h"
 
+#include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <sys/socket.h>
@@ -158,3 +159,69 @@
     cr_assert(error, "the connection was not closed");
     cr_assert_eq(slow.requests, 0);
 }
+
+// Guards against a client that holds a connection past the request timeout by sending without pause.
+Test(IdleConnections, requestThatIsSentWithoutPauseIsEndedByTheRequestTimeout)
+{
+    // Longer than the timeout by a margin for a busy machine.
+    static constexpr std::chrono::milliseconds limit(3'000);
+    // Chunk extensions don't count towards the limit of the body.
+    for (size_t extensionBytes : { 0, 100, 10'000, 500'000 }) {
+        Fixture fixture;
+        fixture.server.setLimits({ 1024 * 1024 * 1024, 4096, timeout.count(), timeout.count() });
+        std::atomic<bool> isDone { false };
+        std::thread sender([&] {
+            boost::system::error_code error;
+            asio::write(fixture.caller, asio::buffer(std::string("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n")), error);
+            std::string chunk = "1;" + std::string(extensionBytes, 'e') + "\r\nx\r\n";
+            while (!error && !isDone)
+                asio::write(fixture.caller, asio::buffer(chunk), error);
+            isDone = true;
+        });
+        Core::Deadline end = Core::Deadline::after(limit);
+        while (!isDone && !end.hasPassed())
+            fixture.runFor(std::chrono::milliseconds(5));
+        bool wasClosed = isDone.exchange(true);
+        fixture.server.closeAll();
+        fixture.runFor(timeout);
+        sender.join();
+        cr_expect(wasClosed, "with %zu bytes per extension, the connection was open after %d ms", extensionBytes, static_cast<int>(limit.count()));
+    }
+}
+
+// Guards against a handler that is called after closeAll, when its owner may have been destroyed, for a connection that had been
+// accepted but not yet served.
+Test(IdleConnections, connectionsAcceptedBeforeCloseAllAreNotServed)
+{
+    static constexpr size_t maxSteps = 3;
+    for (size_t steps = 0; steps < maxSteps; ++steps) {
+        Fixture fixture;
+        fixture.send();
+        for (size_t step = 0; step < steps; ++step)
+            fixture.context.poll_one();
+        fixture.server.stopAccepting();
+        fixture.server.closeAll();
+        fixture.runFor(timeout);
+        cr_expect_eq(fixture.requests, 0, "the handler was called after %zu steps", steps);
+    }
+}
+
+// Guards against a stop that closes a connection which has been accepted but not yet served. The moment of the stop is varied, since
+// the connection passes through several steps of the event loop.
+Test(IdleConnections, connectionsAcceptedDuringAStopAreServed)
+{
+    static constexpr size_t maxSteps = 12;
+    for (size_t steps = 0; steps < maxSteps; ++steps) {
+        Fixture fixture;
+        tcp::socket second(fixture.context);
+        second.connect(fixture.caller.remote_endpoint());
+        fixture.send();
+        asio::write(second, asio::buffer(std::string(request)));
+        for (size_t step = 0; step < steps; ++step)
+            fixture.context.poll_one();
+        fixture.server.stopAccepting();
+        cr_expect(fixture.receive().starts_with("HTTP/1.1 200"), "the first connection was closed after %zu steps", steps);
+        std::swap(fixture.caller, second);
+        cr_expect(fixture.receive().starts_with("HTTP/1.1 200"), "the second connection was closed after %zu steps", steps);
+    }
+}
