Relay: requests from the backlog are refused before a stop ends

After the server stopped accepting, the daemon went on to return its grants and ended. The stop now waits until they are answered or its limit has passed. Not seen failing: no test ends a relay in the moment in which a request arrives.

--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -322,6 +322,10 @@
     while (m_callerServer.activeRequests() > 0 && !limit.hasPassed())
         co_await Core::sleepUntil(Deadline::after(activeRequestPollInterval));
     m_callerServer.stopAccepting();
+    // Requests that had arrived by then are refused.
+    do {
+        co_await Core::sleepUntil(Deadline::after(activeRequestPollInterval));
+    } while (m_callerServer.activeRequests() > 0 && !limit.hasPassed());
     size_t interruptedRequests = m_callerServer.activeRequests();
     m_configurationFollower.stop();
     m_endpointFollower.stop();
