--- a/Libraries/LibHTTP/include/LibHTTP/Server.h
+++ b/Libraries/LibHTTP/include/LibHTTP/Server.h
@@ -12,8 +12,9 @@
 struct ServerLimits {
     size_t maxBodyBytes { 8 * 1024 * 1024 };
     size_t maxHeaderBytes { 64 * 1024 };
-    // Time limit for receiving a request after its first byte, and for an idle connection before it is closed. 0 means
-    // unlimited.
+    // Time limit for receiving a request after its first byte, and for how long a client may leave a connection idle before it
+    // sends the next request. The server closes an idle connection some seconds later, so that a request that was sent in time
+    // and is delayed on the way is served. 0 means unlimited.
     int64_t requestTimeoutMs { 0 };
     int64_t idleTimeoutMs { 0 };
 };
@@ -31,7 +32,7 @@
     // contains the bound port.
     std::optional<Core::Address> listen(const Core::Address&, Core::Reason&);
 
-    // Stops accepting connections and closes idle ones. Requests in progress continue.
+    // Stops accepting connections and closes idle ones. Requests that have arrived are served, and their connections closed.
     void stopAccepting();
 
     // Applies to requests that start after the call.
@@ -40,18 +41,23 @@
     // Closes each connection after its next response. New connections are still accepted.
     void closeAfterResponses();
 
-    // Closes connections without a request in progress.
+    // Closes connections without a request in progress or in the receive buffer.
     void closeIdle();
 
     // Number of requests in progress.
     size_t activeRequests() const;
 
+    // Number of connections that were closed by the idle timeout since construction.
+    uint64_t idleTimeouts() const;
+
     // Stops accepting and closes all connections immediately.
     void closeAll();
 
     struct State;
 
 private:
+    void closeAcceptor();
+
     std::shared_ptr<State> m_state;
 };
 
--- a/Libraries/LibHTTP/src/Server.cpp
+++ b/Libraries/LibHTTP/src/Server.cpp
@@ -1,5 +1,6 @@
 #include "LibHTTP/Server.h"
 
+#include "ReadTimeout.h"
 #include "StreamWriter.h"
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -20,8 +21,11 @@
 using tcp = asio::ip::tcp;
 // TCP_USER_TIMEOUT: closes connections to clients that stop acknowledging data.
 static constexpr int tcpUserTimeoutMs = 3'000;
+// A request that a client sends at the end of the idle timeout may be delayed on a congested link. The connection stays open for
+// it as long as a client that stops acknowledging data is waited for.
+static constexpr std::chrono::milliseconds requestTransitTime(tcpUserTimeoutMs);
 // Time limit for sending the error response to a request that could not be parsed.
-static constexpr int64_t errorResponseTimeoutMs = 1'000;
+static constexpr std::chrono::milliseconds errorResponseTimeout(1'000);
 
 struct Server::State {
     State(const asio::any_io_executor& executor, Handler handler, ServerLimits limits)
@@ -38,8 +42,11 @@
     ServerLimits limits;
     std::set<ServerConnection*> connections;
     size_t activeRequests { 0 };
+    uint64_t idleTimeouts { 0 };
     bool isStopping { false };
     bool isClosing { false };
+    // Set by closeAll. The handler isn't called any more, since its owner may have been destroyed.
+    bool isClosed { false };
 };
 
 // Detects a disconnect while a request is handled by waiting until the socket is readable. Data of a pipelined request ends the
@@ -80,12 +87,10 @@
     return response;
 }
 
-static void setTimeout(ServerConnection& connection, int64_t milliseconds)
+// The end of a time limit, 0 ms being unlimited.
+static Core::Deadline deadlineAfter(int64_t limitMs, std::chrono::milliseconds margin = {})
 {
-    if (milliseconds > 0)
-        connection.stream.expires_after(std::chrono::milliseconds(milliseconds));
-    else
-        connection.stream.expires_never();
+    return limitMs > 0 ? Core::Deadline::after(std::chrono::milliseconds(limitMs) + margin) : Core::Deadline::never();
 }
 
 // Reads the first bytes of a request. Returns false if the connection was closed or the idle timeout expired.
@@ -94,10 +99,46 @@
     static constexpr size_t firstReadBytes = 4096;
     if (connection.buffer.size() > 0)
         co_return true;
-    setTimeout(connection, state.limits.idleTimeoutMs);
-    auto [error, size] = co_await connection.stream.async_read_some(connection.buffer.prepare(firstReadBytes), asTuple);
-    connection.buffer.commit(size);
-    co_return !error;
+    ReadTimeout timeout(connection.stream);
+    timeout.setDeadline(deadlineAfter(state.limits.idleTimeoutMs, requestTransitTime).at());
+    for (;;) {
+        auto [error, size] = co_await connection.stream.async_read_some(connection.buffer.prepare(firstReadBytes), asTuple);
+        connection.buffer.commit(size);
+        if (!error)
+            co_return true;
+        // If the process did not run for a while, the timeout has expired although a request has arrived in time.
+        bool isInterrupted = error == asio::error::operation_aborted && connection.hasUnreadData();
+        if (!isInterrupted)
+            break;
+    }
+    if (timeout.hasExpired())
+        ++state.idleTimeouts;
+    co_return false;
+}
+
+// Reads the request whose first bytes have been received. Data that has arrived by the deadline is read also after it.
+static Core::Task<beast::error_code> readRequest(ServerConnection& connection, http::request_parser<http::string_body>& parser, Core::Deadline deadline)
+{
+    ReadTimeout timeout(connection.stream);
+    timeout.setDeadline(deadline.at());
+    // What had arrived when the timeout expired and has not been read. It limits a client that sends without pause.
+    std::optional<size_t> lateBytes;
+    for (;;) {
+        size_t bufferedBytes = connection.buffer.size();
+        auto [error, parsedBytes] = co_await http::async_read_some(connection.stream, connection.buffer, parser, asTuple);
+        bool isInterrupted = error == asio::error::operation_aborted && timeout.hasExpired();
+        if (error && !isInterrupted)
+            co_return error;
+        if (parser.is_done())
+            co_return beast::error_code();
+        if (!timeout.hasExpired())
+            continue;
+        size_t readBytes = parsedBytes + connection.buffer.size() - bufferedBytes;
+        beast::error_code ignored;
+        lateBytes = lateBytes ? *lateBytes - std::min(*lateBytes, readBytes) : connection.stream.socket().available(ignored);
+        if (*lateBytes == 0)
+            co_return beast::error::timeout;
+    }
 }
 
 // Sends an error response to a request that could not be parsed. Connection errors and timeouts get no response.
@@ -110,7 +151,7 @@
     static constexpr bool isClosing = true;
     StreamWriter writer(connection, 11, false, isClosing);
     Core::Reason ignored;
-    setTimeout(connection, errorResponseTimeoutMs);
+    connection.stream.expires_after(errorResponseTimeout);
     co_await writer.send(parseErrorResponse(error), ignored);
 }
 
@@ -133,9 +174,7 @@
     parser.body_limit(state.limits.maxBodyBytes);
     parser.header_limit(static_cast<std::uint32_t>(state.limits.maxHeaderBytes));
     connection.isBusy = true;
-    setTimeout(connection, state.limits.requestTimeoutMs);
-    auto [error, size] = co_await http::async_read(connection.stream, connection.buffer, parser, asTuple);
-    connection.stream.expires_never();
+    beast::error_code error = co_await readRequest(connection, parser, deadlineAfter(state.limits.requestTimeoutMs));
     if (!error && !hasSupportedTransferCoding(parser.get()))
         error = http::error::bad_transfer_encoding;
     if (error) {
@@ -161,11 +200,13 @@
     }
     --state.activeRequests;
     connection.isBusy = false;
-    co_return writer.isConnectionReusable() && !state.isClosing;
+    co_return writer.isConnectionReusable() && (!state.isClosing || connection.hasNextRequest());
 }
 
 static Core::Task<void> serveConnection(std::shared_ptr<Server::State> state, tcp::socket socket)
 {
+    if (state->isClosed)
+        co_return;
     beast::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &tcpUserTimeoutMs, sizeof(tcpUserTimeoutMs));
@@ -183,7 +224,8 @@
 {
     while (!state->isStopping) {
         auto [error, socket] = co_await state->acceptor.async_accept(asTuple);
-        if (state->isStopping || error == asio::error::operation_aborted)
+        // A connection that was accepted before the stop is served.
+        if (error && (state->isStopping || error == asio::error::operation_aborted))
             co_return;
         if (error) {
             // Accepting fails while the process is out of file descriptors; wait instead of spinning.
@@ -194,6 +236,19 @@
     }
 }
 
+// Accepts the connections that wait in the backlog, which closing the acceptor would reset.
+static void acceptBacklog(const std::shared_ptr<Server::State>& state)
+{
+    beast::error_code error;
+    state->acceptor.non_blocking(true, error);
+    while (!error) {
+        tcp::socket socket(state->executor);
+        state->acceptor.accept(socket, error);
+        if (!error)
+            Core::spawn(state->executor, "connection", serveConnection(state, std::move(socket)));
+    }
+}
+
 Server::Server(const asio::any_io_executor& executor, Handler handler, ServerLimits limits)
     : m_state(std::make_shared<State>(executor, std::move(handler), limits))
 {
@@ -225,12 +280,18 @@
 }
 
 void Server::stopAccepting()
+{
+    acceptBacklog(m_state);
+    closeAcceptor();
+    closeIdle();
+}
+
+void Server::closeAcceptor()
 {
     m_state->isStopping = true;
     m_state->isClosing = true;
     beast::error_code ignored;
     m_state->acceptor.close(ignored);
-    closeIdle();
 }
 
 void Server::setLimits(ServerLimits limits)
@@ -246,8 +307,9 @@
 void Server::closeIdle()
 {
     for (ServerConnection* connection : m_state->connections) {
-        if (!connection->isBusy)
-            connection->close();
+        // Closing would lose a request that a read has received and not yet returned.
+        if (!connection->isBusy && !connection->hasNextRequest())
+            connection->stream.cancel();
     }
 }
 
@@ -256,9 +318,15 @@
     return m_state->activeRequests;
 }
 
+uint64_t Server::idleTimeouts() const
+{
+    return m_state->idleTimeouts;
+}
+
 void Server::closeAll()
 {
-    stopAccepting();
+    closeAcceptor();
+    m_state->isClosed = true;
     for (ServerConnection* connection : m_state->connections)
         connection->close();
 }
--- a/Libraries/LibRelay/include/LibRelay/CallerRequest.h
+++ b/Libraries/LibRelay/include/LibRelay/CallerRequest.h
@@ -64,6 +64,10 @@
     bool isNotRun { false };
     // The response carries the endpoint's seal.
     bool isSealed { false };
+    // The endpoint's process is leaving and wants no further requests.
+    bool isLeaving { false };
+    // The endpoint refused the request and wants no further ones from this daemon until then.
+    std::optional<Core::Deadline> pausedUntil;
 };
 
 // An engine's report about itself. It is some hundred milliseconds old when it arrives.
--- a/Libraries/LibRelay/src/RequestExecution.h
+++ b/Libraries/LibRelay/src/RequestExecution.h
@@ -28,6 +28,8 @@
     };
 
     Core::Task<std::optional<Refusal>> authorize();
+    // Chooses the service. Refuses the request if none of its endpoints takes requests.
+    std::optional<Refusal> findService();
     Core::Task<std::optional<Refusal>> holdTokens();
     Core::Task<void> dispatch();
     std::string selectService() const;
@@ -41,11 +43,20 @@
     std::optional<std::string> lossReason() const;
     Core::Task<Outcome> handleResponse(const Endpoint&, std::unique_ptr<HTTP::ResponseStream>);
     Core::Task<Outcome> forwardWholeResponse(const Endpoint&, HTTP::ResponseStream&, bool isSealed);
-    Core::Task<Outcome> forwardStream(const Endpoint&, HTTP::ResponseStream&);
+    Core::Task<Outcome> forwardStream(const Endpoint&, HTTP::ResponseStream&, bool isSealed);
     Core::Task<bool> forwardEvent(const StreamEvent&, const HTTP::ResponseStream&);
     bool canRetry(Outcome) const;
+    // The refusal of a request with a quarantined prompt part.
+    std::optional<Refusal> quarantineRefusal();
+    // Whether a request that has crashed an engine is suspected to crash the next one too.
+    bool mayCrashAnotherEngine();
+    void recordAnswerBegun();
+    // After a failed attempt: records a crash if the engine has ended.
+    Core::Task<void> examineBreak(const Endpoint&);
     // When a request that needs the store can be retried with some prospect.
     int64_t retryAfterStoreOutageMs() const;
+    // Refuses a request that no endpoint took, until the first one ends its pause if that is known.
+    Refusal refusalWithoutEndpoint(std::string message) const;
     Core::Task<void> refuse(Refusal);
     Core::Task<void> failRequest();
     void settleTokens();
@@ -58,6 +69,7 @@
     std::shared_ptr<const Configuration> m_configuration;
     CallerRequest m_request;
     Route m_route;
+    std::string m_service;
     std::optional<Workspace> m_workspace;
     Core::Deadline m_deadline { Core::Deadline::never() };
     Tokens m_heldTokens { 0 };
@@ -66,17 +78,29 @@
     bool m_isEngine { false };
 
     std::set<std::string> m_excluded;
+    // Addresses to which the request was sent. Another endpoint may take over an address.
+    std::set<Core::Address> m_addresses;
     // Number of endpoints to which the request was sent.
     int m_sends { 0 };
     // Number of sends after which the request may have run.
     int m_possibleRuns { 0 };
     uint64_t m_events { 0 };
     std::optional<uint64_t> m_lastEvent;
+    // Media type of the stream that was started.
+    std::string m_mediaType;
     std::shared_ptr<HTTP::Cancellation> m_cancellation;
     // The current attempt; null if it is not watched.
     std::shared_ptr<WatchedStream> m_watched;
     // The last attempt failed on a reused connection before any byte of a response arrived.
     bool m_wasConnectionStale { false };
+    // The last attempt was not sent, because its endpoint had begun to refuse all requests while it was connected.
+    bool m_wasWithheld { false };
+    // The connection of the current attempt broke after the request had been sent on it.
+    bool m_hasConnectionBroken { false };
+    // An answer has begun, in any attempt.
+    bool m_hasAnswerBegun { false };
+    // An engine has ended while this request waited for its answer there.
+    bool m_hasCrashedEngine { false };
     std::shared_ptr<bool> m_isCallerGone { std::make_shared<bool>(false) };
     std::optional<int64_t> m_firstByteMs;
     std::string m_lastFailure;
--- a/Libraries/LibRelay/src/RequestHandler.cpp
+++ b/Libraries/LibRelay/src/RequestHandler.cpp
@@ -1,5 +1,6 @@
 #include "LibRelay/RequestHandler.h"
 
+#include "Events.h"
 #include "RequestExecution.h"
 
 namespace Relay {
@@ -8,7 +9,7 @@
 static constexpr size_t minAssumedDaemons = 8;
 
 RequestHandler::RequestHandler(const boost::asio::any_io_executor& executor, WireCodec codec, HandlerHooks hooks, HandlerSettings settings,
-    std::shared_ptr<HTTP::Client> client, EndpointSelector& selector, BudgetManager& budgets, Telemetry::Metrics& metrics)
+    std::shared_ptr<HTTP::Client> client, EndpointSelector& selector, BudgetManager& budgets, PromptQuarantine& quarantine, Telemetry::Metrics& metrics)
     : m_executor(executor)
     , m_codec(std::move(codec))
     , m_hooks(std::move(hooks))
@@ -16,6 +17,8 @@
     , m_client(std::move(client))
     , m_selector(selector)
     , m_budgets(budgets)
+    , m_quarantine(quarantine)
+    , m_crashCheck(executor, m_client, m_codec, std::chrono::milliseconds(settings.crashCheckTimeoutMs))
     , m_metrics(metrics)
 {
 }
@@ -34,4 +37,13 @@
     return budget;
 }
 
+void RequestHandler::recordAnswer(const Endpoint& endpoint, const std::string& request, const ResponseMetadata& metadata)
+{
+    if (metadata.isLeaving && m_hooks.endpointLeaves)
+        m_hooks.endpointLeaves(endpoint, request);
+    Core::SteadyClock::time_point now = Core::SteadyClock::now();
+    if (metadata.pausedUntil && m_selector.recordPause(endpoint, metadata.pausedUntil->at(), now))
+        Core::logEvent(Events::endpointPaused, "endpoint=" + endpoint.id + " service=" + endpoint.service + " pause_ms=" + std::to_string(metadata.pausedUntil->remaining().count()) + " request=" + request);
+}
+
 }
--- a/Libraries/LibRelay/src/ResponseForwarding.cpp
+++ b/Libraries/LibRelay/src/ResponseForwarding.cpp
@@ -1,5 +1,7 @@
 #include "Events.h"
 #include "RequestExecution.h"
+#include <algorithm>
+#include <array>
 
 // The part of RequestExecution that forwards an endpoint's response to the caller.
 namespace Relay {
@@ -12,6 +14,8 @@
 // Time limit for draining the body of a refusal, which allows its connection to be reused.
 static constexpr std::chrono::milliseconds refusalDrainTimeout(50);
 static constexpr unsigned misdirectedStatus = 421;
+// Callers understand these statuses as a guarantee that the request has not run and will not run.
+static constexpr std::array<unsigned, 4> refusalStatuses { 408, misdirectedStatus, 429, 503 };
 
 Core::Task<RequestExecution::Outcome> RequestExecution::handleResponse(const Endpoint& endpoint, std::unique_ptr<HTTP::ResponseStream> stream)
 {
@@ -33,7 +37,7 @@
         Reason ignored;
         co_await stream->readAll(maxBufferedResponseBytes, Deadline::after(refusalDrainTimeout), ignored);
     } else if (m_route.isStream && stream->status() / 100 == 2) {
-        outcome = co_await forwardStream(endpoint, *stream);
+        outcome = co_await forwardStream(endpoint, *stream, metadata.isSealed);
         end = outcome == Outcome::Finished ? EndpointSelector::End::Success : EndpointSelector::End::Failure;
     } else if (m_writer.hasStarted()) {
         // The caller has already received part of a stream, so a different response cannot be sent.
@@ -62,6 +66,7 @@
     Reason reason;
     std::optional<std::string> body = co_await stream.readAll(maxBufferedResponseBytes, m_deadline, reason);
     if (!body) {
+        m_hasConnectionBroken = true;
         m_lastFailure = reason.text();
         co_return Outcome::Unknown;
     }
@@ -74,6 +79,12 @@
         m_lastFailure = "endpoint " + endpoint.id + " failed with status " + std::to_string(stream.status());
         co_return Outcome::Unknown;
     }
+    if (!m_route.mayRunAgain() && std::find(refusalStatuses.begin(), refusalStatuses.end(), stream.status()) != refusalStatuses.end()) {
+        m_lastFailure = "endpoint " + endpoint.id + " answered with status " + std::to_string(stream.status()) + " and does not say that the request has not run";
+        co_return Outcome::Unknown;
+    }
+    if (stream.status() / 100 == 2)
+        recordAnswerBegun();
     m_firstByteMs = elapsedMs();
     HTTP::Response response { stream.status(), m_handler.m_codec.callerHeaders(stream.headers()), std::move(*body) };
     bool isSent = co_await m_writer.send(std::move(response), reason);
@@ -86,19 +97,29 @@
     Reason reason;
     if (!m_writer.hasStarted()) {
         m_firstByteMs = elapsedMs();
+        m_mediaType = HTTP::mediaType(stream.headers());
         if (!co_await m_writer.startStream(stream.status(), m_handler.m_codec.callerHeaders(stream.headers()), reason))
             co_return false;
     }
     co_return co_await m_writer.writeChunk(event.bytes, reason);
 }
 
-Core::Task<RequestExecution::Outcome> RequestExecution::forwardStream(const Endpoint& endpoint, HTTP::ResponseStream& stream)
+Core::Task<RequestExecution::Outcome> RequestExecution::forwardStream(const Endpoint& endpoint, HTTP::ResponseStream& stream, bool isSealed)
 {
+    // The response continues a stream that another endpoint began.
+    bool isResumption = m_writer.hasStarted();
+    std::string mediaType = HTTP::mediaType(stream.headers());
+    if (!isSealed || (isResumption && !mediaType.empty() && mediaType != m_mediaType)) {
+        m_lastFailure = "endpoint " + endpoint.id + " sent " + (isSealed ? "\"" + mediaType + "\" in place of the rest of the stream" : "a stream without its seal");
+        co_return Outcome::Unknown;
+    }
     EventStreamParser parser;
     Reason reason;
+    bool hasEvents = false;
     for (;;) {
         std::optional<std::string> chunk = co_await stream.readSome(m_deadline, reason);
         if (!chunk) {
+            m_hasConnectionBroken = true;
             m_lastFailure = lossReason().value_or(reason.text());
             co_return Outcome::Unknown;
         }
@@ -111,7 +132,13 @@
                 m_lastFailure = "endpoint " + endpoint.id + " sent event " + (event.id ? std::to_string(*event.id) : "without an id") + " after " + std::to_string(previousEvent.value_or(0));
                 co_return Outcome::Unknown;
             }
+            if (isResumption && event.isError) {
+                m_lastFailure = "endpoint " + endpoint.id + " sent an error in place of event " + std::to_string(*event.id);
+                co_return Outcome::Unknown;
+            }
+            hasEvents = true;
             ++m_events;
+            recordAnswerBegun();
             m_lastEvent = event.id;
             if (m_watched) {
                 m_watched->lastEventAt = Core::SteadyClock::now();
@@ -129,7 +156,8 @@
             co_return Outcome::Unknown;
         }
     }
-    if (parser.hasIncompleteEvent() || !m_writer.hasStarted()) {
+    if (parser.hasIncompleteEvent() || !hasEvents) {
+        m_hasConnectionBroken = true;
         m_lastFailure = "endpoint " + endpoint.id + " ended its stream within an event or before the first one";
         co_return Outcome::Unknown;
     }
--- a/Tests/LibRelay/RelayFixture.h
+++ b/Tests/LibRelay/RelayFixture.h
@@ -10,7 +10,8 @@
 // A relay with endpoints and callers on loopback and a minimal wire codec.
 namespace RelayTest {
 
-// "Id" identifies the request, "Not-Run" and "Seal" are an endpoint's response metadata, "Tokens" is the prompt's size.
+// "Id" identifies the request, "Not-Run", "Seal", "Leaving" and, in a 503, "Pause-Ms" are an endpoint's response metadata, "Tokens" is the
+// prompt's size, "Parts" are the ids of the prompt's parts, separated by commas.
 inline Relay::WireCodec makeCodec()
 {
     Relay::WireCodec codec;
@@ -24,6 +25,9 @@
             request.deadline = Core::Deadline::after(std::chrono::milliseconds(std::stoi(*text)));
         if (std::optional<std::string> text = HTTP::findHeader(message.headers, "Tokens"))
             request.tokens = Relay::TokenDemand { std::stoi(*text), 10 };
+        std::istringstream parts(HTTP::findHeader(message.headers, "Parts").value_or(""));
+        for (std::string id; std::getline(parts, id, ',');)
+            request.promptParts.push_back({ id, 1 });
         request.message = std::move(message);
         if (request.id.empty()) {
             reason = { Core::FailureKind::Invalid, "decode request", "caller", "no id" };
@@ -37,11 +41,14 @@
             message.headers.push_back({ "Last-Event", std::to_string(*dispatch.lastEvent) });
         return message;
     };
-    codec.decodeResponseMetadata = [](unsigned, const HTTP::Headers& headers) {
+    codec.decodeResponseMetadata = [](unsigned status, const HTTP::Headers& headers) {
         Relay::ResponseMetadata metadata;
         metadata.requestId = HTTP::findHeader(headers, "Id").value_or("");
         metadata.isNotRun = HTTP::findHeader(headers, "Not-Run").has_value();
         metadata.isSealed = HTTP::findHeader(headers, "Seal").has_value();
+        metadata.isLeaving = HTTP::findHeader(headers, "Leaving").has_value();
+        if (std::optional<std::string> text = HTTP::findHeader(headers, "Pause-Ms"); text && status == 503)
+            metadata.pausedUntil = Core::Deadline::after(std::chrono::milliseconds(std::stoi(*text)));
         return metadata;
     };
     codec.callerHeaders = [](const HTTP::Headers& headers) {
@@ -107,12 +114,13 @@
     Relay::EndpointSelector selector { directory, "zone-a" };
     Relay::LedgerWriter writer { context.get_executor(), store.hooks(), "relay-ledgers/shard-0", { 1, 1'000, 0, 1 } };
     Relay::BudgetManager budgets { context.get_executor(), makeBudgetHooks(), { "host", 5, 0.3, 30, 2, 300, 300, 1 } };
+    Relay::PromptQuarantine quarantine;
     std::shared_ptr<const Relay::Configuration> configuration { makeConfiguration() };
     bool isStoreAnswering { true };
     std::chrono::milliseconds storeSilence { 0 };
     std::optional<Core::Deadline> servesUntil;
     std::vector<std::string> rejected;
-    Relay::RequestHandler handler { context.get_executor(), makeCodec(), makeHooks(), makeHandlerSettings(), client, selector, budgets, metrics };
+    Relay::RequestHandler handler { context.get_executor(), makeCodec(), makeHooks(), makeHandlerSettings(), client, selector, budgets, quarantine, metrics };
     HTTP::Server relay { context.get_executor(), [this](HTTP::Request request, HTTP::ResponseWriter& response) { return handler.handle(std::move(request), response); } };
     Core::Address address;
     std::vector<std::unique_ptr<HTTP::Server>> endpoints;
@@ -122,6 +130,8 @@
     // Body of the answers to status requests; empty: the endpoints do not answer them.
     std::optional<std::string> status { "0" };
     int statusRequests { 0 };
+    unsigned statusCode { 200 };
+    HTTP::Headers statusHeaders;
 
     // Every endpoint calls the current `answer`.
     explicit Fixture(size_t endpointCount = 2)
@@ -136,7 +146,7 @@
                     ++statusRequests;
                     Core::Reason ignored;
                     if (status)
-                        co_await response.send({ 200, {}, *status }, ignored);
+                        co_await response.send({ statusCode, statusHeaders, *status }, ignored);
                     else
                         co_await Core::sleepUntil(Core::Deadline::after(std::chrono::seconds(5)));
                     co_return;
@@ -180,6 +190,7 @@
         hooks.storeSilence = [this] { return storeSilence; };
         hooks.servesUntil = [this] { return servesUntil; };
         hooks.rejectEndpoint = [this](const std::string& endpoint) { rejected.push_back(endpoint); };
+        hooks.endpointLeaves = [this](const Relay::Endpoint& endpoint, const std::string&) { directory.markLeaving(endpoint, Core::SteadyClock::now()); };
         return hooks;
     }
 
