Relay: the limits that endpoints name are decoded, remembered and logged

The logs could not tell when a host learns that an engine names a limit on its requests. The adapter decodes it, EndpointLimits remembers it for the endpoint's process, E1735 logs each change with the request that brought it, and a metric counts limited endpoints. Nothing decides by it yet. An answer without a limit ends it only if its request was sent after the limit had been named: an answer made earlier may arrive later.

Tests: EndpointLimits, Codec.requestLimitIsDecoded, GeneratedInput.answerHeaders (extended).

--- a/Libraries/LibRelay/include/LibRelay/CallerRequest.h
+++ b/Libraries/LibRelay/include/LibRelay/CallerRequest.h
@@ -68,6 +68,8 @@
     bool isLeaving { false };
     // The endpoint refused the request and wants no further ones from this daemon until then.
     std::optional<Core::Deadline> pausedUntil;
+    // Requests a second that the endpoint takes from all daemons together.
+    std::optional<double> requestLimit;
 };
 
 // An engine's report about itself. It is some hundred milliseconds old when it arrives.
--- a/Libraries/LibRelay/include/LibRelay/EndpointSelector.h
+++ b/Libraries/LibRelay/include/LibRelay/EndpointSelector.h
@@ -3,6 +3,7 @@
 #include "LibCore/Deadline.h"
 #include "LibRelay/CallerRequest.h"
 #include "LibRelay/EndpointDirectory.h"
+#include "LibRelay/EndpointLimits.h"
 #include <map>
 #include <memory>
 #include <optional>
@@ -52,6 +53,9 @@
     // Records that the endpoint's process wants no request before the given time. A pause is never shortened, and it outlasts the
     // registration; a process with a later start time has none. Returns false if the pause was known.
     bool recordPause(const Endpoint&, Core::SteadyClock::time_point until, Core::SteadyClock::time_point now);
+    // The limits that endpoints have named.
+    EndpointLimits& limits() { return m_limits; }
+    const EndpointLimits& limits() const { return m_limits; }
     // Called when the endpoint is no longer registered.
     void forget(const std::string& endpoint);
 
@@ -93,6 +97,7 @@
     std::map<std::string, EndpointState> m_states;
     // By endpoint id; hashed, since each choice looks up all candidates.
     std::unordered_map<std::string, Pause> m_pauses;
+    EndpointLimits m_limits;
 };
 
 }
--- a/Libraries/LibRelay/include/LibRelay/RequestHandler.h
+++ b/Libraries/LibRelay/include/LibRelay/RequestHandler.h
@@ -73,6 +73,8 @@
     Routing::RetryBudget& retryBudget(const std::string& service);
     // Acts on what an answer says about the endpoint itself, whether or not it answers the request.
     void recordAnswer(const Endpoint&, const std::string& request, const ResponseMetadata&);
+    // Records the limit on requests a second in the answer to a request that was sent at sentAt, or that the answer names none.
+    void recordLimit(const Endpoint&, const std::string& request, const ResponseMetadata&, Core::SteadyClock::time_point sentAt);
 
     boost::asio::any_io_executor m_executor;
     WireCodec m_codec;
--- a/Libraries/LibRelay/src/EndpointSelector.cpp
+++ b/Libraries/LibRelay/src/EndpointSelector.cpp
@@ -233,6 +233,7 @@
 void EndpointSelector::forget(const std::string& endpoint)
 {
     m_states.erase(endpoint);
+    m_limits.forget(endpoint);
     // Without a start time, the next registration under this id is a new process.
     auto pause = m_pauses.find(endpoint);
     if (pause != m_pauses.end() && pause->second.processStartMs == 0)
--- a/Libraries/LibRelay/src/RequestExecution.cpp
+++ b/Libraries/LibRelay/src/RequestExecution.cpp
@@ -313,6 +313,7 @@
     dispatch.deadline = m_deadline;
     dispatch.lastEvent = m_lastEvent;
     bool wasSent = false;
+    Core::SteadyClock::time_point sentAt = now;
     HTTP::CallOptions options;
     // A copy of an earlier response to this request could follow on the connection that it was sent on before.
     bool isFirstAtAddress = m_addresses.insert(endpoint.address).second;
@@ -323,7 +324,7 @@
     m_wasWithheld = false;
     m_hasConnectionBroken = false;
     options.reusedConnectionFailed = [this] { m_wasConnectionStale = true; };
-    options.guard = [this, &wasSent, &selector, &endpoint] {
+    options.guard = [this, &wasSent, &sentAt, &selector, &endpoint] {
         *m_isCallerGone = *m_isCallerGone || !m_writer.isClientConnected();
         if (*m_isCallerGone)
             return false;
@@ -334,13 +335,17 @@
             ++m_sends;
             ++m_possibleRuns;
         }
+        sentAt = Core::SteadyClock::now();
         return wasSent = true;
     };
     // Sees every answer, also those to earlier requests on the connection, which are discarded.
-    options.isExpected = [this, &endpoint](unsigned status, const HTTP::Headers& headers) {
+    options.isExpected = [this, &endpoint, &sentAt](unsigned status, const HTTP::Headers& headers) {
         ResponseMetadata metadata = m_handler.m_codec.decodeResponseMetadata(status, headers);
         m_handler.recordAnswer(endpoint, metadata.requestId, metadata);
-        return metadata.requestId == m_request.id;
+        bool isExpected = metadata.requestId == m_request.id;
+        if (isExpected)
+            m_handler.recordLimit(endpoint, m_request.id, metadata, sentAt);
+        return isExpected;
     };
     selector.recordStart(endpoint.id, now);
     Core::logEvent(Events::requestSent, "request=" + m_request.id + " endpoint=" + endpoint.id + " service=" + endpoint.service + " in_flight=" + std::to_string(selector.inFlight(endpoint.id)) + " left_ms=" + std::to_string(m_deadline.remaining().count()) + " configuration=" + std::to_string(m_configuration->version()) + " after_event=" + std::to_string(m_lastEvent.value_or(0)) + describeTokens(m_request));
--- a/Libraries/LibRelay/src/RequestHandler.cpp
+++ b/Libraries/LibRelay/src/RequestHandler.cpp
@@ -46,4 +46,12 @@
         Core::logEvent(Events::endpointPaused, "endpoint=" + endpoint.id + " service=" + endpoint.service + " pause_ms=" + std::to_string(metadata.pausedUntil->remaining().count()) + " request=" + request);
 }
 
+void RequestHandler::recordLimit(const Endpoint& endpoint, const std::string& request, const ResponseMetadata& metadata, Core::SteadyClock::time_point sentAt)
+{
+    if (!m_selector.limits().record(endpoint, metadata.requestLimit, sentAt, Core::SteadyClock::now()))
+        return;
+    std::string limit = metadata.requestLimit ? std::to_string(*metadata.requestLimit) : "none";
+    Core::logEvent(Events::endpointLimited, "endpoint=" + endpoint.id + " service=" + endpoint.service + " per_second=" + limit + " request=" + request);
+}
+
 }
--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -109,6 +109,8 @@
         [this] { return static_cast<double>(m_load.lag().count()) / 1'000; });
     m_metrics.observe("jujuberelay_relay_quarantined_parts", "Prompt parts with which requests are refused, since they crashed engines.",
         [this] { return static_cast<double>(m_quarantine.quarantinedParts(Core::SteadyClock::now())); });
+    m_metrics.observe("jujuberelay_relay_limited_endpoints", "Endpoints that have named a limit on requests a second.",
+        [this] { return static_cast<double>(m_selector.limits().size()); });
     m_metrics.observe("jujuberelay_relay_active_requests", "Requests in progress.", [this] { return static_cast<double>(m_callerServer.activeRequests()); });
     m_metrics.observeCounter("jujuberelay_relay_connections_opened_total", "Connections opened to endpoints and the store.",
         [this] { return m_client->connectionsOpened(); });
--- a/Tests/LibRelay/RelayFixture.h
+++ b/Tests/LibRelay/RelayFixture.h
@@ -10,7 +10,7 @@
 // A relay with endpoints and callers on loopback and a minimal wire codec.
 namespace RelayTest {
 
-// "Id" identifies the request, "Not-Run", "Seal", "Leaving" and, in a 503, "Pause-Ms" are an endpoint's response metadata, "Tokens" is the
+// "Id" identifies the request, "Not-Run", "Seal", "Leaving", "Limit" and, in a 503, "Pause-Ms" are an endpoint's response metadata, "Tokens" is the
 // prompt's size, "Parts" are the ids of the prompt's parts, separated by commas.
 inline Relay::WireCodec makeCodec()
 {
@@ -49,6 +49,8 @@
         metadata.isLeaving = HTTP::findHeader(headers, "Leaving").has_value();
         if (std::optional<std::string> text = HTTP::findHeader(headers, "Pause-Ms"); text && status == 503)
             metadata.pausedUntil = Core::Deadline::after(std::chrono::milliseconds(std::stoi(*text)));
+        if (std::optional<std::string> text = HTTP::findHeader(headers, "Limit"))
+            metadata.requestLimit = std::stod(*text);
         return metadata;
     };
     codec.callerHeaders = [](const HTTP::Headers& headers) {
--- a/Tests/PlatformAdapter/TestCodec.cpp
+++ b/Tests/PlatformAdapter/TestCodec.cpp
@@ -203,3 +203,20 @@
         cr_assert_not(decodePause(503, value), "%s", value);
     cr_assert_not(makeCodec().decodeResponseMetadata(503, {}).pausedUntil);
 }
+
+// Guards against ignoring the limit that an endpoint names in an answer of any kind, and against taking that of another endpoint, which
+// answers with 421, for its limit.
+Test(Codec, requestLimitIsDecoded)
+{
+    auto limit = [](unsigned status, const std::string& value) {
+        return makeCodec().decodeResponseMetadata(status, { { "X-Attempt-Id", "r1" }, { "server-limit", value } }).requestLimit;
+    };
+    for (unsigned status : { 200u, 404u, 429u, 500u, 503u })
+        cr_assert_eq(limit(status, "2.5").value_or(-1), 2.5, "%u", status);
+    cr_assert_eq(limit(200, " 40 ").value_or(-1), 40);
+    cr_assert_eq(limit(200, "0").value_or(-1), 0);
+    cr_assert_not(limit(421, "2.5"));
+    for (const char* value : { "", "-1", "-0.0", "1e3", "nan", "inf", "4/s", "2,5" })
+        cr_assert_not(limit(200, value), "%s", value);
+    cr_assert_not(makeCodec().decodeResponseMetadata(200, {}).requestLimit);
+}
--- a/Tests/PlatformAdapter/TestGeneratedInput.cpp
+++ b/Tests/PlatformAdapter/TestGeneratedInput.cpp
@@ -2,6 +2,7 @@
 #include "Mutation.h"
 #include "PlatformAdapter/Adapter.h"
 #include "RunTask.h"
+#include <cmath>
 
 using nlohmann::json;
 
@@ -70,18 +71,23 @@
 {
     std::mt19937_64 random(5);
     Relay::WireCodec codec = PlatformAdapter::makeCodec();
-    const HTTP::Headers valid { { "X-Attempt-Id", "1" }, { "Server-Leaving", "1" }, { "Retry-After", "12.5" }, { "X-Server-Seal", "s" }, { "X-Not-Executed", "1" } };
+    const HTTP::Headers valid { { "X-Attempt-Id", "1" }, { "Server-Leaving", "1" }, { "Retry-After", "12.5" }, { "X-Server-Seal", "s" }, { "X-Not-Executed", "1" }, { "Server-Limit", "2.5" } };
     int pauses = 0;
+    int limits = 0;
     for (int i = 0; i < caseCount; ++i) {
         HTTP::Headers headers = valid;
         HTTP::Header& header = headers[random() % headers.size()];
         header.value = TestSupport::mutateBytes(header.value, random);
         Core::SteadyClock::time_point before = Core::SteadyClock::now();
-        std::optional<Core::Deadline> until = codec.decodeResponseMetadata(503, headers).pausedUntil;
+        Relay::ResponseMetadata metadata = codec.decodeResponseMetadata(503, headers);
+        std::optional<Core::Deadline> until = metadata.pausedUntil;
         cr_assert(!until || (until->at() >= before && until->remaining() <= std::chrono::minutes(10)), "case %d: %s", i, header.value.c_str());
         pauses += until.has_value();
+        cr_assert(!metadata.requestLimit || (*metadata.requestLimit >= 0 && std::isfinite(*metadata.requestLimit)), "case %d: %s", i, header.value.c_str());
+        limits += metadata.requestLimit.has_value();
     }
     cr_assert(pauses > 0 && pauses < caseCount);
+    cr_assert(limits > 0 && limits < caseCount);
 }
 
 // A store response that deviates from the documented format must not throw: the exception would end the task that follows
