Relay: the limits that endpoints name are kept by all daemons together

Cause: nothing acted on the limit. The class: a bound on the sum over all daemons that no daemon can keep by its own counts; no single daemon exceeded it.

One daemon, the first of the announced ones in rendezvous order, issues an endpoint's permits at the full rate, paced (RequestPacer). It does so only while its list of daemons was confirmed within 5.5 s and 6 s after its own announcement, so that two daemons never issue at a time while hosts join, stop or are cut off; a stopping daemon issues until it withdraws its announcement. A request without a permit goes to its next endpoint without a limit, waits an eighth of its objective, or is refused as not run.

--- a/Libraries/LibRelay/include/LibRelay/EndpointSelector.h
+++ b/Libraries/LibRelay/include/LibRelay/EndpointSelector.h
@@ -4,6 +4,7 @@
 #include "LibRelay/CallerRequest.h"
 #include "LibRelay/EndpointDirectory.h"
 #include "LibRelay/EndpointLimits.h"
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -20,6 +21,8 @@
     uint64_t affinity { 0 };
     // Endpoints to which this request has already been sent.
     std::set<std::string> excluded;
+    // Only endpoints without a limit on requests a second.
+    bool isUnlimitedOnly { false };
 };
 
 // Selects endpoints by the load and failures that this daemon has observed.
@@ -31,13 +34,14 @@
     const Endpoint* choose(const SelectionQuery&, Core::SteadyClock::time_point now) const;
     // Whether choose() would return an endpoint without recent failures or refusals.
     bool hasHealthy(const SelectionQuery&, Core::SteadyClock::time_point now) const;
-    // Whether any endpoint of the service takes requests.
-    bool hasAny(const std::string& service, Core::SteadyClock::time_point now) const;
     // Whether the endpoint's process takes further requests, as far as this daemon knows.
     bool takesRequests(const Endpoint& endpoint, Core::SteadyClock::time_point now) const { return !m_directory.isLeaving(endpoint) && !isPaused(endpoint, now); }
     bool isPaused(const Endpoint&, Core::SteadyClock::time_point now) const;
-    // When the first endpoint of the service ends its pause. Empty if one takes requests now, or if none will.
-    std::optional<Core::SteadyClock::time_point> pauseEnd(const std::string& service, Core::SteadyClock::time_point now) const;
+    // When the first endpoint of the service takes requests again after a pause or a refused permit. Empty if one takes requests
+    // now, or if none will.
+    std::optional<Core::SteadyClock::time_point> takesRequestsAt(const std::string& service, Core::SteadyClock::time_point now) const;
+    // When the first endpoint that the query may find takes requests, or a permit for it can be asked for. Empty if there is none.
+    std::optional<Core::SteadyClock::time_point> nextPermitAt(const SelectionQuery&, Core::SteadyClock::time_point now) const;
 
     void recordStart(const std::string& endpoint, Core::SteadyClock::time_point now);
     // Records that data arrived from the endpoint.
@@ -53,6 +57,8 @@
     // Records that the endpoint's process wants no request before the given time. A pause is never shortened, and it outlasts the
     // registration; a process with a later start time has none. Returns false if the pause was known.
     bool recordPause(const Endpoint&, Core::SteadyClock::time_point until, Core::SteadyClock::time_point now);
+    // Records that no permit for the endpoint is to be had before the given time.
+    void recordPermitRefusal(const std::string& endpoint, Core::SteadyClock::time_point until);
     // The limits that endpoints have named.
     EndpointLimits& limits() { return m_limits; }
     const EndpointLimits& limits() const { return m_limits; }
@@ -75,6 +81,7 @@
         Core::SteadyClock::time_point lastBytesAt {};
         Core::SteadyClock::time_point overloadedUntil {};
         Core::SteadyClock::time_point suspectUntil {};
+        Core::SteadyClock::time_point noPermitUntil {};
     };
 
     struct Pause {
@@ -83,7 +90,12 @@
         Core::SteadyClock::time_point until {};
     };
 
-    bool isCandidate(const Endpoint&, const SelectionQuery&, Core::SteadyClock::time_point now) const;
+    // Whether the endpoint is a candidate apart from a refused permit.
+    bool isEligible(const Endpoint&, const SelectionQuery&, Core::SteadyClock::time_point now) const;
+    bool isCandidate(const Endpoint& endpoint, const SelectionQuery& query, Core::SteadyClock::time_point now) const { return isEligible(endpoint, query, now) && noPermitUntil(endpoint) <= now; }
+    const Endpoint* chooseAmong(const std::function<bool(const Endpoint&)>& isIncluded, uint64_t affinity, Core::SteadyClock::time_point now) const;
+    // When a permit for the endpoint can be asked for after a refusal.
+    Core::SteadyClock::time_point noPermitUntil(const Endpoint&) const;
     const Endpoint* chooseByAffinity(const std::vector<const Endpoint*>& candidates, uint64_t affinity) const;
     const Endpoint* chooseByCost(const std::vector<const Endpoint*>& candidates, Core::SteadyClock::time_point now) const;
     // Lower is better.
--- a/Libraries/LibRelay/include/LibRelay/PeerTable.h
+++ b/Libraries/LibRelay/include/LibRelay/PeerTable.h
@@ -2,6 +2,7 @@
 
 #include "LibCore/Address.h"
 #include "LibCore/Deadline.h"
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -30,10 +31,14 @@
 
     // The daemon to which the job is assigned; empty if it is this one.
     std::optional<Core::Address> assigneeOf(uint64_t job) const;
+    // The same, but regardless of suspicions: daemons with the same peer list agree on it.
+    std::optional<Core::Address> ownerOf(uint64_t job) const;
     // The daemon in the same failure domain through which this one watches the store; empty if it watches the store directly.
     // Each watcher serves only a few daemons, which limits how often one host has to send a change.
     std::optional<Core::Address> watcher() const;
 
+    // Whether the daemon has not answered recently.
+    bool isSuspect(const Core::Address&) const;
     // Marks a daemon that did not answer. It is skipped for a time that doubles with each consecutive failure.
     void suspect(const Core::Address&);
     void clearSuspicion(const Core::Address&);
@@ -46,9 +51,10 @@
         int failures { 0 };
     };
 
-    bool isSuspect(const Core::Address&) const;
-    // Null if all daemons are suspected.
-    const PeerInfo* choose(uint64_t job, bool isLocalOnly) const;
+    // Null if no daemon is eligible.
+    const PeerInfo* choose(uint64_t job, const std::function<bool(const PeerInfo&)>& isEligible) const;
+    // The address of a daemon other than this one.
+    std::optional<Core::Address> addressOf(const PeerInfo*) const;
 
     PeerInfo m_self;
     std::vector<PeerInfo> m_daemons;
--- a/Libraries/LibRelay/include/LibRelay/RequestHandler.h
+++ b/Libraries/LibRelay/include/LibRelay/RequestHandler.h
@@ -6,6 +6,7 @@
 #include "LibRelay/CallerRequest.h"
 #include "LibRelay/CrashCheck.h"
 #include "LibRelay/EndpointSelector.h"
+#include "LibRelay/PermitService.h"
 #include "LibRelay/PromptQuarantine.h"
 #include "LibRouting/RetryBudget.h"
 #include "LibTelemetry/Metrics.h"
@@ -40,6 +41,8 @@
     // Called for each answer in which an endpoint's process says that it is leaving, with the id of the request that brought it.
     // May be unset.
     std::function<void(const Endpoint&, const std::string& request)> endpointLeaves {};
+    // Asks for a permit to send one request to an endpoint with this limit on requests a second.
+    std::function<Core::Task<PermitService::Permit>(std::string endpoint, double perSecond)> acquirePermit;
 };
 
 struct HandlerSettings {
--- a/Libraries/LibRelay/src/EndpointSelector.cpp
+++ b/Libraries/LibRelay/src/EndpointSelector.cpp
@@ -71,23 +71,32 @@
     return cost;
 }
 
-bool EndpointSelector::isCandidate(const Endpoint& endpoint, const SelectionQuery& query, TimePoint now) const
+bool EndpointSelector::isEligible(const Endpoint& endpoint, const SelectionQuery& query, TimePoint now) const
 {
-    return endpoint.service == query.service && !endpoint.isLeaving && !isPaused(endpoint, now) && !query.excluded.contains(endpoint.id);
+    return endpoint.service == query.service && !endpoint.isLeaving && !isPaused(endpoint, now) && !query.excluded.contains(endpoint.id)
+        && !(query.isUnlimitedOnly && m_limits.limitOf(endpoint));
 }
 
-bool EndpointSelector::hasHealthy(const SelectionQuery& query, TimePoint now) const
+TimePoint EndpointSelector::noPermitUntil(const Endpoint& endpoint) const
 {
-    return std::any_of(m_directory.endpoints().begin(), m_directory.endpoints().end(),
-        [this, &query, now](const auto& entry) { return isCandidate(entry.second, query, now) && isHealthy(entry.second, now); });
+    const EndpointState* state = find(endpoint.id);
+    return state && m_limits.limitOf(endpoint) ? state->noPermitUntil : TimePoint {};
+}
+
+std::optional<TimePoint> EndpointSelector::nextPermitAt(const SelectionQuery& query, TimePoint now) const
+{
+    std::optional<TimePoint> next;
+    for (const auto& [id, endpoint] : m_directory.endpoints()) {
+        if (isEligible(endpoint, query, now))
+            next = std::min(next.value_or(TimePoint::max()), noPermitUntil(endpoint));
+    }
+    return next;
 }
 
-bool EndpointSelector::hasAny(const std::string& service, TimePoint now) const
+bool EndpointSelector::hasHealthy(const SelectionQuery& query, TimePoint now) const
 {
-    SelectionQuery query;
-    query.service = service;
     return std::any_of(m_directory.endpoints().begin(), m_directory.endpoints().end(),
-        [this, &query, now](const auto& entry) { return isCandidate(entry.second, query, now); });
+        [this, &query, now](const auto& entry) { return isCandidate(entry.second, query, now) && isHealthy(entry.second, now); });
 }
 
 bool EndpointSelector::isPaused(const Endpoint& endpoint, TimePoint now) const
@@ -96,26 +105,41 @@
     return it != m_pauses.end() && now < it->second.until && endpoint.isWithinLifeOf(it->second.processStartMs);
 }
 
-std::optional<TimePoint> EndpointSelector::pauseEnd(const std::string& service, TimePoint now) const
+std::optional<TimePoint> EndpointSelector::takesRequestsAt(const std::string& service, TimePoint now) const
 {
-    std::optional<TimePoint> end;
+    std::optional<TimePoint> first;
     for (const auto& [id, endpoint] : m_directory.endpoints()) {
         if (endpoint.service != service || endpoint.isLeaving)
             continue;
-        if (!isPaused(endpoint, now))
+        TimePoint until = std::max(noPermitUntil(endpoint), isPaused(endpoint, now) ? m_pauses.at(id).until : TimePoint {});
+        if (until <= now)
             return std::nullopt;
-        TimePoint until = m_pauses.at(id).until;
-        end = std::min(end.value_or(until), until);
+        first = std::min(first.value_or(until), until);
     }
-    return end;
+    return first;
 }
 
 const Endpoint* EndpointSelector::choose(const SelectionQuery& query, TimePoint now) const
+{
+    if (query.affinity != 0) {
+        const Endpoint* preferred = chooseAmong([&](const Endpoint& endpoint) { return isEligible(endpoint, query, now); }, query.affinity, now);
+        if (!preferred || noPermitUntil(*preferred) <= now)
+            return preferred;
+        // Permits become free at any endpoint, but prompts with this affinity have one endpoint without a limit that comes next.
+        SelectionQuery unlimited = query;
+        unlimited.isUnlimitedOnly = true;
+        if (const Endpoint* next = chooseAmong([&](const Endpoint& endpoint) { return isEligible(endpoint, unlimited, now); }, query.affinity, now))
+            return next;
+    }
+    return chooseAmong([&](const Endpoint& endpoint) { return isCandidate(endpoint, query, now); }, query.affinity, now);
+}
+
+const Endpoint* EndpointSelector::chooseAmong(const std::function<bool(const Endpoint&)>& isIncluded, uint64_t affinity, TimePoint now) const
 {
     std::vector<const Endpoint*> candidates;
     std::vector<const Endpoint*> unhealthy;
     for (const auto& [id, endpoint] : m_directory.endpoints()) {
-        if (!isCandidate(endpoint, query, now))
+        if (!isIncluded(endpoint))
             continue;
         (isHealthy(endpoint, now) ? candidates : unhealthy).push_back(&endpoint);
     }
@@ -123,8 +147,8 @@
         candidates = std::move(unhealthy);
     if (candidates.empty())
         return nullptr;
-    if (query.affinity != 0)
-        return chooseByAffinity(candidates, query.affinity);
+    if (affinity != 0)
+        return chooseByAffinity(candidates, affinity);
     return chooseByCost(candidates, now);
 }
 
@@ -209,6 +233,11 @@
         state.suspectUntil = now + suspectDuration;
 }
 
+void EndpointSelector::recordPermitRefusal(const std::string& endpoint, TimePoint until)
+{
+    m_states[endpoint].noPermitUntil = until;
+}
+
 void EndpointSelector::recordOverload(const std::string& endpoint, TimePoint now)
 {
     m_states[endpoint].overloadedUntil = now + overloadBackoff;
--- a/Libraries/LibRelay/src/PeerTable.cpp
+++ b/Libraries/LibRelay/src/PeerTable.cpp
@@ -45,12 +45,12 @@
     return std::max(daemon.capacity, minCapacity) / -std::log(std::min(uniform, 1 - minCapacity));
 }
 
-const PeerInfo* PeerTable::choose(uint64_t job, bool isLocalOnly) const
+const PeerInfo* PeerTable::choose(uint64_t job, const std::function<bool(const PeerInfo&)>& isEligible) const
 {
     const PeerInfo* best = nullptr;
     double bestScore = 0;
     for (const PeerInfo& daemon : m_daemons) {
-        if ((isLocalOnly && daemon.failureDomain != m_self.failureDomain) || isSuspect(daemon.address))
+        if (!isEligible(daemon))
             continue;
         double score = scoreOf(daemon, job);
         if (best && score <= bestScore)
@@ -61,12 +61,21 @@
     return best;
 }
 
-std::optional<Core::Address> PeerTable::assigneeOf(uint64_t job) const
+std::optional<Core::Address> PeerTable::addressOf(const PeerInfo* daemon) const
 {
-    const PeerInfo* assignee = choose(job, false);
-    if (!assignee || assignee->address == m_self.address)
+    if (!daemon || daemon->address == m_self.address)
         return std::nullopt;
-    return assignee->address;
+    return daemon->address;
+}
+
+std::optional<Core::Address> PeerTable::assigneeOf(uint64_t job) const
+{
+    return addressOf(choose(job, [this](const PeerInfo& daemon) { return !isSuspect(daemon.address); }));
+}
+
+std::optional<Core::Address> PeerTable::ownerOf(uint64_t job) const
+{
+    return addressOf(choose(job, [](const PeerInfo&) { return true; }));
 }
 
 std::optional<Core::Address> PeerTable::watcher() const
@@ -78,7 +87,7 @@
     size_t ownGroup = Core::hash64(m_self.address.text()) % std::max<size_t>(groups, 1);
     std::optional<Core::Address> watcher;
     for (size_t group = 0; group < groups; ++group) {
-        const PeerInfo* assignee = choose(firstWatcherJob + group, true);
+        const PeerInfo* assignee = choose(firstWatcherJob + group, [this](const PeerInfo& daemon) { return daemon.failureDomain == m_self.failureDomain && !isSuspect(daemon.address); });
         // A watcher of any group watches the store directly, since only direct watchers may serve others.
         if (!assignee || assignee->address == m_self.address)
             return std::nullopt;
--- a/Libraries/LibRelay/src/RequestExecution.cpp
+++ b/Libraries/LibRelay/src/RequestExecution.cpp
@@ -19,6 +19,11 @@
 // A response that has not been sent this long after the request's deadline, because the caller does not read, is abandoned.
 static constexpr std::chrono::milliseconds lateResponseTime(300);
 static constexpr int64_t retryAfterOverloadMs = 400;
+// A request waits for a permit for at most its latency objective divided by this.
+static constexpr int64_t permitWaitDivisor = 8;
+static constexpr std::chrono::milliseconds minPermitWait(10);
+// Permits that a request asks for before it turns to endpoints without a limit, or waits. Bounds the calls of a busy fleet.
+static constexpr int maxPermitRequests = 4;
 // An outage of the store that has lasted for some time is expected to last as long again, between these bounds.
 static constexpr int64_t minRetryAfterStoreOutageMs = 700;
 static constexpr int64_t maxRetryAfterStoreOutageMs = 5'000;
@@ -168,7 +173,9 @@
 std::optional<Refusal> RequestExecution::findService()
 {
     m_service = selectService();
-    if (m_handler.m_selector.hasAny(m_service, Core::SteadyClock::now()))
+    Core::SteadyClock::time_point now = Core::SteadyClock::now();
+    std::optional<Core::SteadyClock::time_point> permitAt = m_handler.m_selector.nextPermitAt(selectionQuery(m_service), now);
+    if (permitAt && Deadline(*permitAt) < permitDeadline())
         return std::nullopt;
     return refusalWithoutEndpoint("no endpoint of service " + m_service);
 }
@@ -176,11 +183,11 @@
 Refusal RequestExecution::refusalWithoutEndpoint(std::string message) const
 {
     Core::SteadyClock::time_point now = Core::SteadyClock::now();
-    std::optional<Core::SteadyClock::time_point> pauseEnd = m_handler.m_selector.pauseEnd(m_service, now);
-    if (!pauseEnd)
+    std::optional<Core::SteadyClock::time_point> takesRequestsAt = m_handler.m_selector.takesRequestsAt(m_service, now);
+    if (!takesRequestsAt)
         return { 503, m_wasOverloaded ? "overloaded" : "no_endpoint", std::move(message), retryAfterOverloadMs };
-    int64_t pauseMs = std::chrono::ceil<std::chrono::milliseconds>(*pauseEnd - now).count();
-    return { 503, "overloaded", message + "; all endpoints have asked for a pause", pauseMs };
+    int64_t waitMs = std::chrono::ceil<std::chrono::milliseconds>(*takesRequestsAt - now).count();
+    return { 503, "overloaded", message + "; all endpoints have asked for a pause or take no more requests a second", std::max(waitMs, retryAfterOverloadMs) };
 }
 
 // Hash of the last shareable prompt part. The very last part is specific to the request.
@@ -194,7 +201,7 @@
 
 SelectionQuery RequestExecution::selectionQuery(const std::string& service) const
 {
-    return { service, m_isEngine, affinity(), m_excluded };
+    return { service, m_isEngine, affinity(), m_excluded, m_permitRequests >= maxPermitRequests };
 }
 
 bool RequestExecution::canRetry(Outcome outcome) const
@@ -216,10 +223,20 @@
     Outcome last = Outcome::NotRun;
     for (;;) {
         const Endpoint* endpoint = m_handler.m_selector.choose(selectionQuery(service), Core::SteadyClock::now());
+        if (!endpoint && co_await waitForPermit())
+            continue;
         if (!endpoint) {
             m_lastFailure += m_lastFailure.empty() ? "no endpoint of service " + service : "; no other endpoint available";
             break;
         }
+        Endpoint chosen = *endpoint;
+        bool isPermitted = co_await acquirePermit(chosen);
+        if (*m_isCallerGone) {
+            logCompletion("caller_gone", "");
+            co_return;
+        }
+        if (!isPermitted)
+            continue;
         std::optional<Refusal> refusal = quarantineRefusal();
         if (refusal && m_possibleRuns == 0) {
             co_await refuse(std::move(*refusal));
@@ -235,21 +252,12 @@
             m_lastFailure += "; retry budget of service " + service + " exhausted";
             break;
         }
-        Endpoint chosen = *endpoint;
         last = co_await attempt(chosen, HTTP::ConnectionUse::Pooled);
         if (m_wasWithheld && isRetry)
             retries.returnRetry(startedAt);
-        Core::SteadyClock::time_point repeatedAt = Core::SteadyClock::now();
-        // The endpoint most likely closed the idle connection and never saw the request.
-        if (m_wasConnectionStale && last == Outcome::Unknown && !m_hasCrashedEngine && m_route.mayRunAgain() && !*m_isCallerGone && !m_deadline.hasPassed()
-            && retries.takeRetry(repeatedAt)) {
-            --m_sends;
-            last = co_await attempt(chosen, HTTP::ConnectionUse::Fresh);
-            if (m_wasWithheld) {
-                ++m_sends;
-                retries.returnRetry(repeatedAt);
-            }
-        }
+        if (m_wasConnectionStale && last == Outcome::Unknown && !m_hasCrashedEngine && m_route.mayRunAgain() && co_await acquirePermit(chosen)
+            && !*m_isCallerGone && !m_deadline.hasPassed())
+            last = co_await repeatOnFreshConnection(chosen, retries);
         if (last == Outcome::Finished)
             co_return;
         if (!canRetry(last) || mayCrashAnotherEngine())
@@ -258,6 +266,53 @@
     co_await failRequest();
 }
 
+Core::Task<RequestExecution::Outcome> RequestExecution::repeatOnFreshConnection(const Endpoint& endpoint, Routing::RetryBudget& retries)
+{
+    Core::SteadyClock::time_point startedAt = Core::SteadyClock::now();
+    if (!retries.takeRetry(startedAt))
+        co_return Outcome::Unknown;
+    --m_sends;
+    Outcome outcome = co_await attempt(endpoint, HTTP::ConnectionUse::Fresh);
+    if (m_wasWithheld) {
+        ++m_sends;
+        retries.returnRetry(startedAt);
+    }
+    co_return outcome;
+}
+
+Deadline RequestExecution::permitDeadline() const
+{
+    return std::min(m_deadline, Deadline(m_startedAt + std::chrono::milliseconds(m_route.objectiveMs / permitWaitDivisor)));
+}
+
+Core::Task<bool> RequestExecution::acquirePermit(const Endpoint& endpoint)
+{
+    m_permitSource.clear();
+    std::optional<double> limit = m_handler.m_selector.limits().limitOf(endpoint);
+    if (!limit)
+        co_return true;
+    ++m_permitRequests;
+    PermitService::Permit permit = co_await m_handler.m_hooks.acquirePermit(endpoint.id, *limit);
+    m_permitSource = permit.isOwnShare ? "own_share" : "issuer";
+    m_handler.m_metrics.counter("jujuberelay_relay_permits_total", "Permits for endpoints that name a limit, by source and outcome.", { { "source", m_permitSource }, { "outcome", permit.reply.isGranted ? "granted" : "refused" } }).add();
+    if (permit.reply.isGranted)
+        co_return true;
+    m_handler.m_selector.recordPermitRefusal(endpoint.id, Core::SteadyClock::now() + std::chrono::milliseconds(permit.reply.retryAfterMs));
+    m_lastFailure = "endpoint " + endpoint.id + " takes only " + std::to_string(*limit) + " requests a second";
+    co_return false;
+}
+
+Core::Task<bool> RequestExecution::waitForPermit()
+{
+    m_permitRequests = 0;
+    std::optional<Core::SteadyClock::time_point> permitAt = m_handler.m_selector.nextPermitAt(selectionQuery(m_service), Core::SteadyClock::now());
+    Deadline until = Deadline(std::max(permitAt.value_or(Core::SteadyClock::time_point::max()), Core::SteadyClock::now() + minPermitWait));
+    if (!permitAt || until > permitDeadline() || *m_isCallerGone)
+        co_return false;
+    co_await Core::sleepUntil(until);
+    co_return true;
+}
+
 void RequestExecution::endWatch()
 {
     if (m_watched)
@@ -348,7 +403,7 @@
         return isExpected;
     };
     selector.recordStart(endpoint.id, now);
-    Core::logEvent(Events::requestSent, "request=" + m_request.id + " endpoint=" + endpoint.id + " service=" + endpoint.service + " in_flight=" + std::to_string(selector.inFlight(endpoint.id)) + " left_ms=" + std::to_string(m_deadline.remaining().count()) + " configuration=" + std::to_string(m_configuration->version()) + " after_event=" + std::to_string(m_lastEvent.value_or(0)) + describeTokens(m_request));
+    Core::logEvent(Events::requestSent, "request=" + m_request.id + " endpoint=" + endpoint.id + " service=" + endpoint.service + " in_flight=" + std::to_string(selector.inFlight(endpoint.id)) + " left_ms=" + std::to_string(m_deadline.remaining().count()) + " configuration=" + std::to_string(m_configuration->version()) + " after_event=" + std::to_string(m_lastEvent.value_or(0)) + (m_permitSource.empty() ? "" : " permit=" + m_permitSource) + describeTokens(m_request));
     startWatch(endpoint);
     Reason reason;
     std::optional<std::unique_ptr<HTTP::ResponseStream>> stream = co_await m_handler.m_client->call(
--- a/Libraries/LibRelay/src/RequestExecution.h
+++ b/Libraries/LibRelay/src/RequestExecution.h
@@ -35,6 +35,12 @@
     std::string selectService() const;
     uint64_t affinity() const;
     SelectionQuery selectionQuery(const std::string& service) const;
+    // Whether the request may be sent to the endpoint now, if that has named a limit.
+    Core::Task<bool> acquirePermit(const Endpoint&);
+    // Waits for the next permit at any endpoint that is left; false if the wait would be too long.
+    Core::Task<bool> waitForPermit();
+    // A request waits for permits up to this time.
+    Core::Deadline permitDeadline() const;
     Core::Task<Outcome> attempt(Endpoint, HTTP::ConnectionUse);
     // Watches the attempt if the stream could be moved to another endpoint.
     void startWatch(const Endpoint&);
@@ -46,6 +52,8 @@
     Core::Task<Outcome> forwardStream(const Endpoint&, HTTP::ResponseStream&, bool isSealed);
     Core::Task<bool> forwardEvent(const StreamEvent&, const HTTP::ResponseStream&);
     bool canRetry(Outcome) const;
+    // Sends the request once more to the endpoint that has closed the reused connection, most likely without having seen it.
+    Core::Task<Outcome> repeatOnFreshConnection(const Endpoint&, Routing::RetryBudget&);
     // The refusal of a request with a quarantined prompt part.
     std::optional<Refusal> quarantineRefusal();
     // Whether a request that has crashed an engine is suspected to crash the next one too.
@@ -78,6 +86,10 @@
     bool m_isEngine { false };
 
     std::set<std::string> m_excluded;
+    // Number of permits that were asked for since the last wait for one.
+    int m_permitRequests { 0 };
+    // Where the permit of the current attempt came from; for logs.
+    std::string m_permitSource;
     // Addresses to which the request was sent. Another endpoint may take over an address.
     std::set<Core::Address> m_addresses;
     // Number of endpoints to which the request was sent.
--- a/Libraries/LibRelay/src/SharedWatch.cpp
+++ b/Libraries/LibRelay/src/SharedWatch.cpp
@@ -1,8 +1,7 @@
 #include "LibRelay/SharedWatch.h"
 
-#include "LibCore/Cbor.h"
 #include "LibPlatform/ObjectCodec.h"
-#include <nlohmann/json.hpp>
+#include "PeerMessage.h"
 
 namespace Relay {
 
@@ -10,12 +9,6 @@
 
 static constexpr size_t maxMessageDepth = 2;
 
-static std::string pack(const json& message)
-{
-    std::vector<uint8_t> bytes = json::to_cbor(message);
-    return std::string(bytes.begin(), bytes.end());
-}
-
 static std::nullopt_t malformed(const char* step, const std::string& what, Core::Reason& reason)
 {
     reason = { Core::FailureKind::Invalid, step, "peer", what };
@@ -24,7 +17,7 @@
 
 std::string encodeWatchRequest(const WatchRequest& request)
 {
-    return pack({ { "prefix", request.prefix }, { "since", request.since }, { "wait_ms", request.wait.count() } });
+    return packMessage({ { "prefix", request.prefix }, { "since", request.since }, { "wait_ms", request.wait.count() } });
 }
 
 std::optional<WatchRequest> decodeWatchRequest(const std::string& bytes, Core::Reason& reason)
@@ -47,7 +40,7 @@
 std::string encodeWatchReply(const WatchReply& reply)
 {
     std::string objects = Platform::encodeListing({ reply.changes.revision, reply.changes.changed });
-    return pack({ { "objects", json::binary(std::vector<uint8_t>(objects.begin(), objects.end())) }, { "deleted", reply.changes.deleted },
+    return packMessage({ { "objects", json::binary(std::vector<uint8_t>(objects.begin(), objects.end())) }, { "deleted", reply.changes.deleted },
         { "age_ms", reply.age.count() }, { "held_ms", reply.held.count() } });
 }
 
--- a/Libraries/LibRelay/src/WorkspaceLedger.cpp
+++ b/Libraries/LibRelay/src/WorkspaceLedger.cpp
@@ -1,8 +1,7 @@
 #include "LibRelay/WorkspaceLedger.h"
 
-#include "LibCore/Cbor.h"
+#include "PeerMessage.h"
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 namespace Relay {
 
@@ -93,34 +92,15 @@
     }
 }
 
-static std::string pack(const json& message)
-{
-    std::vector<uint8_t> bytes = json::to_cbor(message);
-    return std::string(bytes.begin(), bytes.end());
-}
-
-template <typename Build>
-static auto unpack(const std::string& bytes, Core::Reason& reason, Build build) -> std::optional<decltype(build(json()))>
-{
-    try {
-        if (Core::isPlainCbor(bytes, maxMessageDepth))
-            return build(json::from_cbor(bytes));
-        reason = { Core::FailureKind::Invalid, "decode grant message", "peer", "not plain CBOR" };
-    } catch (const json::exception& error) {
-        reason = { Core::FailureKind::Invalid, "decode grant message", "peer", error.what() };
-    }
-    return std::nullopt;
-}
-
 std::string encodeTransfer(const TransferRequest& request)
 {
-    return pack({ { "workspace", request.workspace }, { "host", request.host }, { "incarnation", request.incarnation }, { "sequence", request.sequence },
+    return packMessage({ { "workspace", request.workspace }, { "host", request.host }, { "incarnation", request.incarnation }, { "sequence", request.sequence },
         { "wanted", request.wanted }, { "least", request.least } });
 }
 
 std::optional<TransferRequest> decodeTransfer(const std::string& bytes, Core::Reason& reason)
 {
-    return unpack(bytes, reason, [](const json& message) {
+    return unpackMessage(bytes, maxMessageDepth, "decode grant message", reason, [](const json& message) {
         TransferRequest request;
         request.workspace = message.at("workspace").get<std::string>();
         request.host = message.at("host").get<std::string>();
@@ -134,12 +114,12 @@
 
 std::string encodeReply(const TransferReply& reply)
 {
-    return pack({ { "tokens", reply.tokens }, { "remaining", reply.remaining }, { "granted_to_all", reply.grantedToAll } });
+    return packMessage({ { "tokens", reply.tokens }, { "remaining", reply.remaining }, { "granted_to_all", reply.grantedToAll } });
 }
 
 std::optional<TransferReply> decodeReply(const std::string& bytes, Core::Reason& reason)
 {
-    return unpack(bytes, reason, [](const json& message) {
+    return unpackMessage(bytes, maxMessageDepth, "decode grant message", reason, [](const json& message) {
         TransferReply reply;
         reply.tokens = message.at("tokens").get<Tokens>();
         reply.remaining = message.at("remaining").get<Tokens>();
--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -84,6 +84,8 @@
     , m_peers(executor, m_store, m_settings.host, selfInfo(), makePeerHooks())
     , m_grants(executor, m_store, selfInfo(), {})
     , m_watchers(selfInfo())
+    , m_issuers(selfInfo())
+    , m_permits(makePermitHooks())
     , m_endpoints([this](const Relay::Endpoint& endpoint, const char* why) {
         m_selector.forget(endpoint.id);
         Core::logEvent(RelayEvents::endpointRemoved, "endpoint=" + endpoint.id + " service=" + endpoint.service + " reason=\"" + why + "\"");
@@ -239,6 +241,7 @@
     hooks.storeSilence = [this] { return std::chrono::milliseconds(configurationAgeMs()); };
     hooks.servesUntil = [this] { return m_servesUntil; };
     hooks.rejectEndpoint = [this](const std::string& endpoint) { m_endpoints.reject(endpoint); };
+    hooks.acquirePermit = [this](std::string endpoint, double perSecond) { return m_permits.acquire(std::move(endpoint), perSecond); };
     hooks.endpointLeaves = [this](const Relay::Endpoint& endpoint, const std::string& request) {
         if (m_endpoints.markLeaving(endpoint, Core::SteadyClock::now()))
             Core::logEvent(RelayEvents::endpointLeaving, "endpoint=" + endpoint.id + " service=" + endpoint.service + " address=" + endpoint.address.text() + " source=answer request=" + request);
@@ -335,6 +338,8 @@
     m_suspectFollower.stop();
     m_quarantineStore.stop();
     m_peers.stop();
+    // Before the withdrawal, after which another daemon issues permits.
+    m_permits.stop();
     co_await m_budgets.returnAll(std::max(limit, Deadline::after(grantReturnTime / 2)));
     co_await m_peers.withdraw(Deadline::after(grantReturnTime / 4));
     m_peerStore.stop();
--- a/Services/jujuberelayd/src/RelayDaemon.h
+++ b/Services/jujuberelayd/src/RelayDaemon.h
@@ -35,6 +35,9 @@
     Relay::BudgetHooks makeBudgetHooks();
     Core::Task<std::optional<Relay::TransferReply>> requestTransfer(Core::Address, Relay::TransferRequest, Core::Deadline, Core::Reason&);
     Core::Task<std::optional<std::string>> serveTransfer(std::string body, Core::Reason&);
+    Relay::PermitHooks makePermitHooks();
+    Core::Task<std::optional<Relay::PermitReply>> requestPermit(Core::Address, Relay::PermitRequest, Core::Reason&);
+    Core::Task<std::optional<std::string>> servePermit(std::string body, Core::Reason&);
     Relay::FollowerHooks makeConfigurationHooks();
     Relay::FollowerHooks makeEndpointHooks();
     Relay::FollowerHooks makeAnnouncementHooks();
@@ -72,6 +75,9 @@
     Relay::GrantRouter m_grants;
     // Daemons whose watches on the store can be shared.
     Relay::PeerTable m_watchers;
+    // Daemons that issue permits for endpoints with a limit.
+    Relay::PeerTable m_issuers;
+    Relay::PermitService m_permits;
     std::shared_ptr<const Relay::Configuration> m_configuration;
     Relay::EndpointDirectory m_endpoints;
     Relay::EndpointSelector m_selector;
--- a/Services/jujuberelayd/src/RelayDaemonLinks.cpp
+++ b/Services/jujuberelayd/src/RelayDaemonLinks.cpp
@@ -1,3 +1,4 @@
+#include "LibCore/Hash.h"
 #include "RelayDaemon.h"
 #include "RelayEvents.h"
 
@@ -14,6 +15,9 @@
 // Call type that shares a watch on the store, and the time allowed for the response after the wait has ended.
 static constexpr const char* watchCallType = "watch";
 static constexpr std::chrono::milliseconds watchResponseMargin(350);
+// Call type that asks for a permit, and the time limit of the call: a request waits for it.
+static constexpr const char* permitCallType = "permit";
+static constexpr std::chrono::milliseconds permitTimeout(150);
 // A daemon that the store refuses is kept current by its peers if its configuration is not older than this, the age at which a peer
 // stops sharing its watch.
 static constexpr int64_t maxAgeServedByPeersMs = 2'000;
@@ -22,6 +26,7 @@
 {
     m_network.onCall(storeCallType, [this](Peer::Identity, std::string body, Reason& failure) { return m_peerStore.serve(std::move(body), failure); });
     m_network.onCall(transferCallType, [this](Peer::Identity, std::string body, Reason& failure) { return serveTransfer(std::move(body), failure); });
+    m_network.onCall(permitCallType, [this](Peer::Identity, std::string body, Reason& failure) { return servePermit(std::move(body), failure); });
     m_network.onCall(watchCallType, [this](Peer::Identity, std::string body, Reason& failure) { return serveWatch(std::move(body), failure); });
 }
 
@@ -68,11 +73,52 @@
     co_return Relay::encodeReply(*reply);
 }
 
+Relay::PermitHooks RelayDaemon::makePermitHooks()
+{
+    Relay::PermitHooks hooks;
+    hooks.issuerOf = [this](const std::string& endpoint) { return m_issuers.ownerOf(Core::hash64(endpoint)); };
+    hooks.request = [this](Core::Address issuer, Relay::PermitRequest request, Reason& reason) { return requestPermit(std::move(issuer), std::move(request), reason); };
+    hooks.daemons = [this] { return m_announcementFollower.hasListed() ? m_issuers.size() : 0; };
+    hooks.isFleetCurrent = [this] {
+        return m_announcementFollower.hasListed() && !m_announcementFollower.isLost()
+            && Core::SteadyClock::now() - m_announcementFollower.confirmedAt() <= Relay::PermitService::maxFleetAge;
+    };
+    return hooks;
+}
+
+Core::Task<std::optional<Relay::PermitReply>> RelayDaemon::requestPermit(Core::Address issuer, Relay::PermitRequest request, Reason& reason)
+{
+    if (m_issuers.isSuspect(issuer))
+        co_return std::nullopt;
+    std::optional<std::string> response = co_await m_network.call(issuer, permitCallType, Relay::encodePermitRequest(request), Deadline::after(permitTimeout), reason);
+    if (response) {
+        m_issuers.clearSuspicion(issuer);
+        co_return Relay::decodePermitReply(*response, reason);
+    }
+    // An issuer that refuses is there and may issue permits soon.
+    if (reason.kind != Core::FailureKind::Refused)
+        m_issuers.suspect(issuer);
+    co_return std::nullopt;
+}
+
+Core::Task<std::optional<std::string>> RelayDaemon::servePermit(std::string body, Reason& reason)
+{
+    std::optional<Relay::PermitRequest> request = Relay::decodePermitRequest(body, reason);
+    if (!request)
+        co_return std::nullopt;
+    std::optional<Relay::PermitReply> reply = m_permits.serve(*request, Core::SteadyClock::now());
+    if (reply)
+        co_return Relay::encodePermitReply(*reply);
+    reason = { Core::FailureKind::Unavailable, "serve permit", "peer", "this daemon does not issue permits of endpoint " + request->endpoint + " now" };
+    co_return std::nullopt;
+}
+
 Relay::PeerDirectory::Hooks RelayDaemon::makePeerHooks()
 {
     Relay::PeerDirectory::Hooks hooks;
     hooks.announced = [this](uint64_t revision) {
         m_budgets.setIncarnation(revision);
+        m_permits.setAnnounced(Core::SteadyClock::now());
         Core::logEvent(RelayEvents::announced, "incarnation=" + std::to_string(revision));
     };
     hooks.changed = [this](std::vector<Relay::PeerInfo> peers) {
@@ -81,6 +127,7 @@
             addresses.push_back(peer.address);
         m_peerStore.setPeers(addresses.empty() ? otherSeeds() : std::move(addresses));
         m_grants.peers().setPeers(peers);
+        m_issuers.setPeers(peers);
         m_watchers.setPeers(std::move(peers));
         m_budgets.setDaemons(m_watchers.size());
     };
@@ -169,6 +216,7 @@
         // A partition from the store usually includes the peers too, so they are assumed to be reachable again.
         m_grants.peers().clearSuspicions();
         m_watchers.clearSuspicions();
+        m_issuers.clearSuspicions();
         logStoreAvailability("store", false, "");
     };
     return hooks;
--- a/Tests/LibRelay/RelayFixture.h
+++ b/Tests/LibRelay/RelayFixture.h
@@ -122,6 +122,7 @@
     std::chrono::milliseconds storeSilence { 0 };
     std::optional<Core::Deadline> servesUntil;
     std::vector<std::string> rejected;
+    Relay::PermitService permits { makePermitHooks() };
     Relay::RequestHandler handler { context.get_executor(), makeCodec(), makeHooks(), makeHandlerSettings(), client, selector, budgets, quarantine, metrics };
     HTTP::Server relay { context.get_executor(), [this](HTTP::Request request, HTTP::ResponseWriter& response) { return handler.handle(std::move(request), response); } };
     Core::Address address;
@@ -140,6 +141,7 @@
     {
         Core::Reason reason;
         budgets.setIncarnation(1);
+        permits.setAnnounced(Core::SteadyClock::now() - Relay::PermitService::settlingTime);
         budgets.adopt(*configuration);
         address = relay.listen({ "127.0.0.1", 0 }, reason).value();
         for (size_t i = 0; i < endpointCount; ++i) {
@@ -173,6 +175,16 @@
         return hooks;
     }
 
+    // The only daemon issues all permits.
+    static Relay::PermitHooks makePermitHooks()
+    {
+        Relay::PermitHooks hooks;
+        hooks.issuerOf = [](const std::string&) -> std::optional<Core::Address> { return std::nullopt; };
+        hooks.daemons = [] { return size_t { 1 }; };
+        hooks.isFleetCurrent = [] { return true; };
+        return hooks;
+    }
+
     // Silence limits short enough for tests.
     static Relay::HandlerSettings makeHandlerSettings()
     {
@@ -192,6 +204,7 @@
         hooks.storeSilence = [this] { return storeSilence; };
         hooks.servesUntil = [this] { return servesUntil; };
         hooks.rejectEndpoint = [this](const std::string& endpoint) { rejected.push_back(endpoint); };
+        hooks.acquirePermit = [this](std::string endpoint, double perSecond) { return permits.acquire(std::move(endpoint), perSecond); };
         hooks.endpointLeaves = [this](const Relay::Endpoint& endpoint, const std::string&) { directory.markLeaving(endpoint, Core::SteadyClock::now()); };
         return hooks;
     }
--- a/Tests/LibRelay/TestEndpointSelector.cpp
+++ b/Tests/LibRelay/TestEndpointSelector.cpp
@@ -124,8 +124,8 @@
     selector.recordOverload(other.id, last);
     cr_assert_eq(selector.choose({ "engines", true, 0, {} }, last)->id, other.id);
     cr_assert_not(selector.hasHealthy({ "engines", true, 0, {} }, last));
-    cr_assert(selector.hasAny("engines", last));
-    cr_assert_not(selector.pauseEnd("engines", last));
+    cr_assert(selector.nextPermitAt({ "engines", false, 0, {} }, last));
+    cr_assert_not(selector.takesRequestsAt("engines", last));
     SelectionQuery onlyPaused { "engines", true, 0, { other.id } };
     cr_assert_null(selector.choose(onlyPaused, last));
     cr_assert_not(selector.takesRequests(paused, last));
@@ -140,11 +140,11 @@
     EndpointDirectory directory({});
     EndpointSelector selector(directory, "zone-a");
     Core::SteadyClock::time_point now = Core::SteadyClock::now();
-    cr_assert_not(selector.pauseEnd("engines", now));
+    cr_assert_not(selector.takesRequestsAt("engines", now));
     for (size_t i = 0; i < 3; ++i) {
         directory.put(makeEndpoint(i));
-        cr_assert(selector.hasAny("engines", now));
-        cr_assert_not(selector.pauseEnd("engines", now));
+        cr_assert(selector.nextPermitAt({ "engines", false, 0, {} }, now));
+        cr_assert_not(selector.takesRequestsAt("engines", now));
         selector.recordPause(makeEndpoint(i), now + std::chrono::seconds(5 - i), now);
     }
     // One that leaves does not return.
@@ -152,9 +152,9 @@
     Endpoint foreign = makeEndpoint(3);
     foreign.service = "other";
     directory.put(foreign);
-    cr_assert_not(selector.hasAny("engines", now));
-    cr_assert(selector.pauseEnd("engines", now) == now + std::chrono::seconds(4));
-    cr_assert_not(selector.pauseEnd("engines", now + std::chrono::seconds(4)));
+    cr_assert_not(selector.nextPermitAt({ "engines", false, 0, {} }, now));
+    cr_assert(selector.takesRequestsAt("engines", now) == now + std::chrono::seconds(4));
+    cr_assert_not(selector.takesRequestsAt("engines", now + std::chrono::seconds(4)));
 }
 
 // Guards against ending a pause because the registration lapsed, and against avoiding a new process for the pause of an earlier one.
--- a/Tests/LibRelay/TestGeneratedMessages.cpp
+++ b/Tests/LibRelay/TestGeneratedMessages.cpp
@@ -1,4 +1,5 @@
 #include "LibRelay/EventStream.h"
+#include "LibRelay/PermitService.h"
 #include "LibRelay/SharedWatch.h"
 #include "LibRelay/WorkspaceLedger.h"
 #include "Mutation.h"
@@ -19,10 +20,12 @@
     const std::string reply = encodeReply({ 50, 900, 100 });
     const std::string watchRequest = encodeWatchRequest({ "servers/", 7, std::chrono::milliseconds(5) });
     const std::string watchReply = encodeWatchReply({ { 9, { { "servers/a", 8, "{}" } }, { "servers/b" } }, std::chrono::milliseconds(1), std::chrono::milliseconds(2) });
+    const std::string permitRequest = encodePermitRequest({ "e", 2.5 });
+    const std::string permitReply = encodePermitReply({ false, 40 });
     for (int i = 0; i < cases; ++i) {
         Core::Reason reason;
         bool isDecoded = false;
-        switch (i % 5) {
+        switch (i % 7) {
         case 0:
             isDecoded = decodeShard(TestSupport::mutateBytes(ledger, random), reason).has_value();
             break;
@@ -35,6 +38,12 @@
         case 3:
             isDecoded = decodeWatchRequest(TestSupport::mutateBytes(watchRequest, random), reason).has_value();
             break;
+        case 4:
+            isDecoded = decodePermitRequest(TestSupport::mutateBytes(permitRequest, random), reason).has_value();
+            break;
+        case 5:
+            isDecoded = decodePermitReply(TestSupport::mutateBytes(permitReply, random), reason).has_value();
+            break;
         default:
             isDecoded = decodeWatchReply(TestSupport::mutateBytes(watchReply, random), reason).has_value();
         }
