--- a/Libraries/LibRelay/include/LibRelay/EndpointSelector.h
+++ b/Libraries/LibRelay/include/LibRelay/EndpointSelector.h
@@ -4,7 +4,6 @@
 #include "LibRelay/CallerRequest.h"
 #include "LibRelay/EndpointDirectory.h"
 #include "LibRelay/EndpointLimits.h"
-#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -93,7 +92,6 @@
     // Whether the endpoint is a candidate apart from a refused permit.
     bool isEligible(const Endpoint&, const SelectionQuery&, Core::SteadyClock::time_point now) const;
     bool isCandidate(const Endpoint& endpoint, const SelectionQuery& query, Core::SteadyClock::time_point now) const { return isEligible(endpoint, query, now) && noPermitUntil(endpoint) <= now; }
-    const Endpoint* chooseAmong(const std::function<bool(const Endpoint&)>& isIncluded, uint64_t affinity, Core::SteadyClock::time_point now) const;
     // When a permit for the endpoint can be asked for after a refusal.
     Core::SteadyClock::time_point noPermitUntil(const Endpoint&) const;
     const Endpoint* chooseByAffinity(const std::vector<const Endpoint*>& candidates, uint64_t affinity) const;
--- a/Libraries/LibRelay/src/EndpointSelector.cpp
+++ b/Libraries/LibRelay/src/EndpointSelector.cpp
@@ -120,26 +120,11 @@
 }
 
 const Endpoint* EndpointSelector::choose(const SelectionQuery& query, TimePoint now) const
-{
-    if (query.affinity != 0) {
-        const Endpoint* preferred = chooseAmong([&](const Endpoint& endpoint) { return isEligible(endpoint, query, now); }, query.affinity, now);
-        if (!preferred || noPermitUntil(*preferred) <= now)
-            return preferred;
-        // Permits become free at any endpoint, but prompts with this affinity have one endpoint without a limit that comes next.
-        SelectionQuery unlimited = query;
-        unlimited.isUnlimitedOnly = true;
-        if (const Endpoint* next = chooseAmong([&](const Endpoint& endpoint) { return isEligible(endpoint, unlimited, now); }, query.affinity, now))
-            return next;
-    }
-    return chooseAmong([&](const Endpoint& endpoint) { return isCandidate(endpoint, query, now); }, query.affinity, now);
-}
-
-const Endpoint* EndpointSelector::chooseAmong(const std::function<bool(const Endpoint&)>& isIncluded, uint64_t affinity, TimePoint now) const
 {
     std::vector<const Endpoint*> candidates;
     std::vector<const Endpoint*> unhealthy;
     for (const auto& [id, endpoint] : m_directory.endpoints()) {
-        if (!isIncluded(endpoint))
+        if (!isCandidate(endpoint, query, now))
             continue;
         (isHealthy(endpoint, now) ? candidates : unhealthy).push_back(&endpoint);
     }
@@ -147,8 +132,8 @@
         candidates = std::move(unhealthy);
     if (candidates.empty())
         return nullptr;
-    if (affinity != 0)
-        return chooseByAffinity(candidates, affinity);
+    if (query.affinity != 0)
+        return chooseByAffinity(candidates, query.affinity);
     return chooseByCost(candidates, now);
 }
 
