Versions of a restored store follow the earlier ones

Cause: the order of versions trusted the store never to give a revision out twice. StoreFollower ignored every listing below its revision, watched from that revision, got 410, listed again, and so on without a pause. The class: revisions as a clock across a loss.

The adapter puts the era that the store names into the upper bits of a version, so versions increase across a restoration and none is used twice. A call that depends on a version of an earlier era is not made (Conflict, or NotFound for a watch), and not believed if the restored store executed it. Followers list again, a cache serves no changes across a restoration, and E1717 logs it.

Tests: Store.versionsIncreaseAcrossARestoration, Store.listingDoesNotSpanARestoration, StoreFollower.restoredStoreIsListedAgain.

--- a/Libraries/LibPlatform/include/LibPlatform/ObjectStore.h
+++ b/Libraries/LibPlatform/include/LibPlatform/ObjectStore.h
@@ -14,9 +14,19 @@
 // The platform refuses larger values with 413.
 inline constexpr size_t maxValueBytes = 1'000'000;
 
-// The store's revision at which an object was last written; 0 stands for an object that does not exist.
+// The store's revision at which an object was last written; 0 stands for an object that does not exist. A store that is restored
+// from an older copy begins a new era, which is in the upper bits, and numbers its revisions from those of the copy. So versions
+// always increase, and no version is used twice, although revisions are.
 using Version = uint64_t;
 
+inline constexpr int revisionBits = 48;
+inline constexpr uint64_t maxRevision = (uint64_t { 1 } << revisionBits) - 1;
+inline constexpr uint64_t maxEra = (uint64_t { 1 } << (64 - revisionBits)) - 1;
+
+constexpr Version makeVersion(uint64_t era, uint64_t revision) { return (era << revisionBits) | revision; }
+constexpr uint64_t eraOf(Version version) { return version >> revisionBits; }
+constexpr uint64_t revisionOf(Version version) { return version & maxRevision; }
+
 struct Object {
     std::string name;
     Version version { 0 };
--- a/Libraries/LibPlatform/include/LibPlatform/ObjectTable.h
+++ b/Libraries/LibPlatform/include/LibPlatform/ObjectTable.h
@@ -41,6 +41,10 @@
     // after a restart of the store with older content.
     std::optional<Changes> changesAfter(const std::string& prefix, Version since, Core::Reason&) const;
 
+    // Replaces the content with a listing of all objects that was made earlier, as a restored store does, and begins a new era. Ends
+    // the waiting watches.
+    void restore(const Listing& copy);
+
     // Waits for changes after `since`; without any, ends empty at the deadline. Fails as changesAfter does, and with
     // Unavailable when interrupted. The table must outlive the task.
     Core::Task<std::optional<Changes>> watch(std::string watcher, std::string prefix, Version since, Core::Deadline, Core::Reason&);
--- a/Libraries/LibPlatform/src/ObjectTable.cpp
+++ b/Libraries/LibPlatform/src/ObjectTable.cpp
@@ -100,6 +100,20 @@
     return listing;
 }
 
+void ObjectTable::restore(const Listing& copy)
+{
+    uint64_t era = eraOf(m_revision) + 1;
+    m_objects.clear();
+    for (Object object : copy.objects) {
+        object.version = makeVersion(era, revisionOf(object.version));
+        m_objects[object.name] = object;
+    }
+    m_revision = makeVersion(era, revisionOf(copy.revision));
+    m_history.clear();
+    m_historyBytes = 0;
+    interruptWatches([](const std::string&) { return true; });
+}
+
 std::optional<Changes> ObjectTable::changesAfter(const std::string& prefix, Version since, Core::Reason& reason) const
 {
     // Every write has its own revision, so that the history holds the last revisions without gaps.
--- a/Libraries/LibRelay/include/LibRelay/StoreFollower.h
+++ b/Libraries/LibRelay/include/LibRelay/StoreFollower.h
@@ -32,6 +32,8 @@
     std::function<void(const Platform::Change&)> changed;
     std::function<void(const Core::Reason&)> lost;
     std::function<void()> regained;
+    // Called before `listed` if the store was restored from an older copy since the last listing. May be unset.
+    std::function<void()> restored {};
     // Watches through a daemon that shares its watch. The store is watched directly if this fails or is not set.
     std::function<Core::Task<std::optional<WatchReply>>(WatchRequest, Core::Reason&)> watchAtPeer;
 };
--- a/Libraries/LibRelay/src/ObjectCache.cpp
+++ b/Libraries/LibRelay/src/ObjectCache.cpp
@@ -32,7 +32,8 @@
 {
     if (listing.revision < m_revision)
         return;
-    if (m_revision == 0)
+    // What a restored store has lost is unknown, so deletions are known only from this snapshot on.
+    if (m_revision == 0 || Platform::eraOf(listing.revision) != Platform::eraOf(m_revision))
         m_completeSince = listing.revision;
     std::set<std::string> listed;
     for (const Platform::Object& object : listing.objects) {
--- a/Libraries/LibRelay/src/StoreFollower.cpp
+++ b/Libraries/LibRelay/src/StoreFollower.cpp
@@ -57,6 +57,8 @@
     // Ignore a listing that is older than a watch or another listing that finished earlier.
     if (m_hasListed && listing->revision < m_cache.revision())
         co_return true;
+    if (m_hasListed && m_hooks.restored && Platform::eraOf(listing->revision) != Platform::eraOf(m_cache.revision()))
+        m_hooks.restored();
     m_cache.replace(*listing);
     m_hasListed = true;
     m_hooks.listed(listing->objects);
--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -145,6 +145,11 @@
     Core::logEvent(isLost ? RelayEvents::storeLost : RelayEvents::storeRegained, std::string("following=") + what + " configuration_age_ms=" + std::to_string(configurationAgeMs()) + detail);
 }
 
+void RelayDaemon::logStoreRestored(const char* what)
+{
+    Core::logEvent(RelayEvents::storeRestored, std::string("following=") + what);
+}
+
 Relay::FollowerHooks RelayDaemon::makeConfigurationHooks()
 {
     Relay::FollowerHooks hooks;
@@ -158,6 +163,7 @@
     };
     hooks.lost = [this](const Reason& reason) { logStoreAvailability("configuration", true, " reason=\"" + reason.text() + "\""); };
     hooks.regained = [this] { logStoreAvailability("configuration", false, ""); };
+    hooks.restored = [this] { logStoreRestored("configuration"); };
     return hooks;
 }
 
--- a/Services/jujuberelayd/src/RelayDaemon.h
+++ b/Services/jujuberelayd/src/RelayDaemon.h
@@ -63,6 +63,7 @@
     // Seed peers other than this daemon, through which the store is reached until announcements of peers are known.
     std::vector<Core::Address> otherSeeds() const;
     void logStoreAvailability(const char* what, bool isLost, const std::string& detail);
+    void logStoreRestored(const char* what);
 
     boost::asio::any_io_executor m_executor;
     RelaySettings m_settings;
--- a/Services/jujuberelayd/src/RelayEvents.h
+++ b/Services/jujuberelayd/src/RelayEvents.h
@@ -10,6 +10,7 @@
 inline constexpr Core::Event reloaded { 1704, Core::Severity::Info, "relay_reloaded" };
 inline constexpr Core::Event storeLost { 1705, Core::Severity::Warning, "store_lost" };
 inline constexpr Core::Event storeRegained { 1706, Core::Severity::Info, "store_regained" };
+inline constexpr Core::Event storeRestored { 1717, Core::Severity::Warning, "store_restored" };
 inline constexpr Core::Event configurationAdopted { 1707, Core::Severity::Info, "configuration_adopted" };
 inline constexpr Core::Event objectIgnored { 1708, Core::Severity::Warning, "object_ignored" };
 inline constexpr Core::Event watchSource { 1714, Core::Severity::Info, "watch_source" };
--- a/Tests/LibRelay/TestStoreFollower.cpp
+++ b/Tests/LibRelay/TestStoreFollower.cpp
@@ -10,6 +10,7 @@
     std::map<std::string, std::string> seen;
     int lost { 0 };
     int regained { 0 };
+    int restored { 0 };
     std::function<Core::Task<std::optional<WatchReply>>(WatchRequest, Core::Reason&)> watchAtPeer;
     StoreFollower follower { context.get_executor(), store.hooks(), "config/", { 20, 500, 1, 0, 20, 2'000 }, makeHooks() };
 
@@ -35,6 +36,7 @@
         };
         hooks.lost = [this](const Core::Reason&) { ++lost; };
         hooks.regained = [this] { ++regained; };
+        hooks.restored = [this] { ++restored; };
         return hooks;
     }
 
@@ -238,3 +240,28 @@
     cr_assert_eq(fixture.seen["config/main"], "2");
     fixture.follower.stop();
 }
+
+// Guards against ignoring a store that was restored from an older copy: its revisions are below those seen before, and a change in it
+// may have a revision that was seen before.
+Test(StoreFollower, restoredStoreIsListedAgain)
+{
+    FollowerFixture fixture;
+    fixture.put("config/main", "1");
+    Platform::Listing copy = fixture.store.table().list("");
+    Core::spawn(fixture.context.get_executor(), "follow", fixture.follower.run());
+    for (const char* value : { "2", "3", "4" }) {
+        fixture.put("config/main", value);
+        fixture.runUntilSeen("config/main", value);
+    }
+    fixture.put("config/lost", "x");
+    fixture.runUntilSeen("config/lost", "x");
+    fixture.store.table().restore(copy);
+    fixture.runUntilSeen("config/main", "1");
+    cr_assert_eq(fixture.restored, 1);
+    fixture.put("config/main", "5");
+    fixture.runUntilSeen("config/main", "5");
+    // A daemon at a revision from before the restoration may know objects that this one has never seen.
+    Core::Reason reason;
+    cr_assert_not(TestSupport::runTask(fixture.context, fixture.follower.serve({ "config/", copy.revision, std::chrono::milliseconds(1) }, reason)));
+    fixture.follower.stop();
+}
--- a/Tests/PlatformAdapter/TestStore.cpp
+++ b/Tests/PlatformAdapter/TestStore.cpp
@@ -97,3 +97,59 @@
         TestSupport::runTask(fixture.context, fixture.store.watch("k/", 1, Core::Deadline::after(std::chrono::milliseconds(10)), fixture.reason));
     }
 }
+
+// Guards against taking revisions of a restored store for those given out before: versions must increase, and a call that depends on an
+// earlier one must not be made or believed.
+Test(Store, versionsIncreaseAcrossARestoration)
+{
+    StoreFixture fixture;
+    int era = 3;
+    fixture.respond = [&era](const HTTP::Request& request) {
+        std::string body = request.target.find("watch") != std::string::npos ? R"({"events":[],"as-of":41})" : object;
+        return HTTP::Response { 200, { { "Store-Era", std::to_string(era) } }, body };
+    };
+    auto get = [&fixture] { return TestSupport::runTask(fixture.context, fixture.store.get("k/a", fixture.soon(), fixture.reason)); };
+    auto watch = [&fixture](Platform::Version since) {
+        return TestSupport::runTask(fixture.context, fixture.store.watch("k/", since, Core::Deadline::after(std::chrono::milliseconds(50)), fixture.reason));
+    };
+    Platform::Version before = get()->version;
+    cr_assert_eq(TestSupport::runTask(fixture.context, fixture.store.put("k/a", "1", before, fixture.soon(), fixture.reason)).value(), before);
+    cr_assert(fixture.requests.back().body.find(R"("revision":41})") != std::string::npos, "%s", fixture.requests.back().body.c_str());
+    cr_assert_eq(watch(before)->revision, before);
+    cr_assert(fixture.requests.back().target.find("watch=41&") != std::string::npos);
+
+    // The answer of the first call after the restoration tells of it.
+    era = 4;
+    cr_assert_not(watch(before));
+    cr_assert_eq(fixture.reason.kind, Core::FailureKind::NotFound);
+    cr_assert_gt(get()->version, before);
+    fixture.requests.clear();
+    cr_assert_not(TestSupport::runTask(fixture.context, fixture.store.put("k/a", "1", before, fixture.soon(), fixture.reason)));
+    cr_assert_eq(fixture.reason.kind, Core::FailureKind::Conflict);
+    cr_assert_not(TestSupport::runTask(fixture.context, fixture.store.remove("k/a", before, fixture.soon(), fixture.reason)));
+    cr_assert_eq(fixture.reason.kind, Core::FailureKind::Conflict);
+    cr_assert_not(watch(before));
+    cr_assert_eq(fixture.reason.kind, Core::FailureKind::NotFound);
+    cr_assert(fixture.requests.empty());
+
+    // A late answer of the store before it, and a write that the restored store executed.
+    era = 3;
+    cr_assert_not(get());
+    cr_assert_eq(fixture.reason.kind, Core::FailureKind::Unavailable);
+    era = 5;
+    cr_assert_not(TestSupport::runTask(fixture.context, fixture.store.put("k/a", "1", Platform::makeVersion(4, 41), fixture.soon(), fixture.reason)));
+    cr_assert_eq(fixture.reason.kind, Core::FailureKind::OutcomeUnknown);
+}
+
+// Guards against joining pages of the store before and after it was restored.
+Test(Store, listingDoesNotSpanARestoration)
+{
+    StoreFixture fixture;
+    fixture.respond = [](const HTTP::Request& request) {
+        bool isFirst = request.target.find("after") == std::string::npos;
+        std::string body = std::string(R"({"items":[)") + object + R"(],"more-pages":)" + (isFirst ? "true" : "false") + R"(,"as-of":44})";
+        return HTTP::Response { 200, { { "Store-Era", isFirst ? "1" : "2" } }, body };
+    };
+    cr_assert_not(TestSupport::runTask(fixture.context, fixture.store.list("k/", fixture.soon(), fixture.reason)));
+    cr_assert_eq(fixture.reason.kind, Core::FailureKind::Unavailable);
+}
