Relay: endpoints that have left stay unused when the store is restored

A store that comes back from an older copy lists endpoints as they were: one that is leaving as ready, one that has left as registered, and it lacks those that registered since. Cause: the directory took each listing for the present. Processes that were leaving stay so; those whose registration was removed are left out of the first listing of the restored store, and return only if they register again; those that it lacks have the time to register again that they have after an outage.

Tests, both failed without the change: EndpointDirectory.restoredStoreDoesNotBringBackWhatHasLeft, endpointsThatARestoredStoreLacksHaveTimeToReturn.

--- a/Libraries/LibRelay/include/LibRelay/EndpointDirectory.h
+++ b/Libraries/LibRelay/include/LibRelay/EndpointDirectory.h
@@ -25,6 +25,9 @@
 
     void storeLost() { m_isStoreLost = true; }
     void storeRegained(Core::SteadyClock::time_point now);
+    // The store was restored from an older copy; the next listing is of the restored store. It may list endpoints that have left since
+    // the copy, which stay unused, and lack others, which have time to register again.
+    void storeRestored(Core::SteadyClock::time_point now);
     // Removes lapsed entries whose grace period is over.
     void expire(Core::SteadyClock::time_point now);
 
@@ -52,6 +55,13 @@
         Core::SteadyClock::time_point keptUntil {};
     };
 
+    // A process whose registration was removed.
+    struct DepartedProcess {
+        int64_t startedAtMs { 0 };
+        Core::SteadyClock::time_point keptUntil {};
+    };
+
+    bool hasDeparted(const Endpoint&) const;
     bool isInGracePeriod(Core::SteadyClock::time_point now) const { return m_isStoreLost || now < m_graceUntil; }
     void erase(const std::string& id, const char* reason);
     // Forgets a leaving process without a start time, whose next registration is a new process.
@@ -64,6 +74,9 @@
     std::map<std::string, Endpoint> m_rejected;
     // By endpoint id.
     std::map<std::string, LeavingProcess> m_leaving;
+    // By endpoint id. Only processes with a start time, which alone tells them from later ones.
+    std::map<std::string, DepartedProcess> m_departed;
+    bool m_isRestored { false };
     bool m_isStoreLost { false };
     Core::SteadyClock::time_point m_graceUntil {};
 };
--- a/Libraries/LibRelay/src/EndpointDirectory.cpp
+++ b/Libraries/LibRelay/src/EndpointDirectory.cpp
@@ -25,6 +25,7 @@
         return;
     m_rejected.erase(endpoint.id);
     std::string id = endpoint.id;
+    m_departed.erase(id);
     m_endpoints.insert_or_assign(std::move(id), std::move(endpoint));
 }
 
@@ -43,6 +44,9 @@
 {
     m_rejected.erase(id);
     if (!isInGracePeriod(now)) {
+        const Endpoint* endpoint = find(id);
+        if (endpoint && endpoint->startedAtMs != 0)
+            m_departed.insert_or_assign(id, DepartedProcess { endpoint->startedAtMs, now + leavingProcessRetention });
         erase(id, "registration removed from the store");
         forgetUnknownProcess(id);
         return;
@@ -53,8 +57,11 @@
 
 void EndpointDirectory::replaceAll(std::vector<Endpoint> listed, Core::SteadyClock::time_point now)
 {
+    bool isRestored = std::exchange(m_isRestored, false);
     std::set<std::string> present;
     for (Endpoint& endpoint : listed) {
+        if (isRestored && hasDeparted(endpoint))
+            continue;
         present.insert(endpoint.id);
         put(std::move(endpoint));
     }
@@ -77,6 +84,23 @@
     m_graceUntil = now + reregistrationGracePeriod;
 }
 
+void EndpointDirectory::storeRestored(Core::SteadyClock::time_point now)
+{
+    m_isRestored = true;
+    for (const auto& [id, endpoint] : m_endpoints) {
+        if (endpoint.isLeaving)
+            m_leaving.insert_or_assign(id, LeavingProcess { endpoint.startedAtMs, now + leavingProcessRetention });
+    }
+    storeLost();
+    storeRegained(now);
+}
+
+bool EndpointDirectory::hasDeparted(const Endpoint& endpoint) const
+{
+    auto it = m_departed.find(endpoint.id);
+    return it != m_departed.end() && endpoint.isWithinLifeOf(it->second.startedAtMs);
+}
+
 void EndpointDirectory::expire(Core::SteadyClock::time_point now)
 {
     if (isInGracePeriod(now))
@@ -90,6 +114,7 @@
             process.keptUntil = now + leavingProcessRetention;
     }
     std::erase_if(m_leaving, [now](const auto& entry) { return now >= entry.second.keptUntil; });
+    std::erase_if(m_departed, [now](const auto& entry) { return now >= entry.second.keptUntil; });
 }
 
 void EndpointDirectory::reject(const std::string& id)
--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -192,6 +192,10 @@
         m_endpoints.storeRegained(Core::SteadyClock::now());
         logStoreAvailability("endpoints", false, "");
     };
+    hooks.restored = [this] {
+        m_endpoints.storeRestored(Core::SteadyClock::now());
+        logStoreRestored("endpoints");
+    };
     return hooks;
 }
 
--- a/Tests/LibRelay/TestEndpointDirectory.cpp
+++ b/Tests/LibRelay/TestEndpointDirectory.cpp
@@ -154,3 +154,44 @@
     directory.expire(start + 2h);
     cr_assert_eq(directory.leavingProcesses(), 0);
 }
+
+// Guards against sending requests to an endpoint that has left, or is leaving, because a restored store lists it as it was before.
+Test(EndpointDirectory, restoredStoreDoesNotBringBackWhatHasLeft)
+{
+    EndpointDirectory directory({});
+    directory.put(makeEndpoint("left"));
+    Endpoint leaving = makeEndpoint("leaving");
+    leaving.isLeaving = true;
+    directory.put(leaving);
+    directory.put(makeEndpoint("restarted", 1));
+    directory.remove("left", start);
+    directory.remove("restarted", start);
+    directory.storeRestored(start + 1s);
+    directory.replaceAll({ makeEndpoint("left"), makeEndpoint("leaving"), makeEndpoint("restarted", 2) }, start + 1s);
+    cr_assert_null(directory.find("left"));
+    cr_assert(directory.find("leaving")->isLeaving);
+    cr_assert_not_null(directory.find("restarted"));
+    directory.expire(start + 10s);
+    directory.put(makeEndpoint("leaving"));
+    cr_assert(directory.find("leaving")->isLeaving);
+    directory.put(makeEndpoint("leaving", 2));
+    cr_assert_not(directory.find("leaving")->isLeaving);
+    // Its registration had lapsed, and it registers again.
+    directory.put(makeEndpoint("left"));
+    cr_assert_not_null(directory.find("left"));
+}
+
+// Guards against dropping endpoints that a restored store lacks before they have had time to register again, and against keeping them.
+Test(EndpointDirectory, endpointsThatARestoredStoreLacksHaveTimeToReturn)
+{
+    EndpointDirectory directory({});
+    directory.put(makeEndpoint("back"));
+    directory.put(makeEndpoint("gone"));
+    directory.storeRestored(start);
+    directory.replaceAll({}, start);
+    cr_assert_not_null(directory.find("back"));
+    directory.put(makeEndpoint("back"));
+    directory.expire(start + 3s);
+    cr_assert_not_null(directory.find("back"));
+    cr_assert_null(directory.find("gone"));
+}
