Relay: quarantines outlive the restoration of the store

A store that comes back from an older copy lacks the records of suspect parts of the last seconds, or lists older ones. Cause: a record that is not in a listing counted as removed, and crashes that an older record lacks as dropped, so engines would crash again. After a restoration, each daemon keeps what it knows and reports it again.

Test: PromptQuarantine.restoredStoreDoesNotEndAQuarantine, failed without the change. A record that an operator deleted within the lost seconds is back.

--- a/Libraries/LibRelay/include/LibRelay/PromptQuarantine.h
+++ b/Libraries/LibRelay/include/LibRelay/PromptQuarantine.h
@@ -77,6 +77,8 @@
     void adopt(SuspectRecord, Core::SteadyClock::time_point now);
     // Replaces all records with a listing.
     void replaceAll(std::vector<SuspectRecord>, Core::SteadyClock::time_point now);
+    // The store was restored from an older copy and may have lost records: what this daemon knows is reported again.
+    void storeRestored(Core::SteadyClock::time_point now);
     // The record was removed from the store.
     void remove(uint64_t key, const char* reason, Core::SteadyClock::time_point now);
 
--- a/Libraries/LibRelay/src/PromptQuarantine.cpp
+++ b/Libraries/LibRelay/src/PromptQuarantine.cpp
@@ -219,6 +219,16 @@
         adopt(std::move(record), now);
 }
 
+void PromptQuarantine::storeRestored(TimePoint now)
+{
+    for (auto& [key, suspect] : m_suspects) {
+        suspect.record.part.crashes.clear();
+        suspect.record.version = 0;
+        suspect.reportUntil = now + m_settings.reportTime;
+    }
+    notifyChanged();
+}
+
 void PromptQuarantine::remove(uint64_t key, const char* reason, TimePoint now)
 {
     m_cleared.add(key, now);
--- a/Services/jujuberelayd/src/RelayDaemonLinks.cpp
+++ b/Services/jujuberelayd/src/RelayDaemonLinks.cpp
@@ -151,6 +151,10 @@
     hooks.changed = [this](const Platform::Change& change) { m_quarantineStore.adopt(change); };
     hooks.lost = [this](const Reason& reason) { logStoreAvailability("suspect_parts", true, " reason=\"" + reason.text() + "\""); };
     hooks.regained = [this] { logStoreAvailability("suspect_parts", false, ""); };
+    hooks.restored = [this] {
+        m_quarantine.storeRestored(Core::SteadyClock::now());
+        logStoreRestored("suspect_parts");
+    };
     return hooks;
 }
 
--- a/Tests/LibRelay/TestPromptQuarantine.cpp
+++ b/Tests/LibRelay/TestPromptQuarantine.cpp
@@ -258,3 +258,23 @@
     quarantine.recordAnswer(parts, later);
     cr_assert_not(quarantine.findQuarantined(parts, later));
 }
+
+// Guards against forgetting a quarantine, or a part of its evidence, because a restored store lacks the record or lists an older one: the
+// engines would crash again. What is known is written again.
+Test(PromptQuarantine, restoredStoreDoesNotEndAQuarantine)
+{
+    for (bool hasOlderRecord : { false, true }) {
+        PromptQuarantine quarantine({}, {}, start);
+        quarantine.adopt(recordOf("deadly", 7, { crashOf(0), crashOf(1), crashOf(2) }), start);
+        cr_assert(quarantine.findQuarantined(prompt({ "deadly", "x" }), start));
+        quarantine.storeRestored(start);
+        std::vector<SuspectRecord> listed;
+        if (hasOlderRecord)
+            listed.push_back(recordOf("deadly", Platform::makeVersion(1, 5), { crashOf(0) }));
+        quarantine.replaceAll(listed, start);
+        cr_assert(quarantine.findQuarantined(prompt({ "deadly", "x" }), start));
+        std::optional<RecordChange> change = quarantine.reportOf(suspectKeyOf("deadly"), start);
+        cr_assert(change && change->record.part.crashes.size() == 3);
+        cr_assert_eq(change->record.version, hasOlderRecord ? Platform::makeVersion(1, 5) : 0);
+    }
+}
