Relay: announcements that a restored store has lost are made again

After a restoration, hosts that had announced themselves within the lost seconds were unknown to all others, to the end of their processes: nobody watched, allocated or issued permits through them, and a stop withdrew an announcement of another version. Cause: an announcement was made once. Daemons now look for their own in the first listing of the restored store and make it again; the others keep lost ones for 6 s. The incarnation stays that of the first announcement, since the process's grants are under it, and a daemon that has announced itself again issues permits only after the settling time.

Test: PeerDirectory.lostAnnouncementsAreKeptAndMadeAgain, failed without the change.

--- a/Libraries/LibRelay/include/LibRelay/PeerDirectory.h
+++ b/Libraries/LibRelay/include/LibRelay/PeerDirectory.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace Relay {
@@ -14,9 +15,11 @@
 class PeerDirectory {
 public:
     struct Hooks {
-        // Called with the announcement's revision in the store, which increases with each process on a host.
+        // Called with the version of this process's first announcement in the store, which increases with each process on a host.
         std::function<void(uint64_t)> announced;
         std::function<void(std::vector<PeerInfo>)> changed;
+        // Called when a lost announcement was written again. May be unset.
+        std::function<void()> announcedAgain {};
     };
 
     // The prefix of all announcements.
@@ -32,6 +35,13 @@
     void replaceAll(const std::vector<Platform::Object>&);
     void adopt(const Platform::Change&);
 
+    // The store was restored from an older copy; the next listing is of the restored store. Announcements that it has lost are kept
+    // until their daemons have had time to make them again, and so is this daemon's own.
+    void storeRestored() { m_isRestored = true; }
+
+    // The announced hosts, without this one.
+    std::set<std::string> hosts() const;
+
     // Stops trying to announce this daemon.
     void stop() { m_isStopping = true; }
 
@@ -45,6 +55,9 @@
     Core::Task<std::optional<Platform::Object>> readAnnouncement(Core::Reason&);
     void put(const Platform::Object&);
     void notifyChanged();
+    // After a restoration: announces this daemon again if the store has lost its announcement.
+    void checkAnnouncement(const std::vector<Platform::Object>&);
+    Core::Task<void> forgetLost();
 
     boost::asio::any_io_executor m_executor;
     Platform::ObjectStore m_store;
@@ -60,6 +73,12 @@
     bool m_isListingCurrent { false };
     bool m_isStarted { false };
     bool m_isAnnounced { false };
+    bool m_isAnnouncing { false };
+    // `announced` was called.
+    bool m_hasIncarnation { false };
+    bool m_isRestored { false };
+    // Peers whose announcements the restored store has lost.
+    std::set<std::string> m_lost;
     bool m_isStopping { false };
 };
 
--- a/Libraries/LibRelay/src/PeerDirectory.cpp
+++ b/Libraries/LibRelay/src/PeerDirectory.cpp
@@ -13,6 +13,8 @@
 
 static constexpr std::chrono::milliseconds storeTimeout(1'000);
 static constexpr std::chrono::milliseconds retryDelay(500);
+// Daemons announce themselves again within this time after they have listed a restored store.
+static constexpr std::chrono::milliseconds lostAnnouncementRetention(6'000);
 
 PeerDirectory::PeerDirectory(const boost::asio::any_io_executor& executor, Platform::ObjectStore store, std::string host, PeerInfo self, Hooks hooks)
     : m_executor(executor)
@@ -46,15 +48,12 @@
         co_return false;
     m_version = object ? object->version : 0;
     // An earlier write may have taken effect although its reply was lost.
-    if (object && json::parse(object->value, nullptr, false) == json::parse(value)) {
-        m_hooks.announced(m_version);
+    if (object && json::parse(object->value, nullptr, false) == json::parse(value))
         co_return true;
-    }
     std::optional<Platform::Version> version = co_await m_store.put(nameOf(m_host), value, m_version, Deadline::after(storeTimeout), reason);
     if (!version)
         co_return false;
     m_version = *version;
-    m_hooks.announced(m_version);
     co_return true;
 }
 
@@ -72,6 +71,7 @@
         peer.failureDomain = value["failure_domain"].get<std::string>();
     if (value.contains("capacity") && value["capacity"].is_number())
         peer.capacity = value["capacity"].get<double>();
+    m_lost.erase(object.name);
     m_peers.insert_or_assign(object.name, std::move(peer));
 }
 
@@ -85,12 +85,22 @@
 
 void PeerDirectory::replaceAll(const std::vector<Platform::Object>& announcements)
 {
-    m_peers.clear();
+    bool isRestored = std::exchange(m_isRestored, false);
+    for (const auto& [name, peer] : m_peers) {
+        if (isRestored)
+            m_lost.insert(name);
+    }
+    std::erase_if(m_peers, [this](const auto& entry) { return !m_lost.contains(entry.first); });
     for (const Platform::Object& announcement : announcements)
         put(announcement);
     notifyChanged();
-    if (std::exchange(m_isStarted, true))
+    if (isRestored && !m_lost.empty())
+        Core::spawn(m_executor, "forget lost announcements", forgetLost());
+    if (std::exchange(m_isStarted, true)) {
+        if (isRestored)
+            checkAnnouncement(announcements);
         return;
+    }
     for (const Platform::Object& announcement : announcements) {
         if (announcement.name == nameOf(m_host))
             m_listedAnnouncement = announcement;
@@ -99,8 +109,41 @@
     Core::spawn(m_executor, "announce", run());
 }
 
+std::set<std::string> PeerDirectory::hosts() const
+{
+    std::set<std::string> hosts;
+    for (const auto& [name, peer] : m_peers)
+        hosts.insert(name.substr(std::string_view(prefix).size()));
+    return hosts;
+}
+
+void PeerDirectory::checkAnnouncement(const std::vector<Platform::Object>& announcements)
+{
+    if (m_isStopping)
+        return;
+    for (const Platform::Object& announcement : announcements) {
+        json value = json::parse(announcement.value, nullptr, false);
+        if (announcement.name == nameOf(m_host) && value.is_object() && value.value("process", json()) == m_nonce) {
+            m_version = announcement.version;
+            return;
+        }
+    }
+    m_isAnnounced = false;
+    if (!m_isAnnouncing)
+        Core::spawn(m_executor, "announce", run());
+}
+
+Core::Task<void> PeerDirectory::forgetLost()
+{
+    co_await Core::sleepUntil(Deadline::after(lostAnnouncementRetention));
+    for (const std::string& name : std::exchange(m_lost, {}))
+        m_peers.erase(name);
+    notifyChanged();
+}
+
 void PeerDirectory::adopt(const Platform::Change& change)
 {
+    m_lost.erase(change.object.name);
     if (change.isDeleted)
         m_peers.erase(change.object.name);
     else
@@ -110,12 +153,20 @@
 
 Core::Task<void> PeerDirectory::run()
 {
+    m_isAnnouncing = true;
     while (!m_isStopping && !m_isAnnounced) {
         Reason reason;
         m_isAnnounced = co_await announce(reason);
         if (!m_isAnnounced)
             co_await Core::sleepUntil(Deadline::after(retryDelay));
     }
+    m_isAnnouncing = false;
+    if (!m_isAnnounced)
+        co_return;
+    if (!std::exchange(m_hasIncarnation, true))
+        m_hooks.announced(m_version);
+    else if (m_hooks.announcedAgain)
+        m_hooks.announcedAgain();
 }
 
 Core::Task<void> PeerDirectory::withdraw(Deadline deadline)
--- a/Services/jujuberelayd/src/RelayDaemonLinks.cpp
+++ b/Services/jujuberelayd/src/RelayDaemonLinks.cpp
@@ -121,6 +121,7 @@
         m_permits.setAnnounced(Core::SteadyClock::now());
         Core::logEvent(RelayEvents::announced, "incarnation=" + std::to_string(revision));
     };
+    hooks.announcedAgain = [this] { m_permits.setAnnounced(Core::SteadyClock::now()); };
     hooks.changed = [this](std::vector<Relay::PeerInfo> peers) {
         std::vector<Core::Address> addresses;
         for (const Relay::PeerInfo& peer : peers)
@@ -141,6 +142,10 @@
     hooks.changed = [this](const Platform::Change& change) { m_peers.adopt(change); };
     hooks.lost = [this](const Reason& reason) { logStoreAvailability("announcements", true, " reason=\"" + reason.text() + "\""); };
     hooks.regained = [this] { logStoreAvailability("announcements", false, ""); };
+    hooks.restored = [this] {
+        m_peers.storeRestored();
+        logStoreRestored("announcements");
+    };
     return hooks;
 }
 
--- a/Tests/LibRelay/TestPeerDirectory.cpp
+++ b/Tests/LibRelay/TestPeerDirectory.cpp
@@ -15,6 +15,7 @@
     std::vector<PeerInfo> peers;
     std::optional<uint64_t> incarnation;
     size_t peersAtAnnouncement { 0 };
+    int announcedAgain { 0 };
     PeerDirectory directory { context.get_executor(), store.hooks(), "own", { { "10.0.0.1", 7340 }, "zone-a" }, makeHooks() };
 
     PeerDirectory::Hooks makeHooks()
@@ -25,6 +26,7 @@
             peersAtAnnouncement = peers.size();
         };
         hooks.changed = [this](std::vector<PeerInfo> all) { peers = std::move(all); };
+        hooks.announcedAgain = [this] { ++announcedAgain; };
         return hooks;
     }
 };
@@ -111,3 +113,36 @@
     fixture.directory.replaceAll({});
     TestSupport::runUntil(fixture.context, [&fixture] { return fixture.incarnation.has_value(); });
 }
+
+// Guards against forgetting the other daemons, and against being forgotten by them, because a restored store has lost announcements. The
+// incarnation stays: this process's grants are under it.
+Test(PeerDirectory, lostAnnouncementsAreKeptAndMadeAgain)
+{
+    DirectoryFixture fixture;
+    Platform::Listing copy = fixture.store.table().list("");
+    Platform::Object other = announcementOf("other", R"({"address":"10.0.0.2:7340"})");
+    fixture.directory.replaceAll({ other });
+    TestSupport::runUntil(fixture.context, [&fixture] { return fixture.incarnation.has_value(); });
+    uint64_t incarnation = *fixture.incarnation;
+    fixture.store.table().restore(copy);
+    fixture.directory.storeRestored();
+    fixture.directory.replaceAll({});
+    cr_assert_eq(fixture.peers.size(), 1);
+    cr_assert(fixture.directory.hosts().contains("other"));
+    TestSupport::runUntil(fixture.context, [&fixture] { return fixture.announcedAgain == 1; });
+    Core::Reason reason;
+    cr_assert(fixture.store.table().get(PeerDirectory::nameOf("own"), reason));
+    cr_assert_eq(*fixture.incarnation, incarnation);
+    // The other one does not announce itself again.
+    TestSupport::runUntil(fixture.context, [&fixture] { return fixture.peers.empty(); });
+    // Restored with the announcement, which is then withdrawn under its new version.
+    copy = fixture.store.table().list("");
+    fixture.store.table().restore(copy);
+    fixture.directory.storeRestored();
+    fixture.directory.replaceAll(fixture.store.table().list("").objects);
+    TestSupport::runTask(fixture.context, [&fixture]() -> Core::Task<bool> {
+        co_await fixture.directory.withdraw(Core::Deadline::after(std::chrono::seconds(1)));
+        co_return true;
+    }());
+    cr_assert_not(fixture.store.table().get(PeerDirectory::nameOf("own"), reason));
+}
