Relay: ledgers of a restored store are rebuilt from what the daemons know

Cause: the store had lost the grants of the last seconds, which daemons held and spent, and the same tokens were granted again. The class: state that is assumed to be durable once it is acknowledged.

A shard names the era for which it is complete. One of an earlier era grants nothing (503, not 402); daemons go on with what they hold. Each announced daemon merges its last copy, which has all changes of its own and of the processes before it on its host, and confirms. When all have, or after 5 s, the shard is complete. If a daemon could not tell, because it was killed before it confirmed or cannot be reached, everything that remains of these budgets counts as granted: nobody knows what it spent. A daemon that returns later still enters its grants. Rows are merged by incarnation and sequence, and closed grants so that each counts once.

--- a/Libraries/LibRelay/include/LibRelay/GrantRouter.h
+++ b/Libraries/LibRelay/include/LibRelay/GrantRouter.h
@@ -29,6 +29,11 @@
     // Applies a change to this daemon's row in the store; see LedgerWriter::submit.
     Core::Task<std::optional<GrantState>> submit(GrantChange, bool isUrgent, Core::Deadline, Core::Reason&);
 
+    // Must be called before the first change; see LedgerWriter::start.
+    void start(const std::string& host, const std::function<std::set<std::string>()>& announcedHosts);
+    // Rebuilds the ledgers if the store was restored from an older copy.
+    void rebuild();
+
     // Writes pending changes of the workspace's shard without waiting for the end of the batch window.
     void flush(const std::string& workspace) { m_writers[shardOf(workspace)]->flush(); }
 
--- a/Libraries/LibRelay/include/LibRelay/LedgerWriter.h
+++ b/Libraries/LibRelay/include/LibRelay/LedgerWriter.h
@@ -3,7 +3,9 @@
 #include "LibCore/Async.h"
 #include "LibPlatform/ObjectStore.h"
 #include "LibRelay/WorkspaceLedger.h"
+#include <functional>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace Relay {
@@ -17,6 +19,10 @@
     int64_t maxCopyAgeMs { 100 };
     // Minimum delay before a failed write is retried. The jitter on top grows with the number of attempts.
     int64_t retryDelayMs { 60 };
+    // Interval in which a shard that is being rebuilt is looked at.
+    int64_t rebuildIntervalMs { 200 };
+    // How long the daemons that have not confirmed a shard are waited for.
+    int64_t rebuildLimitMs { 5'000 };
 };
 
 // Writes one shard's changes to the store and batches the changes of several daemons into one conditional write. Any daemon
@@ -32,6 +38,12 @@
     // Writes the collected changes without waiting for the end of the batch window.
     void flush();
 
+    // Must be called before the first change. Reads the shard, so that this process knows what the earlier ones on its host were
+    // granted. `announcedHosts` returns the hosts whose daemons may hold grants.
+    void start(std::string host, std::function<std::set<std::string>()> announcedHosts);
+    // Rebuilds the shard if the store was restored from an older copy.
+    void rebuild();
+
     uint64_t writes() const { return m_writes; }
 
 private:
@@ -53,7 +65,18 @@
     };
     using Batch = std::vector<std::shared_ptr<PendingChange>>;
 
+    // The last confirmed copy of the shard.
+    struct KnownShard {
+        Platform::Version version { 0 };
+        LedgerShard shard;
+    };
+
+    void spawnRun();
     Core::Task<void> run();
+    // Reads the shard, and adds what this daemon knows if the store was restored. Returns true once the shard is complete.
+    Core::Task<bool> synchronize();
+    bool isIncomplete() const { return m_shard->era < Platform::eraOf(m_version); }
+    void remember();
     Core::Task<void> waitForBatch();
     std::chrono::milliseconds retryDelay(int attempts) const;
     Core::Task<bool> read(Core::Reason&);
@@ -67,7 +90,13 @@
     Platform::ObjectStore m_store;
     std::string m_name;
     LedgerWriterSettings m_settings;
+    std::string m_host;
+    std::function<std::set<std::string>()> m_announcedHosts;
     std::optional<LedgerShard> m_shard;
+    std::optional<KnownShard> m_known;
+    // While the shard is rebuilt: when the daemons that have not confirmed it are no longer waited for.
+    std::optional<Core::Deadline> m_rebuildLimit;
+    bool m_isSynchronizing { false };
     Platform::Version m_version { 0 };
     Core::SteadyClock::time_point m_readAt {};
     Batch m_queue;
--- a/Libraries/LibRelay/include/LibRelay/WorkspaceLedger.h
+++ b/Libraries/LibRelay/include/LibRelay/WorkspaceLedger.h
@@ -4,6 +4,7 @@
 #include "LibRelay/Configuration.h"
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace Relay {
@@ -92,12 +93,35 @@
     // Adopts a newer budget and applies the change at most once. A change from a superseded process has no effect.
     GrantState apply(const GrantChange&);
 
+    // Adds what another copy of the ledger knows: each row as of its later change, and all closed grants.
+    void merge(const WorkspaceLedger&);
+
 private:
     GrantState stateOf(const std::string& host, bool isApplied) const;
 };
 
-// The ledgers of one shard's workspaces, stored as one object.
-using LedgerShard = std::map<std::string, WorkspaceLedger>;
+// The ledgers of one shard's workspaces, stored as one object. A store that was restored from an older copy has lost grants that
+// daemons hold and spend, so the shard of an earlier era has to be rebuilt from what the daemons know before anything is granted.
+struct LedgerShard {
+    // Era of the store for which the shard is complete.
+    uint64_t era { 0 };
+    // While it is rebuilt: the daemons that have added what they know, by host, and whether that includes the last change of each
+    // process on the host. A process that started after the restoration does not know what the one before it was granted.
+    std::map<std::string, bool> confirmed;
+    std::map<std::string, WorkspaceLedger> workspaces;
+    bool operator==(const LedgerShard&) const = default;
+
+    WorkspaceLedger& operator[](const std::string& workspace) { return workspaces[workspace]; }
+    const WorkspaceLedger& at(const std::string& workspace) const { return workspaces.at(workspace); }
+
+    // Adds what another copy of the shard knows.
+    void merge(const LedgerShard&);
+    // Whether all these hosts have confirmed the shard.
+    bool isConfirmedBy(const std::set<std::string>& hosts) const;
+    // Ends the rebuilding. If one of the hosts may hold grants that nobody knows of, everything that remains counts as granted.
+    // Returns whether that is so.
+    bool finishRebuilding(uint64_t storeEra, const std::set<std::string>& hosts);
+};
 
 std::string encodeShard(const LedgerShard&);
 std::optional<LedgerShard> decodeShard(const std::string& text, Core::Reason&);
--- a/Libraries/LibRelay/src/Events.h
+++ b/Libraries/LibRelay/src/Events.h
@@ -19,6 +19,7 @@
 inline constexpr Core::Event endpointLimited { 1735, Core::Severity::Info, "endpoint_limited" };
 inline constexpr Core::Event grantChanged { 1731, Core::Severity::Info, "grant_changed" };
 inline constexpr Core::Event tokensTransferred { 1733, Core::Severity::Info, "tokens_transferred" };
+inline constexpr Core::Event ledgerRebuilt { 1736, Core::Severity::Warning, "ledger_rebuilt" };
 inline constexpr Core::Event ledgerUnavailable { 1732, Core::Severity::Warning, "ledger_unavailable" };
 
 }
--- a/Libraries/LibRelay/src/GrantRouter.cpp
+++ b/Libraries/LibRelay/src/GrantRouter.cpp
@@ -29,6 +29,18 @@
     co_return co_await writer.submit(std::move(change), isUrgent, deadline, reason);
 }
 
+void GrantRouter::start(const std::string& host, const std::function<std::set<std::string>()>& announcedHosts)
+{
+    for (const std::unique_ptr<LedgerWriter>& writer : m_writers)
+        writer->start(host, announcedHosts);
+}
+
+void GrantRouter::rebuild()
+{
+    for (const std::unique_ptr<LedgerWriter>& writer : m_writers)
+        writer->rebuild();
+}
+
 uint64_t GrantRouter::writes() const
 {
     uint64_t sum = 0;
--- a/Libraries/LibRelay/src/LedgerWriter.cpp
+++ b/Libraries/LibRelay/src/LedgerWriter.cpp
@@ -28,14 +28,32 @@
     m_queue.push_back(pending);
     if (isUrgent)
         flush();
-    if (!std::exchange(m_isRunning, true))
-        Core::spawn(m_executor, "write ledger", run());
+    spawnRun();
     while (!pending->isDone)
         co_await pending->completed.wait(Deadline::never());
     reason = pending->reason;
     co_return pending->state;
 }
 
+void LedgerWriter::start(std::string host, std::function<std::set<std::string>()> announcedHosts)
+{
+    m_host = std::move(host);
+    m_announcedHosts = std::move(announcedHosts);
+    rebuild();
+}
+
+void LedgerWriter::rebuild()
+{
+    m_isSynchronizing = true;
+    spawnRun();
+}
+
+void LedgerWriter::spawnRun()
+{
+    if (!std::exchange(m_isRunning, true))
+        Core::spawn(m_executor, "write ledger", run());
+}
+
 void LedgerWriter::flush()
 {
     if (m_queue.empty())
@@ -80,7 +98,14 @@
 
 Core::Task<void> LedgerWriter::run()
 {
-    while (!m_queue.empty()) {
+    while (!m_queue.empty() || m_isSynchronizing) {
+        if (m_isSynchronizing && co_await synchronize())
+            m_isSynchronizing = false;
+        if (m_queue.empty()) {
+            if (m_isSynchronizing)
+                co_await Core::sleepUntil(Deadline::after(std::chrono::milliseconds(m_settings.rebuildIntervalMs)));
+            continue;
+        }
         co_await waitForBatch();
         m_hasUrgent = false;
         Batch batch = std::exchange(m_queue, {});
@@ -110,6 +135,63 @@
     m_shard = std::move(*shard);
     m_version = object ? object->version : 0;
     m_readAt = askedAt;
+    if (!isIncomplete())
+        remember();
+    co_return true;
+}
+
+void LedgerWriter::remember()
+{
+    // A copy from before a restoration is kept until the shard contains it, also if the restored store has no shard.
+    if (!m_known || m_known->version == 0 || (m_version != 0 && Platform::eraOf(m_known->version) == Platform::eraOf(m_version)))
+        m_known = KnownShard { m_version, *m_shard };
+}
+
+Core::Task<bool> LedgerWriter::synchronize()
+{
+    Reason reason;
+    if (!co_await read(reason))
+        co_return false;
+    uint64_t storeEra = Platform::eraOf(m_version);
+    bool hasEarlierCopy = m_known && Platform::eraOf(m_known->version) < storeEra;
+    bool isMissing = m_version == 0 && m_known && m_known->version != 0;
+    if (!isIncomplete() && !hasEarlierCopy && !isMissing) {
+        m_rebuildLimit = std::nullopt;
+        co_return true;
+    }
+    LedgerShard next = *m_shard;
+    if (m_known)
+        next.merge(m_known->shard);
+    if (isMissing) {
+        // The copy is from before the first grant. The shard is rebuilt once its object shows the store's era.
+        next.era = 0;
+    } else if (isIncomplete()) {
+        next.confirmed[m_host] = hasEarlierCopy;
+        if (!m_rebuildLimit)
+            m_rebuildLimit = Deadline::after(std::chrono::milliseconds(m_settings.rebuildLimitMs));
+        std::set<std::string> hosts = m_announcedHosts();
+        hosts.insert(m_host);
+        if (next.isConfirmedBy(hosts) || m_rebuildLimit->hasPassed()) {
+            bool isUncertain = next.finishRebuilding(storeEra, hosts);
+            Core::logEvent(Events::ledgerRebuilt, "object=" + m_name + " era=" + std::to_string(storeEra) + " hosts=" + std::to_string(hosts.size()) + " remainder_closed=" + std::to_string(isUncertain));
+        }
+    }
+    if (next != *m_shard) {
+        ++m_writes;
+        std::optional<Platform::Version> version
+            = co_await m_store.put(m_name, encodeShard(next), m_version, Deadline::after(std::chrono::milliseconds(m_settings.storeTimeoutMs)), reason);
+        m_shard = std::nullopt;
+        if (!version) {
+            co_await Core::sleepUntil(Deadline::after(retryDelay(1)));
+            co_return false;
+        }
+        m_version = *version;
+        m_shard = std::move(next);
+    }
+    if (isIncomplete())
+        co_return false;
+    m_rebuildLimit = std::nullopt;
+    m_known = KnownShard { m_version, *m_shard };
     co_return true;
 }
 
@@ -122,7 +204,21 @@
         failNonRetriable(batch, reason);
         co_return batch.empty();
     }
+    if (isIncomplete()) {
+        m_isSynchronizing = true;
+        reason = { FailureKind::Unavailable, "change ledger", m_name, "the ledger is being rebuilt, since the store was restored from an older copy" };
+        for (const std::shared_ptr<PendingChange>& pending : batch)
+            finish(*pending, std::nullopt, reason);
+        m_shard = std::nullopt;
+        batch.clear();
+        co_return true;
+    }
     LedgerShard next = *m_shard;
+    // Without an object, the daemons that ask for the first grants tell the store's era: they were announced in it.
+    if (m_version == 0) {
+        for (const std::shared_ptr<PendingChange>& pending : batch)
+            next.era = std::max(next.era, Platform::eraOf(pending->change.incarnation));
+    }
     std::vector<GrantState> states;
     bool hasRejection = false;
     bool isStale = false;
@@ -155,6 +251,7 @@
         m_version = *version;
         m_shard = std::move(next);
         m_readAt = Core::SteadyClock::now();
+        remember();
     }
     for (size_t i = 0; i < batch.size(); ++i) {
         const GrantChange& change = batch[i]->change;
--- a/Libraries/LibRelay/src/WorkspaceLedger.cpp
+++ b/Libraries/LibRelay/src/WorkspaceLedger.cpp
@@ -2,6 +2,7 @@
 
 #include "PeerMessage.h"
 #include <algorithm>
+#include <tuple>
 
 namespace Relay {
 
@@ -59,23 +60,79 @@
     return stateOf(change.host, true);
 }
 
+void WorkspaceLedger::merge(const WorkspaceLedger& other)
+{
+    if (other.configurationVersion > configurationVersion) {
+        configurationVersion = other.configurationVersion;
+        budget = other.budget;
+    }
+    // Each copy has closed the rows that it knows to be superseded; the grants of the others are closed here.
+    Tokens otherClosed = other.closed;
+    for (const auto& [host, row] : rows) {
+        auto known = other.rows.find(host);
+        if (known != other.rows.end() && known->second.incarnation < row.incarnation)
+            otherClosed += known->second.granted;
+    }
+    for (const auto& [host, row] : other.rows) {
+        LedgerRow& merged = rows[host];
+        if (merged.incarnation < row.incarnation)
+            closed += merged.granted;
+        if (std::tie(merged.incarnation, merged.sequence) < std::tie(row.incarnation, row.sequence))
+            merged = row;
+    }
+    closed = std::max(closed, otherClosed);
+}
+
+void LedgerShard::merge(const LedgerShard& other)
+{
+    for (const auto& [workspace, ledger] : other.workspaces)
+        workspaces[workspace].merge(ledger);
+}
+
+bool LedgerShard::isConfirmedBy(const std::set<std::string>& hosts) const
+{
+    return std::all_of(hosts.begin(), hosts.end(), [this](const std::string& host) { return confirmed.contains(host); });
+}
+
+bool LedgerShard::finishRebuilding(uint64_t storeEra, const std::set<std::string>& hosts)
+{
+    bool isUncertain = std::any_of(hosts.begin(), hosts.end(), [this](const std::string& host) {
+        auto it = confirmed.find(host);
+        return it == confirmed.end() || !it->second;
+    });
+    for (auto& [name, ledger] : workspaces) {
+        if (isUncertain)
+            ledger.closed += std::max<Tokens>(ledger.remaining(), 0);
+    }
+    confirmed.clear();
+    era = storeEra;
+    return isUncertain;
+}
+
 std::string encodeShard(const LedgerShard& shard)
 {
     json workspaces = json::object();
-    for (const auto& [workspace, ledger] : shard) {
+    for (const auto& [workspace, ledger] : shard.workspaces) {
         json rows = json::object();
         for (const auto& [host, row] : ledger.rows)
             rows[host] = json::array({ row.incarnation, row.sequence, row.granted });
         workspaces[workspace] = { { "configuration", ledger.configurationVersion }, { "budget", ledger.budget }, { "closed", ledger.closed }, { "rows", std::move(rows) } };
     }
-    return workspaces.dump();
+    return json { { "era", shard.era }, { "confirmed", shard.confirmed }, { "workspaces", std::move(workspaces) } }.dump();
 }
 
 std::optional<LedgerShard> decodeShard(const std::string& text, Core::Reason& reason)
 {
     try {
         LedgerShard shard;
-        const json workspaces = json::parse(text);
+        const json document = json::parse(text);
+        // Shards without an era were written before there were any.
+        bool hasEra = document.contains("era") && document.at("era").is_number_unsigned() && document.contains("workspaces");
+        if (hasEra) {
+            shard.era = document.at("era").get<uint64_t>();
+            shard.confirmed = document.at("confirmed").get<std::map<std::string, bool>>();
+        }
+        const json& workspaces = hasEra ? document.at("workspaces") : document;
         for (const auto& [workspace, object] : workspaces.items()) {
             WorkspaceLedger ledger;
             ledger.configurationVersion = object.at("configuration").get<uint64_t>();
@@ -83,7 +140,7 @@
             ledger.closed = object.at("closed").get<Tokens>();
             for (const auto& [host, row] : object.at("rows").items())
                 ledger.rows[host] = { row.at(0).get<uint64_t>(), row.at(1).get<uint64_t>(), row.at(2).get<Tokens>() };
-            shard.emplace(workspace, std::move(ledger));
+            shard.workspaces.emplace(workspace, std::move(ledger));
         }
         return shard;
     } catch (const json::exception& error) {
--- a/Services/jujuberelayd/src/RelayDaemonLinks.cpp
+++ b/Services/jujuberelayd/src/RelayDaemonLinks.cpp
@@ -117,6 +117,7 @@
 {
     Relay::PeerDirectory::Hooks hooks;
     hooks.announced = [this](uint64_t revision) {
+        m_grants.start(m_settings.host, [this] { return m_peers.hosts(); });
         m_budgets.setIncarnation(revision);
         m_permits.setAnnounced(Core::SteadyClock::now());
         Core::logEvent(RelayEvents::announced, "incarnation=" + std::to_string(revision));
@@ -144,6 +145,7 @@
     hooks.regained = [this] { logStoreAvailability("announcements", false, ""); };
     hooks.restored = [this] {
         m_peers.storeRestored();
+        m_grants.rebuild();
         logStoreRestored("announcements");
     };
     return hooks;
