An odd entry among those of the endpoints no longer ends the process or hides the others

One deeply nested entry that another writer left in the store ended every daemon that listed it (stack overflow in dump(), signal 11 in the test); a number like 1e999 or bytes that are no UTF-8 made the whole listing unreadable, so that no daemon followed the endpoints any more. Cause: the adapter decoded and encoded a whole response at once, values of other writers included.

--- a/Tests/PlatformAdapter/TestStore.cpp
+++ b/Tests/PlatformAdapter/TestStore.cpp
@@ -153,3 +153,41 @@
     cr_assert_not(TestSupport::runTask(fixture.context, fixture.store.list("k/", fixture.soon(), fixture.reason)));
     cr_assert_eq(fixture.reason.kind, Core::FailureKind::Unavailable);
 }
+
+// Guards against one entry that another writer has left among those of the endpoints ending the process, or hiding the others: it is too
+// deeply nested to be decoded by recursion, has numbers that no type holds, bytes that are no text, fields of other types, or an address
+// that cannot be reached. From the store's response to the decoded endpoint.
+Test(Store, oddEntryHidesNoOtherEndpoint)
+{
+    static constexpr size_t depth = 200'000;
+    const std::string sound = R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":3,"slots":64,"state":"ready","born":1})";
+    auto with = [&sound](const std::string& from, const std::string& to) { return std::string(sound).replace(sound.find(from), from.size(), to); };
+    const std::string nested = std::string(depth, '[') + std::string(depth, ']');
+    const std::vector<std::string> oddSpecs { nested, with("64", nested), with("\"z\"", nested), with(":3", ":" + nested), with("64", "1e999"), with("64", "-1e999"),
+        with("64", "123456789012345678901234567890"), with("born\":1", "born\":1e400"), with("10.0.0.1:80", "10.0.0.1:65536"), with("10.0.0.1:80", "10.0.0.1:0"),
+        with("10.0.0.1:80", "10.0.0.1:-1"), with("10.0.0.1:80", "x\xff\xfe:80"), with("ready", "\xc3"), with("\"ready\"", "{}"), with("\"10.0.0.1:80\"", "80"), "null", "\"\"", "7", "tru", "{\"service\"}" };
+    auto item = [](const std::string& name, const std::string& spec) { return R"({"metadata":{"name":")" + name + R"(","revision":41},"spec":)" + spec + R"(,"status":null})"; };
+    for (const std::string& odd : oddSpecs) {
+        StoreFixture fixture;
+        fixture.respond = [&](const HTTP::Request& request) {
+            bool isWatch = request.target.find("watch") != std::string::npos;
+            std::string objects;
+            for (const std::string& object : { item("a", sound), item("odd", odd), item("b", sound) })
+                objects += (objects.empty() ? "" : ",") + (isWatch ? R"({"deleted":false,"object":)" + object + "}" : object);
+            return HTTP::Response { 200, {}, R"({")" + std::string(isWatch ? "events" : "items") + R"(":[)" + objects + R"(],"more-pages":false,"as-of":44})" };
+        };
+        std::optional<Platform::Listing> listing = TestSupport::runTask(fixture.context, fixture.store.list("servers/", fixture.soon(), fixture.reason));
+        cr_assert(listing, "%.60s: %s", odd.c_str(), fixture.reason.text().substr(0, 200).c_str());
+        std::optional<Platform::Changes> changes = TestSupport::runTask(fixture.context, fixture.store.watch("servers/", 5, Core::Deadline::after(std::chrono::milliseconds(50)), fixture.reason));
+        cr_assert(changes, "%.60s: %s", odd.c_str(), fixture.reason.text().substr(0, 200).c_str());
+        std::vector<Platform::Object> objects = listing->objects;
+        for (const Platform::Change& change : changes->changes)
+            objects.push_back(change.object);
+        std::vector<std::string> usable;
+        for (const Platform::Object& object : objects) {
+            if (std::optional<Relay::Endpoint> endpoint = PlatformAdapter::decodeEndpoint(object.name, object.value, fixture.reason))
+                usable.push_back(endpoint->id);
+        }
+        cr_assert_eq(usable, (std::vector<std::string> { "a", "b", "a", "b" }), "%.60s", odd.c_str());
+    }
+}
