--- /dev/null
+++ b/Libraries/LibRelay/src/PermitChecks.cpp
@@ -0,0 +1,46 @@
+#include "RequestExecution.h"
+#include <algorithm>
+
+// The part of RequestExecution that keeps the limits that endpoints name.
+namespace Relay {
+
+using Core::Deadline;
+
+// A request waits for a permit for at most its latency objective divided by this.
+static constexpr int64_t permitWaitDivisor = 8;
+static constexpr std::chrono::milliseconds minPermitWait(10);
+
+Deadline RequestExecution::permitDeadline() const
+{
+    return std::min(m_deadline, Deadline(m_startedAt + std::chrono::milliseconds(m_route.objectiveMs / permitWaitDivisor)));
+}
+
+Core::Task<bool> RequestExecution::acquirePermit(const Endpoint& endpoint)
+{
+    m_permitSource.clear();
+    std::optional<double> limit = m_handler.m_selector.limits().limitOf(endpoint);
+    if (!limit)
+        co_return true;
+    ++m_permitRequests;
+    PermitService::Permit permit = co_await m_handler.m_hooks.acquirePermit(endpoint.id, *limit);
+    m_permitSource = permit.isOwnShare ? "own_share" : "issuer";
+    m_handler.m_metrics.counter("jujuberelay_relay_permits_total", "Permits for endpoints that name a limit, by source and outcome.", { { "source", m_permitSource }, { "outcome", permit.reply.isGranted ? "granted" : "refused" } }).add();
+    if (permit.reply.isGranted)
+        co_return true;
+    m_handler.m_selector.recordPermitRefusal(endpoint.id, Core::SteadyClock::now() + std::chrono::milliseconds(permit.reply.retryAfterMs));
+    m_lastFailure = "endpoint " + endpoint.id + " takes only " + std::to_string(*limit) + " requests a second";
+    co_return false;
+}
+
+Core::Task<bool> RequestExecution::waitForPermit()
+{
+    m_permitRequests = 0;
+    std::optional<Core::SteadyClock::time_point> permitAt = m_handler.m_selector.nextPermitAt(selectionQuery(m_service), Core::SteadyClock::now());
+    Deadline until = Deadline(std::max(permitAt.value_or(Core::SteadyClock::time_point::max()), Core::SteadyClock::now() + minPermitWait));
+    if (!permitAt || until > permitDeadline() || *m_isCallerGone)
+        co_return false;
+    co_await Core::sleepUntil(until);
+    co_return true;
+}
+
+}
--- a/Libraries/LibRelay/src/RequestExecution.cpp
+++ b/Libraries/LibRelay/src/RequestExecution.cpp
@@ -19,9 +19,6 @@
 // A response that has not been sent this long after the request's deadline, because the caller does not read, is abandoned.
 static constexpr std::chrono::milliseconds lateResponseTime(300);
 static constexpr int64_t retryAfterOverloadMs = 400;
-// A request waits for a permit for at most its latency objective divided by this.
-static constexpr int64_t permitWaitDivisor = 8;
-static constexpr std::chrono::milliseconds minPermitWait(10);
 // Permits that a request asks for before it turns to endpoints without a limit, or waits. Bounds the calls of a busy fleet.
 static constexpr int maxPermitRequests = 4;
 // An outage of the store that has lasted for some time is expected to last as long again, between these bounds.
@@ -280,39 +277,6 @@
     co_return outcome;
 }
 
-Deadline RequestExecution::permitDeadline() const
-{
-    return std::min(m_deadline, Deadline(m_startedAt + std::chrono::milliseconds(m_route.objectiveMs / permitWaitDivisor)));
-}
-
-Core::Task<bool> RequestExecution::acquirePermit(const Endpoint& endpoint)
-{
-    m_permitSource.clear();
-    std::optional<double> limit = m_handler.m_selector.limits().limitOf(endpoint);
-    if (!limit)
-        co_return true;
-    ++m_permitRequests;
-    PermitService::Permit permit = co_await m_handler.m_hooks.acquirePermit(endpoint.id, *limit);
-    m_permitSource = permit.isOwnShare ? "own_share" : "issuer";
-    m_handler.m_metrics.counter("jujuberelay_relay_permits_total", "Permits for endpoints that name a limit, by source and outcome.", { { "source", m_permitSource }, { "outcome", permit.reply.isGranted ? "granted" : "refused" } }).add();
-    if (permit.reply.isGranted)
-        co_return true;
-    m_handler.m_selector.recordPermitRefusal(endpoint.id, Core::SteadyClock::now() + std::chrono::milliseconds(permit.reply.retryAfterMs));
-    m_lastFailure = "endpoint " + endpoint.id + " takes only " + std::to_string(*limit) + " requests a second";
-    co_return false;
-}
-
-Core::Task<bool> RequestExecution::waitForPermit()
-{
-    m_permitRequests = 0;
-    std::optional<Core::SteadyClock::time_point> permitAt = m_handler.m_selector.nextPermitAt(selectionQuery(m_service), Core::SteadyClock::now());
-    Deadline until = Deadline(std::max(permitAt.value_or(Core::SteadyClock::time_point::max()), Core::SteadyClock::now() + minPermitWait));
-    if (!permitAt || until > permitDeadline() || *m_isCallerGone)
-        co_return false;
-    co_await Core::sleepUntil(until);
-    co_return true;
-}
-
 void RequestExecution::endWatch()
 {
     if (m_watched)
