Relay: a restoration before the announcement no longer ends the ledger's task

If the store was restored after a daemon had listed the announcements and before it had written its own, rebuild() ran without the hooks that start() sets: the task that writes the ledger ended with an exception, and the process took no grant again. rebuild() now leaves the shard to start(), which looks at it in any case.

Test: RestoredLedger.restorationBeforeTheStartIsHandledAtTheStart; the change that it submits was never answered before.

--- a/Libraries/LibRelay/src/LedgerWriter.cpp
+++ b/Libraries/LibRelay/src/LedgerWriter.cpp
@@ -44,6 +44,9 @@
 
 void LedgerWriter::rebuild()
 {
+    // start() looks at the shard in any case.
+    if (!m_announcedHosts)
+        return;
     m_isSynchronizing = true;
     spawnRun();
 }
@@ -205,7 +208,7 @@
         co_return batch.empty();
     }
     if (isIncomplete()) {
-        m_isSynchronizing = true;
+        rebuild();
         reason = { FailureKind::Unavailable, "change ledger", m_name, "the ledger is being rebuilt, since the store was restored from an older copy" };
         for (const std::shared_ptr<PendingChange>& pending : batch)
             finish(*pending, std::nullopt, reason);
--- a/Tests/LibRelay/TestRestoredLedger.cpp
+++ b/Tests/LibRelay/TestRestoredLedger.cpp
@@ -146,6 +146,24 @@
     cr_assert_eq(fleet.stored()["w"].remaining(), budget - 660);
 }
 
+// Guards against ending the task that writes the ledger if the store is restored before this daemon has announced itself.
+Test(RestoredLedger, restorationBeforeTheStartIsHandledAtTheStart)
+{
+    LedgerFleet fleet;
+    LedgerWriter late(fleet.context.get_executor(), fleet.store.hooks(), objectName, quickSettings());
+    fleet.store.table().restore(fleet.copy);
+    late.rebuild();
+    fleet.run(std::chrono::milliseconds(20));
+    cr_assert_eq(fleet.stored().era, 0);
+    late.start("c", [] { return std::set<std::string> { "a", "b" }; });
+    for (const auto& [host, writer] : fleet.writers)
+        writer->rebuild();
+    fleet.run(std::chrono::milliseconds(200));
+    cr_assert_eq(fleet.stored().era, 1);
+    GrantChange change { "w", "c", Platform::makeVersion(1, 1), 1, 10, 10, 1, budget };
+    cr_assert(TestSupport::runTask(fleet.context, late.submit(std::move(change), true, Core::Deadline::after(std::chrono::seconds(5)), fleet.reason))->isApplied);
+}
+
 // Guards against losing closed grants when copies are merged that have each closed other rows.
 Test(RestoredLedger, mergedCopiesCountEveryGrantOnce)
 {
