--- a/review/standins.py
+++ b/review/standins.py
@@ -8,6 +8,7 @@
 import random
 import re
 import shutil
+import signal
 import socket
 import struct
 import tempfile
@@ -453,9 +454,15 @@
 
 def run_case(case):
     """Runs the coroutine and exits with 1 if it found the rule broken, 0 if not, and 2 if the case could not run."""
+
+    async def run():
+        # A script that is stopped from outside ends its daemons.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+        return await asyncio.wait_for(case, 115)
+
     try:
-        broken = asyncio.run(asyncio.wait_for(case, 115))
-    except Exception as error:  # Anything unforeseen means that nothing was shown.
+        broken = asyncio.run(run())
+    except (Exception, asyncio.CancelledError) as error:  # Anything unforeseen means that nothing was shown.
         print("could not run: %s: %s" % (type(error).__name__, error))
-        raise SystemExit(2) from error
+        raise SystemExit(2) from None
     raise SystemExit(2 if broken is None else 1 if broken else 0)
