Relay: engines that end within or just after an answer are evidence against its prompt

Cause: the first event of an answer counted as proof that all parts of its prompt are sound, and a connection that broke after it was not examined. Ruled out: records that reach the other daemons late; engines that end before their first event have three crashes under the same load.

Now an engine that ends during an answer, or within a second of its end, is evidence, unless it was leaving or no longer registered. Proof is an engine that still runs a second after a complete answer. A connection that was open before the end of the answer shows that without a request; a status request is sent only where there is none and a part is unproven. Since more crashes are shared by sound parts now, a quarantined part explains another one's crashes also where one or two are missing on either side, and records keep 32.

Tests that failed on the sources before (run against them): CrashingPrompts.partIsRefusedWhereverInTheAnswerItCrashesEngines ("sound request before 4 at /stream/a, crash point 1"), partIsRefusedWhereverInAWholeAnswerItCrashesEngines ("6 deadly requests reached engines at /again/a"). Replaced: crashAfterTheFirstEventIsNoEvidence, which held the fault to be right; the tests of each crash point, of planned ends and of explained parts are stricter. Two tests wait for the confirmation where the first event used to prove the parts, and tablesAreBounded fills the larger table.

--- a/Libraries/LibHTTP/include/LibHTTP/Client.h
+++ b/Libraries/LibHTTP/include/LibHTTP/Client.h
@@ -87,6 +87,10 @@
     Core::Task<std::optional<std::unique_ptr<ResponseStream>>> call(
         Core::Address, Request, Core::Deadline, CallOptions, Core::Reason&);
 
+    // Whether a connection to the address that was established before the given time has not been closed by the peer since, so
+    // that the process that accepted it still runs.
+    bool hasOpenConnection(const Core::Address&, Core::SteadyClock::time_point establishedBefore) const;
+
     // Number of connection attempts since construction.
     uint64_t connectionsOpened() const;
 
--- a/Libraries/LibHTTP/src/Client.cpp
+++ b/Libraries/LibHTTP/src/Client.cpp
@@ -1,6 +1,7 @@
 #include "LibHTTP/Client.h"
 
 #include "PooledStream.h"
+#include <algorithm>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
@@ -47,6 +48,7 @@
             options.connectionRefused();
         co_return false;
     }
+    connection.setEstablished();
     beast::error_code ignored;
     connection.stream.socket().set_option(tcp::no_delay(true), ignored);
     ::setsockopt(connection.stream.socket().native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &tcpUserTimeoutMs, sizeof(tcpUserTimeoutMs));
@@ -108,6 +110,14 @@
     m_closeConnection = std::move(closeConnection);
 }
 
+bool Client::hasOpenConnection(const Core::Address& address, Core::SteadyClock::time_point establishedBefore) const
+{
+    auto it = m_pool->table->connections.find(address);
+    return it != m_pool->table->connections.end() && std::any_of(it->second.begin(), it->second.end(), [establishedBefore](Connection* connection) {
+        return connection->establishedAt() < establishedBefore && connection->isOpen();
+    });
+}
+
 uint64_t Client::connectionsOpened() const
 {
     return m_pool->connectionsOpened;
@@ -121,7 +131,7 @@
     std::unique_ptr<Connection> connection = options.use == ConnectionUse::Pooled ? m_pool->acquire(address) : nullptr;
     bool isReused = connection != nullptr;
     if (!connection)
-        connection = std::make_unique<Connection>(m_executor);
+        connection = std::make_unique<Connection>(m_executor, m_pool->table, address);
     if (options.cancellation)
         options.cancellation->attach([stream = &connection->stream] { stream->close(); });
     CancellationGuard cancellationGuard { options.cancellation };
--- a/Libraries/LibHTTP/src/ConnectionPool.h
+++ b/Libraries/LibHTTP/src/ConnectionPool.h
@@ -4,6 +4,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <map>
+#include <memory>
+#include <set>
 #include <sys/socket.h>
 
 // The connections of a client and its pool of idle ones.
@@ -17,25 +19,73 @@
 // Bounds what is buffered of a response head, a chunk header or a trailer, which a faulty peer may send without end.
 inline constexpr size_t maxReadBufferBytes = 128 * 1024;
 
+struct Connection;
+
+// The established connections of a client by address, idle or in use.
+struct ConnectionTable {
+    std::map<Core::Address, std::set<Connection*>> connections;
+};
+
 struct Connection {
-    explicit Connection(const asio::any_io_executor& executor)
+    Connection(const asio::any_io_executor& executor, std::shared_ptr<ConnectionTable> table, Core::Address address)
         : stream(executor)
+        , m_table(std::move(table))
+        , m_address(std::move(address))
+    {
+    }
+    Connection(const Connection&) = delete;
+    Connection& operator=(const Connection&) = delete;
+    ~Connection()
     {
+        auto it = m_table->connections.find(m_address);
+        if (it != m_table->connections.end() && it->second.erase(this) > 0 && it->second.empty())
+            m_table->connections.erase(it);
     }
+
     beast::tcp_stream stream;
     beast::flat_buffer buffer { maxReadBufferBytes };
     Core::Deadline reusableUntil { Core::Deadline::never() };
 
+    void setEstablished()
+    {
+        m_establishedAt = Core::SteadyClock::now();
+        m_table->connections[m_address].insert(this);
+    }
+    Core::SteadyClock::time_point establishedAt() const { return m_establishedAt; }
+
+    // False if the peer has closed the connection and all data that it sent has been read.
+    bool isOpen() { return peek() != Peek::Closed; }
+
     // False if the peer has closed the connection or sent unsolicited data.
     bool isReusable()
+    {
+        return peek() == Peek::Nothing && buffer.size() == 0;
+    }
+
+private:
+    enum class Peek {
+        Nothing,
+        Data,
+        Closed,
+    };
+
+    // What a read would find.
+    Peek peek()
     {
         char byte = 0;
         ssize_t received = ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) && buffer.size() == 0;
+        if (received > 0)
+            return Peek::Data;
+        return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) ? Peek::Nothing : Peek::Closed;
     }
+
+    std::shared_ptr<ConnectionTable> m_table;
+    Core::Address m_address;
+    Core::SteadyClock::time_point m_establishedAt {};
 };
 
 struct Client::Pool {
+    std::shared_ptr<ConnectionTable> table { std::make_shared<ConnectionTable>() };
     std::map<Core::Address, std::vector<std::unique_ptr<Connection>>> idleConnections;
 
     std::unique_ptr<Connection> acquire(const Core::Address& address)
--- a/Libraries/LibRelay/include/LibRelay/CrashCheck.h
+++ b/Libraries/LibRelay/include/LibRelay/CrashCheck.h
@@ -8,15 +8,23 @@
 
 namespace Relay {
 
-// Checks whether an engine whose connection broke has ended: its address refuses connections. A server that resets some
-// requests, drops idle connections or is silent is not counted as ended.
+enum class EngineState {
+    // It answered a status request.
+    Running,
+    // Its address refuses connections.
+    Ended,
+    // It accepts connections at most: a server that resets requests or is silent may run or not.
+    Unknown,
+};
+
+// Checks whether an engine has ended.
 class CrashCheck {
 public:
     CrashCheck(const boost::asio::any_io_executor&, std::shared_ptr<HTTP::Client>, WireCodec, std::chrono::milliseconds timeout);
 
     // Sends one status request at a time to an endpoint; requests that break while it is in progress or shortly after share its
     // result. Ends at the timeout at the latest.
-    Core::Task<bool> hasEnded(Endpoint);
+    Core::Task<EngineState> check(Endpoint);
 
 private:
     struct Check {
@@ -27,7 +35,7 @@
         Endpoint endpoint;
         Core::Signal finished;
         bool isFinished { false };
-        bool hasEnded { false };
+        EngineState state { EngineState::Unknown };
         Core::Deadline validUntil { Core::Deadline::never() };
     };
 
--- a/Libraries/LibRelay/include/LibRelay/EndpointSelector.h
+++ b/Libraries/LibRelay/include/LibRelay/EndpointSelector.h
@@ -36,6 +36,8 @@
     // Whether the endpoint's process takes further requests, as far as this daemon knows.
     bool takesRequests(const Endpoint& endpoint, Core::SteadyClock::time_point now) const { return !m_directory.isLeaving(endpoint) && !isPaused(endpoint, now); }
     bool isPaused(const Endpoint&, Core::SteadyClock::time_point now) const;
+    // Whether the endpoint is registered and its process is not leaving, so that an end of the process is not planned.
+    bool isExpectedToRun(const Endpoint& endpoint) const { return isRegistered(endpoint.id) && !m_directory.isLeaving(endpoint); }
     // When the first endpoint of the service takes requests again after a pause or a refused permit. Empty if one takes requests
     // now, or if none will.
     std::optional<Core::SteadyClock::time_point> takesRequestsAt(const std::string& service, Core::SteadyClock::time_point now) const;
--- a/Libraries/LibRelay/include/LibRelay/PromptQuarantine.h
+++ b/Libraries/LibRelay/include/LibRelay/PromptQuarantine.h
@@ -18,7 +18,8 @@
     size_t crashesForQuarantine { 3 };
     // Known crashes of a part after which a request that has just crashed an engine is not sent to a further one.
     size_t crashesWithoutRetry { 2 };
-    // A part with which an answer began within this time is sound; a part that was cleared is not reported again for as long.
+    // A part is sound for this long after an engine has survived an answer with it; a part that was cleared is not reported again
+    // for as long.
     std::chrono::milliseconds soundTime { 20'000 };
     // A quarantine ends this long after the last crash that was recorded.
     std::chrono::milliseconds quarantineTime { 600'000 };
@@ -50,17 +51,19 @@
     bool isRemoval { false };
 };
 
-// Decides which prompt parts crash engines. The evidence against a part is that engines ended while a request with it waited for
-// its first event there; any answer that begins with the part refutes it. The last part of a prompt is specific to its request
-// and is never a suspect.
+// Decides which prompt parts crash engines. The evidence against a part is that engines ended while they answered a request with
+// it, or shortly after the end of the answer. It is refuted by an engine that still runs some time after it has completed such an
+// answer; an answer that has only begun proves nothing. The last part of a prompt is specific to its request and is never a suspect.
 class PromptQuarantine {
 public:
     // `changed` is called when a write may have become due.
     explicit PromptQuarantine(QuarantineSettings = {}, std::function<void()> changed = {}, Core::SteadyClock::time_point now = Core::SteadyClock::now());
 
-    // Records that an answer to a prompt with these parts has begun.
-    void recordAnswer(const std::vector<PromptPart>&, Core::SteadyClock::time_point now);
-    // Records that an engine ended before it had begun an answer to a prompt with these parts.
+    // Records that any answer has begun, or a whole one has arrived.
+    void recordAnswerBegun(Core::SteadyClock::time_point now);
+    // Records that an engine has survived a complete answer to a prompt with these parts.
+    void recordSurvival(const std::vector<PromptPart>&, Core::SteadyClock::time_point now);
+    // Records that an engine ended while it answered a prompt with these parts, or shortly after.
     void recordCrash(const std::vector<PromptPart>&, const EngineCrash&, Core::SteadyClock::time_point now);
 
     // Whether a crash would be evidence against one of the parts.
@@ -110,13 +113,13 @@
 
     bool isProven(uint64_t key, Core::SteadyClock::time_point now) const;
     bool isQuarantined(uint64_t key, const Suspect&, Core::SteadyClock::time_point now) const;
-    // Whether a quarantined part that is not among the keys may have caused all of the suspect's crashes.
+    // Whether a quarantined part that is not among the keys explains the suspect's crashes.
     bool isExplainedByOthers(const Suspect&, const std::set<uint64_t>& keys, Core::SteadyClock::time_point now) const;
     Suspect& suspectOf(uint64_t key, const std::string& partId);
     void logIfQuarantined(uint64_t key, Suspect&, Core::SteadyClock::time_point now);
     // The part has crashed another engine.
     void extend(Suspect&, Core::SteadyClock::time_point now) const;
-    // An answer has refuted the suspicion. False if the record is about to be removed already.
+    // A survived answer has refuted the suspicion. False if the record is about to be removed already.
     bool refute(Suspect&, Core::SteadyClock::time_point now) const;
     void notifyChanged() const;
 
@@ -125,7 +128,7 @@
     // When an answer last began, or the daemon started.
     Core::SteadyClock::time_point m_answeredAt;
     size_t m_refusalsSinceAnswer { 0 };
-    // Parts with which an answer began.
+    // Parts of answers that engines have survived.
     ExpiringSet m_sound;
     // Parts whose record was removed.
     ExpiringSet m_cleared;
--- a/Libraries/LibRelay/include/LibRelay/RequestHandler.h
+++ b/Libraries/LibRelay/include/LibRelay/RequestHandler.h
@@ -2,6 +2,7 @@
 
 #include "LibHTTP/Client.h"
 #include "LibHTTP/ResponseWriter.h"
+#include "LibRelay/AnswerConfirmation.h"
 #include "LibRelay/BudgetManager.h"
 #include "LibRelay/CallerRequest.h"
 #include "LibRelay/CrashCheck.h"
@@ -60,6 +61,8 @@
     int64_t statusTimeoutMs { 400 };
     // Timeout of the check whether an engine whose connection broke has ended. A retry waits for it.
     int64_t crashCheckTimeoutMs { 250 };
+    // An engine that still runs this long after an answer has survived it.
+    int64_t survivalTimeMs { 1'000 };
 };
 
 // Serves callers' requests: authorizes them, holds their tokens, sends them to endpoints and forwards the responses.
@@ -88,6 +91,7 @@
     BudgetManager& m_budgets;
     PromptQuarantine& m_quarantine;
     CrashCheck m_crashCheck;
+    AnswerConfirmation m_confirmation;
     Telemetry::Metrics& m_metrics;
     std::map<std::string, Routing::RetryBudget> m_retryBudgets;
 };
--- a/Libraries/LibRelay/include/LibRelay/SuspectPart.h
+++ b/Libraries/LibRelay/include/LibRelay/SuspectPart.h
@@ -11,7 +11,7 @@
 // The record of a prompt part that may crash engines, as daemons share it through the store.
 namespace Relay {
 
-// A process of an engine that ended before it had begun an answer.
+// A process of an engine that ended while it worked on an answer or shortly after.
 struct EngineCrash {
     std::string endpointId;
     // Start time of the process in milliseconds since the Unix epoch, as registered.
@@ -21,18 +21,19 @@
 
 struct SuspectPart {
     // Crashes that a record keeps at most. A further one takes the place of the newest.
-    static constexpr size_t maxCrashes = 8;
+    static constexpr size_t maxCrashes = 32;
     // The prefix of all records.
     static constexpr const char* prefix = "relay-suspect-parts/";
 
     // Id of the prompt part.
     std::string id;
-    // The crashes of engines that were about to answer a prompt with the part, oldest first and each once.
+    // The crashes of engines that were answering a prompt with the part, or had just answered one, oldest first and each once.
     std::vector<EngineCrash> crashes;
 
     bool contains(const EngineCrash&) const;
-    // Whether all crashes of the other part were crashes of this one too.
-    bool explains(const SuspectPart&) const;
+    // Whether all crashes of the other part were crashes of this one too. Up to `maxUnexplained` crashes may be missing here if as
+    // many of this part's crashes are missing there: engines also crash for other reasons, and not every daemon sees each crash.
+    bool explains(const SuspectPart&, size_t maxUnexplained) const;
     // Adds a crash; false if it is known already.
     bool add(const EngineCrash&);
     bool operator==(const SuspectPart&) const = default;
--- a/Libraries/LibRelay/src/CrashCheck.cpp
+++ b/Libraries/LibRelay/src/CrashCheck.cpp
@@ -22,10 +22,10 @@
 {
 }
 
-Core::Task<bool> CrashCheck::hasEnded(Endpoint endpoint)
+Core::Task<EngineState> CrashCheck::check(Endpoint endpoint)
 {
     if (!m_codec.statusRequest)
-        co_return false;
+        co_return EngineState::Unknown;
     std::erase_if(m_checks, [](const auto& entry) { return entry.second->isFinished && entry.second->validUntil.hasPassed(); });
     std::shared_ptr<Check>& known = m_checks[endpoint.id];
     if (!known || known->endpoint.startedAtMs != endpoint.startedAtMs) {
@@ -36,20 +36,20 @@
     std::shared_ptr<Check> check = known;
     while (!check->isFinished)
         co_await check->finished.wait(Deadline::after(m_timeout));
-    co_return check->hasEnded;
+    co_return check->state;
 }
 
 Core::Task<void> CrashCheck::run(std::shared_ptr<Check> check, std::shared_ptr<HTTP::Client> client, HTTP::Request request, Deadline deadline)
 {
-    for (int connection = 0; connection < maxConnections && !check->hasEnded && !deadline.hasPassed(); ++connection) {
+    for (int connection = 0; connection < maxConnections && check->state == EngineState::Unknown && !deadline.hasPassed(); ++connection) {
         if (connection > 0)
             co_await Core::sleepUntil(std::min(deadline, Deadline::after(retryDelay)));
         HTTP::CallOptions options;
         options.use = HTTP::ConnectionUse::Fresh;
-        options.connectionRefused = [check] { check->hasEnded = true; };
+        options.connectionRefused = [check] { check->state = EngineState::Ended; };
         Reason ignored;
         if (co_await client->call(check->endpoint.address, request, deadline, std::move(options), ignored))
-            break;
+            check->state = EngineState::Running;
     }
     check->isFinished = true;
     check->validUntil = Deadline::after(resultLifetime);
--- a/Libraries/LibRelay/src/PromptQuarantine.cpp
+++ b/Libraries/LibRelay/src/PromptQuarantine.cpp
@@ -18,6 +18,14 @@
     return std::span(parts).first(parts.empty() ? 0 : parts.size() - 1);
 }
 
+static std::set<uint64_t> shareableKeys(const std::vector<PromptPart>& parts)
+{
+    std::set<uint64_t> keys;
+    for (const PromptPart& part : shareableParts(parts))
+        keys.insert(suspectKeyOf(part.id));
+    return keys;
+}
+
 static std::string describe(const SuspectPart& part)
 {
     std::string text = "part=" + part.id + " object=" + suspectNameOf(suspectKeyOf(part.id)) + " crashes=" + std::to_string(part.crashes.size()) + " engines=";
@@ -95,10 +103,14 @@
     Core::logEvent(Events::partQuarantined, describe(suspect.merged) + " for_ms=" + std::to_string(m_settings.quarantineTime.count()));
 }
 
-void PromptQuarantine::recordAnswer(const std::vector<PromptPart>& parts, TimePoint now)
+void PromptQuarantine::recordAnswerBegun(TimePoint now)
 {
     m_answeredAt = now;
     m_refusalsSinceAnswer = 0;
+}
+
+void PromptQuarantine::recordSurvival(const std::vector<PromptPart>& parts, TimePoint now)
+{
     bool isChanged = false;
     for (const PromptPart& part : shareableParts(parts)) {
         uint64_t key = suspectKeyOf(part.id);
@@ -144,8 +156,9 @@
 
 bool PromptQuarantine::isExplainedByOthers(const Suspect& suspect, const std::set<uint64_t>& keys, TimePoint now) const
 {
+    size_t maxUnexplained = m_settings.crashesForQuarantine - 1;
     return std::any_of(m_suspects.begin(), m_suspects.end(), [&](const auto& other) {
-        return !keys.contains(other.first) && isQuarantined(other.first, other.second, now) && other.second.merged.explains(suspect.merged);
+        return !keys.contains(other.first) && isQuarantined(other.first, other.second, now) && other.second.merged.explains(suspect.merged, maxUnexplained);
     });
 }
 
@@ -155,9 +168,7 @@
     bool isWithoutAnswers = now - m_answeredAt > m_settings.soundTime && m_refusalsSinceAnswer >= m_settings.maxRefusalsWithoutAnswer;
     if (m_suspects.empty() || isWithoutAnswers)
         return found;
-    std::set<uint64_t> keys;
-    for (const PromptPart& part : shareableParts(parts))
-        keys.insert(suspectKeyOf(part.id));
+    std::set<uint64_t> keys = shareableKeys(parts);
     for (const PromptPart& part : shareableParts(parts)) {
         auto it = m_suspects.find(suspectKeyOf(part.id));
         if (it == m_suspects.end() || !isQuarantined(it->first, it->second, now) || isExplainedByOthers(it->second, keys, now))
@@ -170,14 +181,13 @@
 
 bool PromptQuarantine::mayRetry(const std::vector<PromptPart>& parts, TimePoint now) const
 {
-    for (const PromptPart& part : shareableParts(parts)) {
-        auto it = m_suspects.find(suspectKeyOf(part.id));
-        if (it == m_suspects.end() || now >= it->second.expiresAt || m_sound.contains(it->first, now))
-            continue;
-        if (it->second.merged.crashes.size() >= m_settings.crashesWithoutRetry)
+    std::set<uint64_t> keys = shareableKeys(parts);
+    return std::none_of(keys.begin(), keys.end(), [&](uint64_t key) {
+        auto it = m_suspects.find(key);
+        if (it == m_suspects.end() || now >= it->second.expiresAt || m_sound.contains(key, now))
             return false;
-    }
-    return true;
+        return it->second.merged.crashes.size() >= m_settings.crashesWithoutRetry && !isExplainedByOthers(it->second, keys, now);
+    });
 }
 
 void PromptQuarantine::adopt(SuspectRecord record, TimePoint now)
--- a/Libraries/LibRelay/src/QuarantineChecks.cpp
+++ b/Libraries/LibRelay/src/QuarantineChecks.cpp
@@ -26,22 +26,16 @@
     return true;
 }
 
-void RequestExecution::recordAnswerBegun()
-{
-    if (!std::exchange(m_hasAnswerBegun, true))
-        m_handler.m_quarantine.recordAnswer(m_request.promptParts, SteadyClock::now());
-}
-
 Core::Task<void> RequestExecution::examineBreak(const Endpoint& endpoint)
 {
-    if (!m_hasConnectionBroken || m_hasAnswerBegun || *m_isCallerGone || m_deadline.hasPassed() || lossReason())
+    if (!m_hasConnectionBroken || *m_isCallerGone || m_deadline.hasPassed() || lossReason() || !m_handler.m_selector.isExpectedToRun(endpoint))
         co_return;
     SteadyClock::time_point now = SteadyClock::now();
     bool wantsNoStatusRequest = m_handler.m_selector.isPaused(endpoint, now);
     if (wantsNoStatusRequest || !m_handler.m_quarantine.hasUnprovenParts(m_request.promptParts, now))
         co_return;
-    bool hasEnded = co_await m_handler.m_crashCheck.hasEnded(endpoint);
-    Core::logEvent(Events::engineChecked, "request=" + m_request.id + " endpoint=" + endpoint.id + " started_at_ms=" + std::to_string(endpoint.startedAtMs) + " has_ended=" + std::to_string(hasEnded));
+    bool hasEnded = co_await m_handler.m_crashCheck.check(endpoint) == EngineState::Ended;
+    Core::logEvent(Events::engineChecked, "request=" + m_request.id + " endpoint=" + endpoint.id + " started_at_ms=" + std::to_string(endpoint.startedAtMs) + " has_ended=" + std::to_string(hasEnded) + " events=" + std::to_string(m_events));
     if (!hasEnded)
         co_return;
     m_hasCrashedEngine = true;
--- a/Libraries/LibRelay/src/RequestExecution.h
+++ b/Libraries/LibRelay/src/RequestExecution.h
@@ -58,7 +58,6 @@
     std::optional<Refusal> quarantineRefusal();
     // Whether a request that has crashed an engine is suspected to crash the next one too.
     bool mayCrashAnotherEngine();
-    void recordAnswerBegun();
     // After a failed attempt: records a crash if the engine has ended.
     Core::Task<void> examineBreak(const Endpoint&);
     // When a request that needs the store can be retried with some prospect.
@@ -109,9 +108,7 @@
     bool m_wasWithheld { false };
     // The connection of the current attempt broke after the request had been sent on it.
     bool m_hasConnectionBroken { false };
-    // An answer has begun, in any attempt.
-    bool m_hasAnswerBegun { false };
-    // An engine has ended while this request waited for its answer there.
+    // An engine has ended while it worked on this request.
     bool m_hasCrashedEngine { false };
     std::shared_ptr<bool> m_isCallerGone { std::make_shared<bool>(false) };
     std::optional<int64_t> m_firstByteMs;
--- a/Libraries/LibRelay/src/ResponseForwarding.cpp
+++ b/Libraries/LibRelay/src/ResponseForwarding.cpp
@@ -2,6 +2,7 @@
 #include "RequestExecution.h"
 #include <algorithm>
 #include <array>
+#include <utility>
 
 // The part of RequestExecution that forwards an endpoint's response to the caller.
 namespace Relay {
@@ -83,8 +84,10 @@
         m_lastFailure = "endpoint " + endpoint.id + " answered with status " + std::to_string(stream.status()) + " and does not say that the request has not run";
         co_return Outcome::Unknown;
     }
-    if (stream.status() / 100 == 2)
-        recordAnswerBegun();
+    if (stream.status() / 100 == 2) {
+        m_handler.m_quarantine.recordAnswerBegun(Core::SteadyClock::now());
+        m_handler.m_confirmation.add(endpoint, m_request.id, m_request.promptParts);
+    }
     m_firstByteMs = elapsedMs();
     HTTP::Response response { stream.status(), m_handler.m_codec.callerHeaders(stream.headers()), std::move(*body) };
     bool isSent = co_await m_writer.send(std::move(response), reason);
@@ -136,9 +139,9 @@
                 m_lastFailure = "endpoint " + endpoint.id + " sent an error in place of event " + std::to_string(*event.id);
                 co_return Outcome::Unknown;
             }
-            hasEvents = true;
+            if (!std::exchange(hasEvents, true))
+                m_handler.m_quarantine.recordAnswerBegun(Core::SteadyClock::now());
             ++m_events;
-            recordAnswerBegun();
             m_lastEvent = event.id;
             if (m_watched) {
                 m_watched->lastEventAt = Core::SteadyClock::now();
@@ -161,6 +164,7 @@
         m_lastFailure = "endpoint " + endpoint.id + " ended its stream within an event or before the first one";
         co_return Outcome::Unknown;
     }
+    m_handler.m_confirmation.add(endpoint, m_request.id, m_request.promptParts);
     bool isSent = co_await m_writer.finishStream(reason);
     logCompletion(isSent ? "answered" : "caller_gone", "status=" + std::to_string(stream.status()) + " endpoint=" + endpoint.id);
     co_return Outcome::Finished;
--- a/Libraries/LibRelay/src/SuspectPart.cpp
+++ b/Libraries/LibRelay/src/SuspectPart.cpp
@@ -19,9 +19,11 @@
     return std::find(crashes.begin(), crashes.end(), crash) != crashes.end();
 }
 
-bool SuspectPart::explains(const SuspectPart& other) const
+bool SuspectPart::explains(const SuspectPart& other, size_t maxUnexplained) const
 {
-    return std::all_of(other.crashes.begin(), other.crashes.end(), [this](const EngineCrash& crash) { return contains(crash); });
+    size_t shared = static_cast<size_t>(std::count_if(other.crashes.begin(), other.crashes.end(), [this](const EngineCrash& crash) { return contains(crash); }));
+    size_t unexplained = other.crashes.size() - shared;
+    return unexplained <= std::min(maxUnexplained, crashes.size() - shared);
 }
 
 bool SuspectPart::add(const EngineCrash& crash)
--- a/Tests/LibRelay/RelayFixture.h
+++ b/Tests/LibRelay/RelayFixture.h
@@ -192,6 +192,7 @@
         settings.streamIdleTimeoutMs = 100;
         settings.firstEventTimeoutMs = 150;
         settings.statusTimeoutMs = 100;
+        settings.survivalTimeMs = 40;
         return settings;
     }
 
--- a/Tests/LibRelay/TestCrashingPrompts.cpp
+++ b/Tests/LibRelay/TestCrashingPrompts.cpp
@@ -5,6 +5,7 @@
 #include <set>
 
 using namespace RelayTest;
+using std::chrono::milliseconds;
 
 namespace {
 
@@ -42,6 +43,32 @@
         return call(std::move(request));
     }
 
+    void wait(milliseconds time)
+    {
+        TestSupport::runTask(context, sleep(time));
+    }
+
+    static Core::Task<bool> sleep(milliseconds time)
+    {
+        co_await Core::sleepUntil(Core::Deadline::after(time));
+        co_return true;
+    }
+
+    // Sends sound and deadly requests in turn. Three engines may crash, and all sound requests must be served.
+    void expectDeadlyPartRefused(const char* target, int crashPoint)
+    {
+        for (int i = 0; i < 6; ++i) {
+            std::string last = std::to_string(i);
+            std::optional<HTTP::Response> sound = ask(target, "common,sound," + last, "sound");
+            cr_assert(sound && sound->status == 200, "sound request before %d at %s, crash point %d", i, target, crashPoint);
+            ask(target, "common,deadly," + last, "deadly");
+            wait(milliseconds(120));
+        }
+        cr_assert_eq(deadlyArrivals(), 3, "%zu deadly requests reached engines at %s, crash point %d", deadlyArrivals(), target, crashPoint);
+        cr_assert_eq(crashed.size(), 3);
+        cr_assert_eq(ask(target, "common,deadly,x", "deadly")->status, 503);
+    }
+
     size_t deadlyArrivals() const
     {
         return static_cast<size_t>(std::count_if(arrivals.begin(), arrivals.end(), [](const HTTP::Request& request) { return request.body == "deadly"; }));
@@ -83,6 +110,8 @@
         fixture.ask("/once/a", "first,rare,deadly," + std::to_string(i), "deadly");
     cr_assert_eq(fixture.crashed.size(), 3);
     cr_assert_eq(fixture.ask("/once/a", "first,rare,x", "sound")->status, 200);
+    // The answer proves the part once its engine has survived it.
+    fixture.wait(milliseconds(120));
     cr_assert_eq(fixture.ask("/once/a", "first,other,deadly,y", "deadly")->status, 503);
     cr_assert_eq(fixture.crashed.size(), 3);
 }
@@ -118,21 +147,102 @@
     cr_assert_eq(fixture.quarantine.suspects(), 0);
 }
 
-// Guards against blaming the parts of a request whose answer had begun.
-Test(CrashingPrompts, crashAfterTheFirstEventIsNoEvidence)
+// Guards against a prompt part that is never held to have crashed engines because its answers begin, or are even complete, before the
+// engine ends: the answers counted as proof that the part is sound (review/1).
+Test(CrashingPrompts, partIsRefusedWhereverInTheAnswerItCrashesEngines)
 {
-    CrashFixture fixture(4);
-    fixture.answer = [&fixture](const HTTP::Request& request, HTTP::ResponseWriter& writer) -> Core::Task<void> {
-        Core::Reason ignored;
-        co_await writer.startStream(200, sealed(request), ignored);
-        co_await writer.writeChunk("id: 1\ndata: a\n\n", ignored);
-        co_await Core::sleepUntil(Core::Deadline::after(std::chrono::milliseconds(50)));
-        fixture.crash(request);
-    };
-    for (int i = 0; i < 4; ++i)
-        fixture.ask("/single/a", "first,second," + std::to_string(i), "x");
-    cr_assert_eq(fixture.crashed.size(), 4);
-    cr_assert_eq(fixture.quarantine.suspects(), 0);
+    static constexpr int events = 4;
+    static constexpr int afterTheAnswer = events + 1;
+    for (const char* target : { "/stream/a", "/single/a" }) {
+        for (int crashAfter = 0; crashAfter <= afterTheAnswer; ++crashAfter) {
+            CrashFixture fixture(8);
+            fixture.answer = [&fixture, crashAfter](const HTTP::Request& request, HTTP::ResponseWriter& writer) -> Core::Task<void> {
+                Core::Reason ignored;
+                bool isDeadly = request.body == "deadly";
+                int first = std::stoi(HTTP::findHeader(request.headers, "Last-Event").value_or("0")) + 1;
+                co_await writer.startStream(200, sealed(request), ignored);
+                for (int event = first; event <= events; ++event) {
+                    if (isDeadly && event > crashAfter)
+                        break;
+                    co_await writer.writeChunk("id: " + std::to_string(event) + "\ndata: a\n\n", ignored);
+                    co_await Core::sleepUntil(Core::Deadline::after(milliseconds(2)));
+                }
+                if (!isDeadly || crashAfter == afterTheAnswer)
+                    co_await writer.finishStream(ignored);
+                if (isDeadly)
+                    fixture.crash(request);
+            };
+            fixture.expectDeadlyPartRefused(target, crashAfter);
+        }
+    }
+}
+
+// The same for answers of a known length.
+Test(CrashingPrompts, partIsRefusedWhereverInAWholeAnswerItCrashesEngines)
+{
+    for (const char* target : { "/again/a", "/once/a" }) {
+        for (bool isAfterTheAnswer : { false, true }) {
+            CrashFixture fixture(8);
+            fixture.answer = [&fixture, isAfterTheAnswer](const HTTP::Request& request, HTTP::ResponseWriter& writer) -> Core::Task<void> {
+                Core::Reason ignored;
+                bool isDeadly = request.body == "deadly";
+                if (!isDeadly || isAfterTheAnswer) {
+                    co_await writer.send({ 200, sealed(request), "body" }, ignored);
+                } else {
+                    co_await writer.startStream(200, sealed(request), ignored);
+                    co_await writer.writeChunk("bo", ignored);
+                    co_await Core::sleepUntil(Core::Deadline::after(milliseconds(5)));
+                }
+                if (isDeadly)
+                    fixture.crash(request);
+            };
+            fixture.expectDeadlyPartRefused(target, isAfterTheAnswer);
+        }
+    }
+}
+
+// Guards against blaming the parts of answers that a leaving process had just completed, or cut off, at its planned end.
+Test(CrashingPrompts, plannedEndsAreNoEvidence)
+{
+    for (bool isComplete : { false, true }) {
+        CrashFixture fixture(4);
+        fixture.answer = [&fixture, isComplete](const HTTP::Request& request, HTTP::ResponseWriter& writer) -> Core::Task<void> {
+            Core::Reason ignored;
+            co_await writer.startStream(200, sealed(request), ignored);
+            co_await writer.writeChunk("id: 1\ndata: a\n\n", ignored);
+            if (isComplete)
+                co_await writer.finishStream(ignored);
+            std::string id = HTTP::findHeader(request.headers, "Expect-Endpoint").value();
+            fixture.directory.markLeaving(*fixture.directory.find(id), Core::SteadyClock::now());
+            fixture.crash(request);
+        };
+        for (int i = 0; i < 4; ++i)
+            fixture.ask("/single/a", "first,second," + std::to_string(i), "x");
+        fixture.wait(milliseconds(200));
+        cr_assert_eq(fixture.crashed.size(), 4);
+        cr_assert_eq(fixture.quarantine.suspects(), 0);
+    }
+}
+
+// Guards against a status request after each answer: an open connection shows that the engine runs. Where the engine closes it with the
+// answer, one status request proves the parts.
+Test(CrashingPrompts, answersAreConfirmedWithoutStatusRequestsOverOpenConnections)
+{
+    for (bool isConnectionClosed : { false, true }) {
+        CrashFixture fixture(1);
+        if (isConnectionClosed)
+            fixture.endpoints.front()->closeAfterResponses();
+        fixture.answer = [](const HTTP::Request& request, HTTP::ResponseWriter& writer) -> Core::Task<void> {
+            Core::Reason ignored;
+            co_await writer.send({ 200, sealed(request), "body" }, ignored);
+        };
+        std::vector<Relay::PromptPart> parts { { "first", 1 }, { "second", 1 }, { "x", 1 } };
+        cr_assert_eq(fixture.ask("/once/a", "first,second,x", "x")->status, 200);
+        cr_assert(fixture.quarantine.hasUnprovenParts(parts, Core::SteadyClock::now()));
+        fixture.wait(milliseconds(200));
+        cr_assert_not(fixture.quarantine.hasUnprovenParts(parts, Core::SteadyClock::now()));
+        cr_assert_eq(fixture.statusRequests, isConnectionClosed ? 1 : 0);
+    }
 }
 
 // Guards against status requests for prompts without an unproven part, as each is priced.
@@ -140,6 +250,7 @@
 {
     CrashFixture fixture(2);
     cr_assert_eq(fixture.ask("/stream/a", "first,second,x", "sound")->status, 200);
+    fixture.wait(milliseconds(200));
     fixture.answer = [](const HTTP::Request&, HTTP::ResponseWriter& writer) -> Core::Task<void> {
         writer.abort();
         co_return;
--- a/Tests/LibRelay/TestPromptQuarantine.cpp
+++ b/Tests/LibRelay/TestPromptQuarantine.cpp
@@ -35,7 +35,7 @@
     PromptQuarantine quarantine({}, {}, start);
     for (int i = 0; i < 3; ++i) {
         TimePoint now = start + seconds(i);
-        quarantine.recordAnswer(prompt({ "popular", "sound", "s" + std::to_string(i) }), now);
+        quarantine.recordSurvival(prompt({ "popular", "sound", "s" + std::to_string(i) }), now);
         quarantine.recordCrash(prompt({ "popular", "deadly", "d" + std::to_string(i) }), crashOf(i), now);
     }
     TimePoint now = start + seconds(3);
@@ -56,7 +56,7 @@
         cr_assert_not(quarantine.findQuarantined(prompt({ "rare", "sound", "x" }), start));
         cr_assert_not(quarantine.findQuarantined(prompt({ "other", "deadly", "x" }), start));
         if (isRefutedByAnswer) {
-            quarantine.recordAnswer(prompt({ "rare", "x" }), start);
+            quarantine.recordSurvival(prompt({ "rare", "x" }), start);
         } else {
             quarantine.recordCrash(prompt({ "other", "deadly", "x" }), crashOf(3), start);
             cr_assert_not(quarantine.mayRetry(prompt({ "other", "deadly", "x" }), start));
@@ -67,6 +67,38 @@
     }
 }
 
+// Guards against clearing a part because an answer with it has begun, which the engine may not survive.
+Test(PromptQuarantine, answerThatHasOnlyBegunProvesNothing)
+{
+    PromptQuarantine quarantine({}, {}, start);
+    std::vector<PromptPart> parts = prompt({ "deadly", "x" });
+    for (int i = 0; i < 3; ++i) {
+        quarantine.recordAnswerBegun(start);
+        quarantine.recordCrash(parts, crashOf(i), start);
+    }
+    quarantine.recordAnswerBegun(start);
+    cr_assert(quarantine.hasUnprovenParts(parts, start));
+    cr_assert(quarantine.findQuarantined(parts, start));
+}
+
+// Guards against refusing sound prompts because of a popular part that is in nearly all crashes of a deadly part, where each of the two
+// has been seen in a crash that the other one was not seen in: another cause, or a crash that no daemon could attribute.
+Test(PromptQuarantine, partThatADeadlyPartExplainsIsNotRefusedAlone)
+{
+    PromptQuarantine quarantine({}, {}, start);
+    for (int i = 0; i < 12; ++i)
+        quarantine.recordCrash(prompt({ "popular", "deadly", "x" }), crashOf(i), start);
+    quarantine.recordCrash(prompt({ "popular", "sound", "x" }), crashOf(20), start);
+    quarantine.recordCrash(prompt({ "other", "deadly", "x" }), crashOf(21), start);
+    cr_assert_not(quarantine.findQuarantined(prompt({ "popular", "sound", "x" }), start));
+    cr_assert(quarantine.mayRetry(prompt({ "popular", "sound", "x" }), start));
+    cr_assert_eq(quarantine.findQuarantined(prompt({ "popular", "deadly", "x" }), start)->crashes.size(), 13);
+    // Three crashes of its own are evidence whatever the deadly part explains.
+    quarantine.recordCrash(prompt({ "popular", "sound", "x" }), crashOf(22), start);
+    quarantine.recordCrash(prompt({ "popular", "sound", "x" }), crashOf(23), start);
+    cr_assert_eq(quarantine.findQuarantined(prompt({ "popular", "sound", "x" }), start)->id, "popular");
+}
+
 // Guards against blaming the part that is specific to one request or session.
 Test(PromptQuarantine, lastPartIsNoSuspect)
 {
@@ -101,7 +133,7 @@
 {
     PromptQuarantine running({}, {}, start);
     PromptQuarantine started({}, {}, start);
-    running.recordAnswer(prompt({ "popular", "x" }), start);
+    running.recordSurvival(prompt({ "popular", "x" }), start);
     started.recordCrash(prompt({ "popular", "y" }), crashOf(1), start);
     std::optional<RecordChange> report = started.dueChange(start);
     cr_assert(report && !report->isRemoval);
@@ -129,7 +161,7 @@
     cr_assert_eq(quarantine.quarantinedParts(start), 40);
     // The answers of requests that were in progress elsewhere.
     for (int part = 0; part < 40; ++part)
-        quarantine.recordAnswer(prompt({ "p" + std::to_string(part), "x" }), start + milliseconds(10));
+        quarantine.recordSurvival(prompt({ "p" + std::to_string(part), "x" }), start + milliseconds(10));
     cr_assert_eq(quarantine.suspects(), 0);
     cr_assert_eq(quarantine.quarantinedParts(start + seconds(30)), 0);
 }
@@ -139,7 +171,7 @@
 {
     PromptQuarantine quarantine({}, {}, start);
     std::vector<PromptPart> parts = prompt({ "deadly", "x" });
-    quarantine.recordAnswer(parts, start);
+    quarantine.recordSurvival(parts, start);
     for (int i = 0; i < 3; ++i)
         quarantine.recordCrash(parts, crashOf(i), start + seconds(10));
     cr_assert_eq(quarantine.suspects(), 0);
@@ -207,7 +239,7 @@
     QuarantineSettings settings;
     settings.maxSuspects = 10;
     PromptQuarantine quarantine(settings, {}, start);
-    for (int i = 0; i < 20; ++i)
+    for (int i = 0; i < 40; ++i)
         quarantine.recordCrash(prompt({ "deadly", "x" }), crashOf(i), start);
     cr_assert_eq(quarantine.dueChange(start)->record.part.crashes.size(), SuspectPart::maxCrashes);
     for (int i = 0; i < 1'000; ++i)
@@ -253,9 +285,9 @@
     }
     cr_assert(quarantine.findQuarantined(parts, start));
     cr_assert_not(quarantine.findQuarantined(parts, later));
-    quarantine.recordAnswer(prompt({ "other", "x" }), later);
+    quarantine.recordAnswerBegun(later);
     cr_assert(quarantine.findQuarantined(parts, later));
-    quarantine.recordAnswer(parts, later);
+    quarantine.recordSurvival(parts, later);
     cr_assert_not(quarantine.findQuarantined(parts, later));
 }
 
--- a/Tests/LibRelay/TestQuarantineStore.cpp
+++ b/Tests/LibRelay/TestQuarantineStore.cpp
@@ -120,7 +120,7 @@
     for (int i = 0; i < 3; ++i)
         fleet.daemons[0]->crash(deadlyPrompt, i);
     TestSupport::runUntil(fleet.context, [&fleet] { return fleet.isRefusedEverywhere(); });
-    fleet.daemons[3]->quarantine.recordAnswer(deadlyPrompt, SteadyClock::now());
+    fleet.daemons[3]->quarantine.recordSurvival(deadlyPrompt, SteadyClock::now());
     TestSupport::runUntil(fleet.context, [&fleet] { return std::none_of(fleet.daemons.begin(), fleet.daemons.end(), [](const std::unique_ptr<Daemon>& daemon) { return daemon->isRefusing(); }); });
     fleet.run(milliseconds(300));
     cr_assert_eq(fleet.records(), 0);
