Relay: sums of tokens saturate, and amounts that others name are bounded

Cause: the prompt and the maximum were added in a signed integer and wrapped around to a negative demand, which any remainder covers; the negative amount stayed in what the daemon had spent. A refused demand also raised the reserve that the daemon keeps. Ruled out: an allocator that counts wrongly by itself, since its sums are of the same numbers.

--- a/Libraries/LibRelay/include/LibRelay/BudgetManager.h
+++ b/Libraries/LibRelay/include/LibRelay/BudgetManager.h
@@ -2,9 +2,11 @@
 
 #include "LibCore/Address.h"
 #include "LibCore/Async.h"
+#include "LibCore/Saturating.h"
 #include "LibRelay/WorkspaceLedger.h"
 #include <functional>
 #include <memory>
+#include <numeric>
 #include <set>
 
 namespace Relay {
@@ -57,7 +59,7 @@
     // Applies the budgets of a configuration.
     void adopt(const Configuration&);
 
-    // Waits until the tokens are held, at most until the deadline. Sets the reason on failure.
+    // Waits until the tokens are held, at most until the deadline. Sets the reason on failure. A negative amount is refused.
     Core::Task<HoldResult> hold(std::string workspace, Tokens, Core::Deadline, Core::Reason&);
     void settle(const std::string& workspace, Tokens held, Tokens used);
 
@@ -74,7 +76,8 @@
     Core::Task<void> maintain();
     void stop() { m_isStopping = true; }
 
-    // Transfers tokens of this daemon's grant to another daemon, or takes them back.
+    // Transfers tokens of this daemon's grant to another daemon, or takes them back. Fails with Invalid if the other daemon returns
+    // more than the whole budget.
     Core::Task<std::optional<TransferReply>> transfer(TransferRequest, Core::Deadline, Core::Reason&);
 
     // Number of daemons that share the budgets.
@@ -86,6 +89,7 @@
     // Exponentially decaying average of tokens per second.
     class Rate {
     public:
+        // A negative amount takes back one that was added before.
         void add(Tokens);
         double perSecond() const;
 
@@ -127,8 +131,7 @@
         Tokens returning { 0 };
         Tokens spent { 0 };
         Tokens held { 0 };
-        // Tokens that waiting requests need: the sum and the individual amounts.
-        Tokens waitingTokens { 0 };
+        // The amounts that waiting requests need.
         std::multiset<Tokens> waiting;
         Rate demand;
         // Demand of other daemons.
@@ -144,8 +147,9 @@
         std::optional<Core::Reason> lastFailure;
         Core::Signal changed;
 
-        Tokens granted() const { return (row ? row->granted : 0) + transferred; }
-        Tokens available() const { return granted() - returning - spent - held; }
+        Tokens granted() const { return Core::saturatingAdd(row ? row->granted : 0, transferred); }
+        Tokens available() const { return Core::saturatingSubtract(granted(), Core::saturatingAdd(returning, Core::saturatingAdd(spent, held))); }
+        Tokens waitingTokens() const { return std::accumulate(waiting.begin(), waiting.end(), Tokens { 0 }, Core::saturatingAdd<Tokens>); }
     };
 
     Account& account(const std::string& workspace);
--- a/Libraries/LibRelay/include/LibRelay/CallerRequest.h
+++ b/Libraries/LibRelay/include/LibRelay/CallerRequest.h
@@ -2,6 +2,7 @@
 
 #include "LibCore/Deadline.h"
 #include "LibCore/Reason.h"
+#include "LibCore/Saturating.h"
 #include "LibHTTP/Message.h"
 #include "LibRelay/Configuration.h"
 #include <functional>
@@ -24,7 +25,7 @@
     Tokens prompt { 0 };
     Tokens maxOutput { 0 };
     bool operator==(const TokenDemand&) const = default;
-    Tokens total() const { return prompt + maxOutput; }
+    Tokens total() const { return Core::saturatingAdd(prompt, maxOutput); }
 };
 
 // A caller's request as decoded by the adapter.
--- a/Libraries/LibRelay/src/BudgetManager.cpp
+++ b/Libraries/LibRelay/src/BudgetManager.cpp
@@ -36,7 +36,7 @@
 
 void BudgetManager::Rate::add(Tokens tokens)
 {
-    m_rate = perSecond() + static_cast<double>(tokens) / demandTimeConstantSeconds;
+    m_rate = std::max(0.0, perSecond() + static_cast<double>(tokens) / demandTimeConstantSeconds);
     m_updatedAt = Core::SteadyClock::now();
 }
 
@@ -135,13 +135,24 @@
     std::shared_ptr<Account> account = findAccount(workspace);
     if (!account || !account->budget)
         co_return HoldResult::Granted;
+    if (tokens < 0) {
+        reason = { FailureKind::Invalid, "hold tokens", workspace, "the number of tokens is negative" };
+        co_return HoldResult::Exhausted;
+    }
+    if (tokens > *account->budget) {
+        reason = { FailureKind::Refused, "hold tokens", workspace, "request needs " + std::to_string(tokens) + " tokens but the whole budget is " + std::to_string(*account->budget) };
+        co_return HoldResult::Exhausted;
+    }
     account->demand.add(tokens);
-    account->largestHold = std::max<Tokens>(tokens, account->largestHold * 7 / 8);
+    account->largestHold = std::max(tokens, account->largestHold - account->largestHold / 8);
     Deadline exhaustedAt = Deadline::after(std::chrono::milliseconds(m_settings.exhaustedWaitMs));
     HoldResult result = co_await waitForTokens(account, tokens, exhaustedAt, deadline, reason);
+    // Demand that the budget does not cover would make this daemon reserve tokens that the requests of others need.
+    if (result == HoldResult::Exhausted)
+        account->demand.add(-tokens);
     if (result != HoldResult::Granted)
         co_return result;
-    account->held += tokens;
+    account->held = Core::saturatingAdd(account->held, tokens);
     if (account->available() < (reserveTarget(*account) + poolTarget(*account)) / 2)
         startRefill(account);
     co_return HoldResult::Granted;
@@ -150,10 +161,6 @@
 Core::Task<HoldResult> BudgetManager::waitForTokens(const std::shared_ptr<Account>& sharedAccount, Tokens tokens, Deadline exhaustedAt, Deadline deadline, Reason& reason)
 {
     Account& account = *sharedAccount;
-    if (tokens > account.budget.value_or(0)) {
-        reason = { FailureKind::Refused, "hold tokens", account.workspace, "request needs " + std::to_string(tokens) + " tokens but the whole budget is " + std::to_string(account.budget.value_or(0)) };
-        co_return HoldResult::Exhausted;
-    }
     if (!m_incarnation) {
         reason = { FailureKind::Unavailable, "hold tokens", "store", "this daemon has not been announced in the store yet" };
         co_return HoldResult::Unavailable;
@@ -161,7 +168,7 @@
     Core::SteadyClock::time_point askedAt = Core::SteadyClock::now();
     while (account.available() < tokens) {
         bool isFresh = account.remaining && account.remainingAsOf >= askedAt;
-        Tokens reachable = account.available() + account.remaining.value_or(0);
+        Tokens reachable = Core::saturatingAdd(account.available(), account.remaining.value_or(0));
         if (isFresh && reachable < tokens && (exhaustedAt.hasPassed() || deadline.hasPassed())) {
             reason = { FailureKind::Refused, "hold tokens", account.workspace, "request needs " + std::to_string(tokens) + " tokens; " + describe(account.workspace) };
             co_return HoldResult::Exhausted;
@@ -170,13 +177,11 @@
             reason = account.lastFailure.value_or(Reason { FailureKind::TimedOut, "hold tokens", "store", "no answer before the deadline" });
             co_return HoldResult::Unavailable;
         }
-        account.waitingTokens += tokens;
         account.waiting.insert(tokens);
         startRefill(sharedAccount);
         if (account.isChanging && m_hooks.flush)
             m_hooks.flush(account.workspace);
         co_await account.changed.wait(std::min(deadline, Deadline::after(retryDelay)));
-        account.waitingTokens -= tokens;
         account.waiting.erase(account.waiting.find(tokens));
     }
     co_return HoldResult::Granted;
@@ -185,8 +190,8 @@
 void BudgetManager::settle(const std::string& workspace, Tokens held, Tokens used)
 {
     Account& settled = account(workspace);
-    settled.held -= held;
-    settled.spent += used;
+    settled.held = Core::saturatingSubtract(settled.held, held);
+    settled.spent = Core::saturatingAdd(settled.spent, used);
     settled.changed.notifyAll();
 }
 
@@ -229,6 +234,12 @@
     co_return false;
 }
 
+// Whether the allocator transfers at most what was requested, in the direction requested.
+static bool isPlausible(const TransferReply& reply, const TransferRequest& request)
+{
+    return reply.tokens >= std::min<Tokens>(request.wanted, 0) && reply.tokens <= std::max<Tokens>(request.wanted, 0);
+}
+
 Core::Task<std::optional<Tokens>> BudgetManager::requestTransfer(Account& account, Tokens wanted, Tokens least, Reason& reason)
 {
     for (int attempts = 0; attempts < maxAllocatorAttempts; ++attempts) {
@@ -245,6 +256,10 @@
         Core::SteadyClock::time_point askedAt = Core::SteadyClock::now();
         std::optional<TransferReply> reply
             = co_await m_hooks.transfer(*allocator, request, Deadline::after(std::chrono::milliseconds(m_settings.transferTimeoutMs)), reason);
+        if (reply && !isPlausible(*reply, request)) {
+            reason = { FailureKind::Invalid, "transfer tokens", allocator->text(), "the reply has " + std::to_string(reply->tokens) + " tokens for a request of " + std::to_string(request.wanted) };
+            reply = std::nullopt;
+        }
         if (reply) {
             account.pending = std::nullopt;
             updateRemaining(account, reply->remaining, reply->grantedToAll, askedAt);
@@ -268,9 +283,10 @@
     Account& account = *sharedAccount;
     Reason reason;
     // The smallest useful amount lets the smallest waiting request proceed.
-    Tokens least = account.waiting.empty() ? 0 : *account.waiting.begin() - account.available();
-    Tokens wanted = account.waitingTokens + reserveTarget(account) + poolTarget(account) - account.available();
-    bool isUrgent = account.waitingTokens > 0;
+    Tokens least = account.waiting.empty() ? 0 : Core::saturatingSubtract(*account.waiting.begin(), account.available());
+    Tokens target = Core::saturatingAdd(account.waitingTokens(), reserveTarget(account) + poolTarget(account));
+    Tokens wanted = Core::saturatingSubtract(target, account.available());
+    bool isUrgent = !account.waiting.empty();
     Tokens grantedBefore = account.granted();
     if (wanted > 0) {
         least = std::clamp<Tokens>(least, 0, wanted);
@@ -278,7 +294,7 @@
         bool isAllocatorSilent = !received && !reason.step.empty();
         account.failedTransfers = isAllocatorSilent ? account.failedTransfers + 1 : 0;
         if (received)
-            account.transferred += *received;
+            account.transferred = Core::saturatingAdd(account.transferred, *received);
         else if (!isAllocatorSilent || account.failedTransfers >= maxFailedTransfers)
             co_await changeRow(account, wanted, least, isUrgent, reason);
         // Waiting requests would otherwise ask again at once, for as long as they wait.
@@ -307,7 +323,7 @@
     Reason reason;
     std::optional<Tokens> returned = co_await requestTransfer(account, -tokens, 0, reason);
     if (returned)
-        account.transferred += *returned;
+        account.transferred = Core::saturatingAdd(account.transferred, *returned);
     else
         co_await changeRow(account, -tokens, 0, true, reason);
     account.returning = 0;
@@ -322,23 +338,33 @@
         reason = { FailureKind::Refused, "transfer tokens", "daemon", "this daemon does not currently allocate tokens for workspace " + request.workspace };
         co_return std::nullopt;
     }
+    // No daemon holds more than the sum of all grants, which an operator may have lowered the budget below.
+    Tokens mostReturnable = std::max(*account->budget, account->grantedToAll);
+    if (request.wanted < 0 && request.wanted < -std::max<Tokens>(mostReturnable, 0)) {
+        reason = { FailureKind::Invalid, "transfer tokens", request.host, "returns " + std::to_string(request.wanted) + " tokens; " + describe(request.workspace) };
+        co_return std::nullopt;
+    }
     ServedTransfer previous = account->served[request.host];
     bool isRepeat = previous.incarnation == request.incarnation && previous.sequence >= request.sequence;
     Tokens tokens = isRepeat && previous.sequence == request.sequence ? previous.tokens : 0;
     if (!isRepeat && request.wanted < 0) {
         tokens = request.wanted;
-        account->transferred -= tokens;
+        account->transferred = Core::saturatingSubtract(account->transferred, tokens);
         account->changed.notifyAll();
     } else if (!isRepeat) {
-        account->pool.add(request.wanted);
         Tokens least = std::max<Tokens>(request.least, 1);
+        bool mayBeCovered = least <= *account->budget;
+        if (mayBeCovered)
+            account->pool.add(std::min(request.wanted, *account->budget));
         // The requesting daemon does the waiting for other requests to settle, so exhaustion is reported immediately.
-        HoldResult result = co_await waitForTokens(account, least, Deadline::after(std::chrono::milliseconds(0)), deadline, reason);
+        HoldResult result = HoldResult::Exhausted;
+        if (mayBeCovered)
+            result = co_await waitForTokens(account, least, Deadline::after(std::chrono::milliseconds(0)), deadline, reason);
         if (result == HoldResult::Unavailable)
             co_return std::nullopt;
         if (result == HoldResult::Granted) {
             tokens = std::min(request.wanted, account->available());
-            account->transferred -= tokens;
+            account->transferred = Core::saturatingSubtract(account->transferred, tokens);
         }
         if (account->available() < (reserveTarget(*account) + poolTarget(*account)) / 2)
             startRefill(account);
@@ -346,7 +372,7 @@
     if (!isRepeat)
         account->served[request.host] = { request.incarnation, request.sequence, tokens };
     // Tokens available to this allocator can be granted like those remaining in the ledger.
-    co_return TransferReply { tokens, account->remaining.value_or(0) + std::max<Tokens>(0, account->available()), account->grantedToAll };
+    co_return TransferReply { tokens, Core::saturatingAdd(account->remaining.value_or(0), std::max<Tokens>(0, account->available())), account->grantedToAll };
 }
 
 Core::Task<void> BudgetManager::returnAll(Deadline deadline)
--- a/Libraries/LibRelay/src/RequestExecution.cpp
+++ b/Libraries/LibRelay/src/RequestExecution.cpp
@@ -4,6 +4,7 @@
 #include "LibCore/Hash.h"
 #include "LibCore/Random.h"
 #include <algorithm>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace Relay {
@@ -146,8 +147,10 @@
         return;
     m_isHolding = false;
     Tokens used = 0;
-    if (m_possibleRuns > 0)
-        used = std::min(m_heldTokens, m_request.tokens->prompt + static_cast<Tokens>(m_events) * m_tokensPerEvent);
+    if (m_possibleRuns > 0) {
+        Tokens events = static_cast<Tokens>(std::min<uint64_t>(m_events, std::numeric_limits<Tokens>::max()));
+        used = std::min(m_heldTokens, Core::saturatingAdd(m_request.tokens->prompt, Core::saturatingMultiply(events, m_tokensPerEvent)));
+    }
     m_handler.m_budgets.settle(m_workspace->name, m_heldTokens, used);
 }
 
--- a/Libraries/LibRelay/src/WorkspaceLedger.cpp
+++ b/Libraries/LibRelay/src/WorkspaceLedger.cpp
@@ -1,7 +1,9 @@
 #include "LibRelay/WorkspaceLedger.h"
 
+#include "LibCore/Saturating.h"
 #include "PeerMessage.h"
 #include <algorithm>
+#include <limits>
 #include <tuple>
 
 namespace Relay {
@@ -10,12 +12,21 @@
 
 static constexpr size_t maxMessageDepth = 2;
 
+// Throws nlohmann::json::type_error if the value is no integer that fits, which a plain conversion would change.
+static Tokens tokensFrom(const json& value)
+{
+    bool isTooLarge = value.is_number_unsigned() && value.get<uint64_t>() > static_cast<uint64_t>(std::numeric_limits<Tokens>::max());
+    if (!value.is_number_integer() || isTooLarge)
+        throw json::type_error::create(302, "expected a number of tokens, got " + value.dump(), &value);
+    return value.get<Tokens>();
+}
+
 Tokens WorkspaceLedger::remaining() const
 {
     Tokens granted = closed;
     for (const auto& [host, row] : rows)
-        granted += row.granted;
-    return budget - granted;
+        granted = Core::saturatingAdd(granted, row.granted);
+    return Core::saturatingSubtract(budget, granted);
 }
 
 GrantState WorkspaceLedger::stateOf(const std::string& host, bool isApplied) const
@@ -24,7 +35,7 @@
     state.isApplied = isApplied;
     state.remaining = remaining();
     for (const auto& [name, row] : rows)
-        state.grantedToAll += row.granted;
+        state.grantedToAll = Core::saturatingAdd(state.grantedToAll, row.granted);
     auto own = rows.find(host);
     if (own != rows.end()) {
         state.sequence = own->second.sequence;
@@ -46,7 +57,7 @@
         return state;
     }
     if (row.incarnation < change.incarnation) {
-        closed += row.granted;
+        closed = Core::saturatingAdd(closed, row.granted);
         row = { change.incarnation, 0, 0 };
     }
     if (change.sequence <= row.sequence)
@@ -55,7 +66,7 @@
     bool fits = change.wanted < 0 || (tokens > 0 && tokens >= change.least);
     if (!fits || change.sequence != row.sequence + 1)
         return stateOf(change.host, false);
-    row.granted += tokens;
+    row.granted = Core::saturatingAdd(row.granted, tokens);
     row.sequence = change.sequence;
     return stateOf(change.host, true);
 }
@@ -71,12 +82,12 @@
     for (const auto& [host, row] : rows) {
         auto known = other.rows.find(host);
         if (known != other.rows.end() && known->second.incarnation < row.incarnation)
-            otherClosed += known->second.granted;
+            otherClosed = Core::saturatingAdd(otherClosed, known->second.granted);
     }
     for (const auto& [host, row] : other.rows) {
         LedgerRow& merged = rows[host];
         if (merged.incarnation < row.incarnation)
-            closed += merged.granted;
+            closed = Core::saturatingAdd(closed, merged.granted);
         if (std::tie(merged.incarnation, merged.sequence) < std::tie(row.incarnation, row.sequence))
             merged = row;
     }
@@ -102,7 +113,7 @@
     });
     for (auto& [name, ledger] : workspaces) {
         if (isUncertain)
-            ledger.closed += std::max<Tokens>(ledger.remaining(), 0);
+            ledger.closed = Core::saturatingAdd(ledger.closed, std::max<Tokens>(ledger.remaining(), 0));
     }
     confirmed.clear();
     era = storeEra;
@@ -136,10 +147,10 @@
         for (const auto& [workspace, object] : workspaces.items()) {
             WorkspaceLedger ledger;
             ledger.configurationVersion = object.at("configuration").get<uint64_t>();
-            ledger.budget = object.at("budget").get<Tokens>();
-            ledger.closed = object.at("closed").get<Tokens>();
+            ledger.budget = tokensFrom(object.at("budget"));
+            ledger.closed = tokensFrom(object.at("closed"));
             for (const auto& [host, row] : object.at("rows").items())
-                ledger.rows[host] = { row.at(0).get<uint64_t>(), row.at(1).get<uint64_t>(), row.at(2).get<Tokens>() };
+                ledger.rows[host] = { row.at(0).get<uint64_t>(), row.at(1).get<uint64_t>(), tokensFrom(row.at(2)) };
             shard.workspaces.emplace(workspace, std::move(ledger));
         }
         return shard;
@@ -163,8 +174,8 @@
         request.host = message.at("host").get<std::string>();
         request.incarnation = message.at("incarnation").get<uint64_t>();
         request.sequence = message.at("sequence").get<uint64_t>();
-        request.wanted = message.at("wanted").get<Tokens>();
-        request.least = message.at("least").get<Tokens>();
+        request.wanted = tokensFrom(message.at("wanted"));
+        request.least = tokensFrom(message.at("least"));
         return request;
     });
 }
@@ -178,9 +189,9 @@
 {
     return unpackMessage(bytes, maxMessageDepth, "decode grant message", reason, [](const json& message) {
         TransferReply reply;
-        reply.tokens = message.at("tokens").get<Tokens>();
-        reply.remaining = message.at("remaining").get<Tokens>();
-        reply.grantedToAll = message.at("granted_to_all").get<Tokens>();
+        reply.tokens = tokensFrom(message.at("tokens"));
+        reply.remaining = tokensFrom(message.at("remaining"));
+        reply.grantedToAll = tokensFrom(message.at("granted_to_all"));
         return reply;
     });
 }
--- a/Tests/LibRelay/RelayFixture.h
+++ b/Tests/LibRelay/RelayFixture.h
@@ -11,7 +11,7 @@
 namespace RelayTest {
 
 // "Id" identifies the request, "Not-Run", "Seal", "Leaving", "Limit" and, in a 503, "Pause-Ms" are an endpoint's response metadata, "Tokens" is the
-// prompt's size, "Parts" are the ids of the prompt's parts, separated by commas.
+// prompt's size, "Max-Output" the maximum of its output (10 if absent), "Parts" are the ids of the prompt's parts, separated by commas.
 inline Relay::WireCodec makeCodec()
 {
     Relay::WireCodec codec;
@@ -24,7 +24,7 @@
         if (std::optional<std::string> text = HTTP::findHeader(message.headers, "Timeout"))
             request.deadline = Core::Deadline::after(std::chrono::milliseconds(std::stoi(*text)));
         if (std::optional<std::string> text = HTTP::findHeader(message.headers, "Tokens"))
-            request.tokens = Relay::TokenDemand { std::stoi(*text), 10 };
+            request.tokens = Relay::TokenDemand { std::stoi(*text), std::stoll(HTTP::findHeader(message.headers, "Max-Output").value_or("10")) };
         std::istringstream parts(HTTP::findHeader(message.headers, "Parts").value_or(""));
         for (std::string id; std::getline(parts, id, ',');)
             request.promptParts.push_back({ id, 1 });
--- a/Tests/LibRelay/TestBudgetManager.cpp
+++ b/Tests/LibRelay/TestBudgetManager.cpp
@@ -1,8 +1,11 @@
 #include "LibPlatform/InMemoryObjectStore.h"
 #include "LibRelay/BudgetManager.h"
+#include "LibRelay/CallerRequest.h"
 #include "LibRelay/LedgerWriter.h"
 #include "RunTask.h"
+#include <algorithm>
 #include <array>
+#include <limits>
 #include <random>
 
 using namespace Relay;
@@ -333,3 +336,93 @@
     cr_assert_eq(fixture.hold(fixture.second, 300), HoldResult::Granted);
     cr_assert_eq(fixture.second.writer.writes(), 0);
 }
+
+static constexpr Tokens maxTokens = std::numeric_limits<Tokens>::max();
+
+// Guards against an amount near the end of the integer's range turning into a negative one, which lifted the limit of a workspace or
+// made all later requests exceed it, and against demand that nothing covers keeping tokens from others (review/2).
+Test(BudgetManager, hugeAmountsAreRefusedWithoutEffect)
+{
+    static constexpr Relay::TokenDemand demand { 400, maxTokens };
+    cr_assert_eq(demand.total(), maxTokens);
+    for (bool isFirst : { true, false }) {
+        BudgetFixture fixture;
+        if (!isFirst)
+            cr_assert_eq(fixture.hold(fixture.first, 100), HoldResult::Granted);
+        for (Tokens tokens : { maxTokens, maxTokens - 1, maxTokens / 2 + 1, demand.total(), budget + 1, std::numeric_limits<Tokens>::min(), Tokens { -1 } })
+            cr_assert_eq(fixture.hold(fixture.first, tokens), HoldResult::Exhausted, "%ld tokens", static_cast<long>(tokens));
+        cr_assert_eq(fixture.hold(fixture.second, isFirst ? budget : budget - 100), HoldResult::Granted);
+        cr_assert_eq(fixture.hold(fixture.first, 1), HoldResult::Exhausted);
+    }
+}
+
+// Guards against an overflow of the sums of what is held, waited for and granted where the budget itself is as large as can be.
+Test(BudgetManager, sumsOfHugeAmountsDoNotLiftAHugeBudget)
+{
+    BudgetFixture fixture;
+    for (Daemon* daemon : { &fixture.first, &fixture.second })
+        daemon->manager.adopt(makeConfiguration(2, maxTokens));
+    cr_assert_eq(fixture.hold(fixture.first, maxTokens - 10), HoldResult::Granted);
+    cr_assert_eq(fixture.hold(fixture.first, maxTokens), HoldResult::Exhausted);
+    cr_assert_eq(fixture.hold(fixture.second, maxTokens - 10), HoldResult::Exhausted);
+    std::array<std::optional<HoldResult>, 3> results;
+    std::array<Core::Reason, 3> reasons;
+    for (size_t i = 0; i < results.size(); ++i)
+        TestSupport::startTask(fixture.context, fixture.second.manager.hold("w", maxTokens / 2 + 2, Core::Deadline::after(std::chrono::seconds(5)), reasons.at(i)), results.at(i));
+    TestSupport::runUntil(fixture.context, [&results] { return std::all_of(results.begin(), results.end(), [](const auto& result) { return result.has_value(); }); });
+    for (const std::optional<HoldResult>& result : results)
+        cr_assert_eq(*result, HoldResult::Exhausted);
+    fixture.first.manager.settle("w", maxTokens - 10, maxTokens - 10);
+    cr_assert_eq(fixture.hold(fixture.second, 11), HoldResult::Exhausted);
+    cr_assert_eq(fixture.hold(fixture.second, 10), HoldResult::Granted);
+    cr_assert_eq(fixture.hold(fixture.first, 1), HoldResult::Exhausted);
+}
+
+// Guards against another daemon gaining or giving tokens that are not there: by a request for more than all, by returning more than it
+// can have, or by a reply that exceeds the request.
+Test(BudgetManager, hugeAmountsOfOtherDaemonsAreRefused)
+{
+    BudgetFixture fixture;
+    cr_assert_eq(fixture.hold(fixture.first, 100), HoldResult::Granted);
+    Core::Reason reason;
+    uint64_t sequence = 0;
+    auto ask = [&](Tokens wanted, Tokens least) {
+        return TestSupport::runTask(fixture.context, fixture.first.manager.transfer({ "w", "b", 2, ++sequence, wanted, least }, Core::Deadline::after(std::chrono::seconds(5)), reason));
+    };
+    for (Tokens wanted : { std::numeric_limits<Tokens>::min(), -maxTokens, -(budget + 1) }) {
+        cr_assert_not(ask(wanted, 0));
+        cr_assert_eq(reason.kind, Core::FailureKind::Invalid);
+    }
+    cr_assert_eq(ask(maxTokens, maxTokens)->tokens, 0);
+    cr_assert_leq(ask(maxTokens, std::numeric_limits<Tokens>::min())->tokens, 900);
+    cr_assert_eq(fixture.hold(fixture.first, 901), HoldResult::Exhausted);
+
+    BudgetHooks hooks = fixture.second.makeHooks();
+    hooks.allocatorOf = [](const std::string&) { return Core::Address { "10.0.0.1", 1 }; };
+    for (Tokens tokens : { maxTokens, Tokens { -5 }, std::numeric_limits<Tokens>::min() }) {
+        hooks.transfer = [tokens](Core::Address, TransferRequest, Core::Deadline, Core::Reason&) -> Core::Task<std::optional<TransferReply>> {
+            co_return TransferReply { tokens, maxTokens, maxTokens };
+        };
+        BudgetManager manager(fixture.context.get_executor(), hooks, { "c", 5, 0.3, 30, 2, 300, 300, 1 });
+        manager.setIncarnation(3);
+        manager.adopt(makeConfiguration(1, budget));
+        HoldResult result = TestSupport::runTask(fixture.context, manager.hold("w", 950, Core::Deadline::after(std::chrono::seconds(1)), reason));
+        cr_assert_neq(result, HoldResult::Granted, "a reply of %ld tokens", static_cast<long>(tokens));
+    }
+}
+
+// Guards against a ledger whose amounts do not fit being read as one with other amounts, and against sums that overflow.
+Test(WorkspaceLedger, hugeAmountsInALedgerLeaveNothing)
+{
+    Core::Reason reason;
+    cr_assert_not(decodeShard(R"({"w":{"configuration":1,"budget":18446744073709551615,"closed":0,"rows":{}}})", reason));
+    cr_assert_not(decodeShard(R"({"w":{"configuration":1,"budget":1e300,"closed":0,"rows":{}}})", reason));
+    cr_assert_not(decodeShard(R"({"w":{"configuration":1,"budget":5,"closed":0,"rows":{"a":[1,1,9223372036854775808]}}})", reason));
+    WorkspaceLedger ledger;
+    ledger.budget = maxTokens;
+    ledger.closed = maxTokens;
+    ledger.rows["a"] = { 1, 1, maxTokens };
+    ledger.rows["b"] = { 1, 1, maxTokens };
+    cr_assert_leq(ledger.remaining(), 0);
+    cr_assert_not(ledger.apply({ "w", "c", 1, 1, 1, 1, 1, maxTokens }).isApplied);
+}
--- a/Tests/LibRelay/TestRequestHandler.cpp
+++ b/Tests/LibRelay/TestRequestHandler.cpp
@@ -272,3 +272,21 @@
     }(end));
     cr_assert(fixture.arrivals.empty());
 }
+
+// Guards against a request that names a huge maximum being served and lifting its workspace's limit (review/2).
+Test(RequestHandler, hugeMaximumIsRefusedWithoutEffect)
+{
+    Fixture fixture;
+    fixture.answer = [](const HTTP::Request& request, HTTP::ResponseWriter& writer) -> Core::Task<void> {
+        Core::Reason ignored;
+        co_await writer.startStream(200, sealed(request), ignored);
+        co_await writer.writeChunk("id: 1\ndata: a\n\n", ignored);
+        co_await writer.finishStream(ignored);
+    };
+    for (const char* maximum : { "9223372036854775807", "9223372036854775408" })
+        cr_assert_eq(fixture.call(fixture.makeRequest("/single/a", { { "Tokens", "400" }, { "Max-Output", maximum } }))->status, 402);
+    for (int i = 0; i < 2; ++i)
+        cr_assert_eq(fixture.call(fixture.makeRequest("/single/a", { { "Tokens", "400" } }))->status, 200);
+    cr_assert_eq(fixture.call(fixture.makeRequest("/single/a", { { "Tokens", "400" } }))->status, 402);
+    cr_assert_eq(fixture.arrivals.size(), 2);
+}
--- a/Tests/PlatformAdapter/TestCodec.cpp
+++ b/Tests/PlatformAdapter/TestCodec.cpp
@@ -1,6 +1,7 @@
 #include "PlatformAdapter/Adapter.h"
 
 #include <criterion/criterion.h>
+#include <limits>
 #include <random>
 
 using namespace PlatformAdapter;
@@ -92,6 +93,42 @@
     cr_assert_eq(request->lastEvent.value(), 12);
 }
 
+// Guards against sums of token counts that wrap around, and against dropping the parts of a prompt, by which parts that crash engines
+// are recognized, because of a count that is too large (review/2).
+Test(Codec, numbersTooLargeAreTheLargest)
+{
+    static constexpr Relay::Tokens max = std::numeric_limits<Relay::Tokens>::max();
+    for (const char* large : { "9223372036854775807", "9223372036854775808", "18446744073709551615", "100000000000000000000000000" }) {
+        HTTP::Headers headers = minimal();
+        headers.push_back({ "X-Token-Counts", "400," + std::string(large) });
+        headers.push_back({ "X-Prompt-Prefix", "5c1e:" + std::string(large) + ",91bd:410" });
+        Core::Reason reason;
+        std::optional<Relay::CallerRequest> request = decode(headers, reason);
+        cr_assert(request, "%s", large);
+        cr_assert(request->tokens == (Relay::TokenDemand { 400, max }));
+        cr_assert_eq(request->tokens->total(), max);
+        cr_assert_eq(request->promptParts.size(), 2);
+        cr_assert_eq(request->promptParts[0].tokens, max);
+    }
+}
+
+// Guards against a budget or an event size of any magnitude making the configuration unreadable, or the tokens of an event negative.
+Test(ConfigurationDecoder, numbersOfTokensAreBounded)
+{
+    static constexpr Relay::Tokens max = std::numeric_limits<Relay::Tokens>::max();
+    auto configure = [](const std::string& budget, const std::string& stride) {
+        Core::Reason reason;
+        return decodeConfiguration(R"({"version":1,"routes":[],"services":[{"name":"s","engine":{"stride":)" + stride + R"(}}],"tenants":[{"name":"w","reserved":)" + budget + "}]}", reason);
+    };
+    for (const char* large : { "9223372036854775807", "9223372036854775808", "18446744073709551615", "1e19", "1e300" })
+        cr_assert_eq(configure(large, "1")->workspaces().at("w").budget.value(), max, "%s", large);
+    cr_assert_eq(configure("1e18", "1")->workspaces().at("w").budget.value(), 1'000'000'000'000'000'000);
+    cr_assert_eq(configure("2500.5", "1")->workspaces().at("w").budget.value(), 2'500);
+    for (const char* small : { "0", "-7", "-9223372036854775808" })
+        cr_assert_eq(configure("5", small)->findService("s")->engine->tokensPerEvent, 1, "%s", small);
+    cr_assert_eq(configure("5", "9223372036854775807")->findService("s")->engine->tokensPerEvent, max);
+}
+
 // Entries of other applications must be rejected as endpoints without an exception.
 Test(EndpointDecoder, entriesOfOtherWritersAreRejected)
 {
