Relay: output beyond a request's maximum is charged, and ends where the budget does

Found while looking for places that settle tokens: an endpoint that sends more than the maximum that the request names was forwarded to the end, and what exceeded the hold was not charged. A caller that names a maximum of 0 got its output for the price of the prompt.

Now the tokens of such events are held as they arrive; the stream is broken off at the first that the budget does not cover. The last event that the maximum allows may be partly filled, so that it is charged up to the maximum, as before.

RequestHandler.outputBeyondTheMaximumIsCharged failed on the sources before (a request was served that the budget did not cover).

--- a/Libraries/LibRelay/src/RequestExecution.cpp
+++ b/Libraries/LibRelay/src/RequestExecution.cpp
@@ -140,18 +140,40 @@
     co_return Refusal { 503, "budget_unavailable", reason.text() + "; " + m_handler.m_budgets.describe(m_workspace->name), retryAfterStoreOutageMs() };
 }
 
-// A request that may have run is charged for its prompt and for the events received.
+// Tokens of a request that may have run: its prompt and the events received. The last event that the request's maximum allows may
+// be partly filled; events beyond it count in full.
+Tokens RequestExecution::usedTokens() const
+{
+    Tokens events = static_cast<Tokens>(std::min<uint64_t>(m_events, std::numeric_limits<Tokens>::max()));
+    Tokens output = Core::saturatingMultiply(events, m_tokensPerEvent);
+    bool isWithinMaximum = events == 0 || Core::saturatingMultiply(events - 1, m_tokensPerEvent) < m_request.tokens->maxOutput;
+    if (isWithinMaximum)
+        output = std::min(output, m_request.tokens->maxOutput);
+    return Core::saturatingAdd(m_request.tokens->prompt, output);
+}
+
+// Holds further tokens if the endpoint has sent more than the request's maximum. False if the budget does not cover them.
+Core::Task<bool> RequestExecution::holdReceivedTokens()
+{
+    if (!m_isHolding || usedTokens() <= m_heldTokens)
+        co_return true;
+    Tokens extra = usedTokens() - m_heldTokens;
+    Reason reason;
+    if (co_await m_handler.m_budgets.hold(m_workspace->name, extra, m_deadline, reason) != HoldResult::Granted) {
+        m_lastFailure = "more output than the request's maximum, which the budget does not cover: " + reason.text();
+        m_isBeyondBudget = true;
+        co_return false;
+    }
+    m_heldTokens += extra;
+    co_return true;
+}
+
 void RequestExecution::settleTokens()
 {
     if (!m_isHolding)
         return;
     m_isHolding = false;
-    Tokens used = 0;
-    if (m_possibleRuns > 0) {
-        Tokens events = static_cast<Tokens>(std::min<uint64_t>(m_events, std::numeric_limits<Tokens>::max()));
-        used = std::min(m_heldTokens, Core::saturatingAdd(m_request.tokens->prompt, Core::saturatingMultiply(events, m_tokensPerEvent)));
-    }
-    m_handler.m_budgets.settle(m_workspace->name, m_heldTokens, used);
+    m_handler.m_budgets.settle(m_workspace->name, m_heldTokens, m_possibleRuns > 0 ? usedTokens() : 0);
 }
 
 std::string RequestExecution::selectService() const
@@ -206,7 +228,7 @@
 
 bool RequestExecution::canRetry(Outcome outcome) const
 {
-    if (*m_isCallerGone || m_deadline.hasPassed() || m_sends >= m_route.attempts)
+    if (*m_isCallerGone || m_isBeyondBudget || m_deadline.hasPassed() || m_sends >= m_route.attempts)
         return false;
     return outcome == Outcome::NotRun || m_route.mayRunAgain();
 }
--- a/Libraries/LibRelay/src/RequestExecution.h
+++ b/Libraries/LibRelay/src/RequestExecution.h
@@ -66,6 +66,8 @@
     Refusal refusalWithoutEndpoint(std::string message) const;
     Core::Task<void> refuse(Refusal);
     Core::Task<void> failRequest();
+    Tokens usedTokens() const;
+    Core::Task<bool> holdReceivedTokens();
     void settleTokens();
     void logCompletion(const char* outcome, const std::string& detail);
     int64_t elapsedMs() const;
@@ -81,6 +83,8 @@
     Core::Deadline m_deadline { Core::Deadline::never() };
     Tokens m_heldTokens { 0 };
     bool m_isHolding { false };
+    // The endpoint has sent more than the budget covers.
+    bool m_isBeyondBudget { false };
     Tokens m_tokensPerEvent { 1 };
     bool m_isEngine { false };
 
--- a/Libraries/LibRelay/src/ResponseForwarding.cpp
+++ b/Libraries/LibRelay/src/ResponseForwarding.cpp
@@ -142,6 +142,10 @@
             if (!std::exchange(hasEvents, true))
                 m_handler.m_quarantine.recordAnswerBegun(Core::SteadyClock::now());
             ++m_events;
+            if (!co_await holdReceivedTokens()) {
+                --m_events;
+                co_return Outcome::Unknown;
+            }
             m_lastEvent = event.id;
             if (m_watched) {
                 m_watched->lastEventAt = Core::SteadyClock::now();
--- a/Tests/LibRelay/TestRequestHandler.cpp
+++ b/Tests/LibRelay/TestRequestHandler.cpp
@@ -290,3 +290,23 @@
     cr_assert_eq(fixture.call(fixture.makeRequest("/single/a", { { "Tokens", "400" } }))->status, 402);
     cr_assert_eq(fixture.arrivals.size(), 2);
 }
+
+// Guards against output beyond the maximum that a request names being delivered free of charge, or beyond the budget.
+Test(RequestHandler, outputBeyondTheMaximumIsCharged)
+{
+    Fixture fixture;
+    fixture.answer = [](const HTTP::Request& request, HTTP::ResponseWriter& writer) -> Core::Task<void> {
+        Core::Reason ignored;
+        co_await writer.startStream(200, sealed(request), ignored);
+        for (int event = 1; event <= 60; ++event)
+            co_await writer.writeChunk("id: " + std::to_string(event) + "\ndata: a\n\n", ignored);
+        co_await writer.finishStream(ignored);
+    };
+    HTTP::Headers tokens { { "Tokens", "400" }, { "Max-Output", "0" } };
+    cr_assert_eq(fixture.call(fixture.makeRequest("/single/a", tokens))->status, 200);
+    // 540 of 1,000 tokens are left: the prompt and 60 events of the next request fit, of the last one only the prompt and 40 events.
+    cr_assert_eq(fixture.call(fixture.makeRequest("/single/a", { { "Tokens", "440" }, { "Max-Output", "0" } })).value().status, 200);
+    cr_assert_eq(fixture.call(fixture.makeRequest("/single/a", { { "Tokens", "41" }, { "Max-Output", "0" } })).value().status, 402);
+    cr_assert_not(fixture.call(fixture.makeRequest("/stream/a", { { "Tokens", "0" }, { "Max-Output", "0" } })), "a stream beyond the budget was completed");
+    cr_assert_eq(fixture.call(fixture.makeRequest("/single/a", { { "Tokens", "1" }, { "Max-Output", "0" } })).value().status, 402);
+}
