Budget: huge demands do not close a daemon's account or wrap around

The sums of the prompt and the maximum, of waiting requests and of bills could overflow, if an operator sets a model's limit or an engine reports a count near 2^63.

Such a demand is refused as exhausted, sums saturate, and a grant asks for no more than the ledger accepts.

Accounts.hugeRequestsAreRefusedWithoutEffect guards this; it was written with the fix and not run against the sources before.

--- a/Libraries/LibBudget/include/LibBudget/GrantAccount.h
+++ b/Libraries/LibBudget/include/LibBudget/GrantAccount.h
@@ -2,6 +2,7 @@
 
 #include "LibBudget/GrantPolicy.h"
 #include "LibCore/Deadline.h"
+#include "LibCore/Saturating.h"
 
 namespace Budget {
 
@@ -12,7 +13,7 @@
 public:
     using Time = Core::SteadyClock::time_point;
 
-    Ledger::Tokens available() const { return m_isClosed ? 0 : m_granted - m_returned - m_settled - m_held; }
+    Ledger::Tokens available() const { return m_isClosed ? 0 : Core::saturatingSubtract(m_granted, Core::saturatingAdd(m_returned, Core::saturatingAdd(m_settled, m_held))); }
     Ledger::Tokens granted() const { return m_granted; }
     Ledger::Tokens returned() const { return m_returned; }
     Ledger::Tokens settled() const { return m_settled; }
--- a/Libraries/LibBudget/src/AccountTransfers.cpp
+++ b/Libraries/LibBudget/src/AccountTransfers.cpp
@@ -1,6 +1,8 @@
 #include "Account.h"
 #include "BudgetEvents.h"
 #include "LibBudget/Accounts.h"
+#include "LibCore/Saturating.h"
+#include "LibLedger/Limits.h"
 #include <algorithm>
 #include <numeric>
 
@@ -34,10 +36,11 @@
 {
     Core::SteadyClock::time_point now = Core::SteadyClock::now();
     GrantAccount& balance = account->balance;
-    Tokens wanted = std::accumulate(account->waitingAmounts.begin(), account->waitingAmounts.end(), Tokens(0));
+    Tokens wanted = std::accumulate(account->waitingAmounts.begin(), account->waitingAmounts.end(), Tokens(0), Core::saturatingAdd<Tokens>);
     GrantPolicyInput input = balance.policyInput(account->budget, wanted, now);
     Tokens size = std::max(input.shortfall, m_settings.policy(input));
-    Tokens target = balance.granted() + size;
+    // The ledger closes the account of a holder that asks for more.
+    Tokens target = std::min(Core::saturatingAdd(balance.granted(), size), Ledger::maximumCumulativeTokens);
     Core::Reason reason;
     std::optional<Ledger::EntryResult> result = co_await submitOne(Ledger::Grant { account->budget, m_self, target }, Core::Deadline::after(m_settings.grantTimeout), reason);
     account->isGrantInFlight = false;
--- a/Libraries/LibBudget/src/Accounts.cpp
+++ b/Libraries/LibBudget/src/Accounts.cpp
@@ -2,6 +2,7 @@
 
 #include "Account.h"
 #include "LibCore/Random.h"
+#include "LibLedger/Limits.h"
 #include <algorithm>
 
 namespace Budget {
@@ -41,6 +42,11 @@
         reason = { Core::FailureKind::Invalid, "acquire tokens", budget.text(), "number of tokens is negative" };
         co_return std::nullopt;
     }
+    // A grant of this size would be rejected, as would the bill.
+    if (tokens > Ledger::maximumTokens) {
+        reason = { Core::FailureKind::Refused, "acquire tokens", budget.text(), "budget exhausted: a request can use " + std::to_string(Ledger::maximumTokens) + " tokens at most" };
+        co_return std::nullopt;
+    }
     AccountPointer pointer = account(budget);
     // Waiting requests take precedence.
     if (pointer->waitingAmounts.empty() && pointer->balance.hold(tokens, Core::SteadyClock::now()))
--- a/Libraries/LibBudget/src/GrantAccount.cpp
+++ b/Libraries/LibBudget/src/GrantAccount.cpp
@@ -1,5 +1,6 @@
 #include "LibBudget/GrantAccount.h"
 
+#include "LibCore/Saturating.h"
 #include <algorithm>
 #include <cmath>
 
@@ -22,8 +23,8 @@
 void GrantAccount::settle(Tokens held, Tokens used, Time now)
 {
     m_held -= held;
-    m_settled += used;
-    addDemand(used - held, now);
+    m_settled = Core::saturatingAdd(m_settled, used);
+    addDemand(Core::saturatingSubtract(used, held), now);
 }
 
 void GrantAccount::release(Tokens held, Time now)
@@ -38,7 +39,7 @@
     m_granted = std::max(m_granted, result.cumulativeGranted);
     m_ungranted = result.ungranted;
     m_activeHolders = result.activeHolders;
-    bool isActive = m_granted - m_returned - m_settled > 0;
+    bool isActive = Core::saturatingSubtract(m_granted, Core::saturatingAdd(m_returned, m_settled)) > 0;
     m_othersHoldGrants = result.activeHolders > (isActive ? 1u : 0u);
 }
 
@@ -73,8 +74,8 @@
 GrantPolicyInput GrantAccount::policyInput(const Ledger::BudgetId& budget, Tokens wanted, Time now) const
 {
     Tokens usable = std::max<Tokens>(0, available());
-    Tokens shortfall = std::max<Tokens>(0, wanted - usable);
-    Tokens spare = std::max<Tokens>(0, usable - wanted);
+    Tokens shortfall = std::max<Tokens>(0, Core::saturatingSubtract(wanted, usable));
+    Tokens spare = std::max<Tokens>(0, Core::saturatingSubtract(usable, wanted));
     return { budget, shortfall, spare, tokensPerSecond(now), m_ungranted, m_activeHolders, isScarce(now) };
 }
 
--- a/Libraries/LibCaller/src/ChatRequest.cpp
+++ b/Libraries/LibCaller/src/ChatRequest.cpp
@@ -1,5 +1,6 @@
 #include "LibCaller/ChatRequest.h"
 
+#include "LibCore/Saturating.h"
 #include "LibCore/Try.h"
 #include <nlohmann/json.hpp>
 
@@ -78,7 +79,8 @@
     int64_t maxTokens = TRY(readMaxTokens(body, model->second, refusal));
     int64_t bytesPerToken = std::max<int64_t>(1, model->second.bytesPerToken);
     int64_t promptBytes = static_cast<int64_t>(prompt.size() + structuredBytes(body));
-    request.tokenBound = (promptBytes + bytesPerToken - 1) / bytesPerToken + maxTokens;
+    int64_t promptTokens = promptBytes / bytesPerToken + (promptBytes % bytesPerToken != 0 ? 1 : 0);
+    request.tokenBound = Core::saturatingAdd(promptTokens, maxTokens);
     request.prefix = prompt.substr(0, maxPrefixBytes);
     body["stream"] = true;
     body["max_tokens"] = maxTokens;
--- a/Tests/LibBudget/TestAccounts.cpp
+++ b/Tests/LibBudget/TestAccounts.cpp
@@ -1,6 +1,8 @@
 #include "BudgetFixture.h"
 
+#include "LibLedger/Limits.h"
 #include <criterion/criterion.h>
+#include <limits>
 
 using namespace Budget;
 
@@ -109,3 +111,23 @@
     fixture.topUp("t2", 60);
     runUntil(fixture.context, [&isHeld] { return isHeld; });
 }
+
+// Guards against a request for a huge number of tokens that makes the ledger close the daemon's account, or overflows the sum of what
+// requests wait for: later requests within the budget would be refused.
+Test(Accounts, hugeRequestsAreRefusedWithoutEffect)
+{
+    BudgetFixture fixture(7);
+    BudgetFixture::Daemon& daemon = fixture.addDaemon("a");
+    fixture.topUp("t1", 1000);
+    Core::Reason reason;
+    for (Ledger::Tokens tokens : { std::numeric_limits<Ledger::Tokens>::max(), Ledger::maximumCumulativeTokens + 1, Ledger::maximumTokens + 1, Ledger::maximumTokens }) {
+        cr_assert_not(fixture.acquire(daemon, tokens, fixture.seconds(1), reason));
+        cr_assert_eq(reason.kind, Core::FailureKind::Refused, "%s", reason.text().c_str());
+    }
+    std::optional<Hold> hold = fixture.acquire(daemon, 300, fixture.seconds(10), reason);
+    cr_assert(hold, "%s", reason.text().c_str());
+    // An endpoint may report any number of tokens.
+    daemon.accounts->settle(*hold, std::numeric_limits<Ledger::Tokens>::max());
+    cr_assert_leq(daemon.accounts->snapshot().front().available, 0);
+    cr_assert_not(fixture.acquire(daemon, 1, fixture.seconds(1), reason));
+}
