Peer: messages before the handshake are limited to 16 KB

Found while looking for places where a process buffers what others send: a connection to the peer port could send a message of 4 MB before it had shown the fleet's key, and any number of connections could. The limit for messages applies once the handshake is complete.

Handshake.largeMessageBeforeTheHandshakeClosesTheConnection guards this.

--- a/Libraries/LibPeer/src/Link.cpp
+++ b/Libraries/LibPeer/src/Link.cpp
@@ -6,6 +6,8 @@
 
 // Bounds the memory used for a slow reader: a link whose send queue exceeds this size is closed.
 static constexpr size_t maxSendQueueBytes = 8 * 1024 * 1024;
+// Bounds what is buffered of a message of an end that has not shown that it has the fleet's key.
+static constexpr size_t maxHandshakeBytes = 16 * 1024;
 
 Link::Link(std::shared_ptr<LinkContext> context, Role role, std::string peerName)
     : m_context(std::move(context))
@@ -106,6 +108,8 @@
     if (m_stage != Stage::Connecting)
         return;
     m_stage = Stage::Handshaking;
+    if (m_connection)
+        m_connection->limitMessages(maxHandshakeBytes);
     if (m_role == Role::Acceptor)
         return;
     m_openerHello = makeHello();
--- a/Libraries/LibPeer/src/LinkReceive.cpp
+++ b/Libraries/LibPeer/src/LinkReceive.cpp
@@ -72,6 +72,8 @@
 void Link::completeHandshake()
 {
     m_stage = Stage::Open;
+    if (m_connection)
+        m_connection->limitMessages(maxFrameBytes);
     m_handshakeDone.notifyAll();
 }
 
--- a/Libraries/LibPeer/src/Transport.h
+++ b/Libraries/LibPeer/src/Transport.h
@@ -18,6 +18,9 @@
     // Number of bytes queued but not yet written to the socket.
     virtual size_t queuedBytes() const = 0;
 
+    // Closes the connection when a larger message begins to arrive.
+    virtual void limitMessages(size_t maxBytes) = 0;
+
     // Starts the WebSocket closing handshake. The closed event is emitted when it ends.
     virtual void close(const std::string& reason) = 0;
 };
--- a/Libraries/LibPeer/src/WebSocketTransport.h
+++ b/Libraries/LibPeer/src/WebSocketTransport.h
@@ -24,6 +24,12 @@
 
     size_t queuedBytes() const override { return m_connection ? m_connection->get_buffered_amount() : 0; }
 
+    void limitMessages(size_t maxBytes) override
+    {
+        if (m_connection)
+            m_connection->set_max_message_size(maxBytes);
+    }
+
     void close(const std::string& reason) override
     {
         // Copied because release() may reset the member while the connection is being closed.
--- a/Tests/LibPeer/TestHandshake.cpp
+++ b/Tests/LibPeer/TestHandshake.cpp
@@ -61,6 +61,23 @@
     cr_assert_eq(fixture.second.counters().linksRefused, 0u);
 }
 
+// Guards against buffering large messages of many ends that have not shown the key.
+Test(Handshake, largeMessageBeforeTheHandshakeClosesTheConnection, .timeout = 60)
+{
+    Fixture fixture;
+    fixture.run([](Fixture& fixture) -> Core::Task<void> {
+        RawPeer peer(fixture.context.get_executor());
+        co_await peer.connect(fixture.address);
+        co_await peer.sendFrame(Call { 1, "echo", std::string(1024 * 1024, 'x'), 1000 });
+        // A message that had been received would be refused.
+        cr_assert_not(co_await peer.receiveFrame<Refusal>());
+    }(fixture));
+    // Afterwards large messages pass.
+    Core::Reason reason;
+    std::string body(1024 * 1024, 'x');
+    cr_assert(fixture.call("echo", body, Core::Deadline::after(20s), reason), "%s", reason.text().c_str());
+}
+
 // Guards against a reflection attack, in which the acceptor's own proof is sent back as the opener's.
 Test(Handshake, reflectedProofIsRefused, .timeout = 60)
 {
