Relay: settings name the optional behaviour that a deployment asks for

The list of the platform's rules in force is a setting, features. The adapter turns it into switches, so that new behaviour takes effect only where a deployment asks for it. Nothing uses the switches yet.

--- a/Services/jujuberelayd/src/RelaySettings.cpp
+++ b/Services/jujuberelayd/src/RelaySettings.cpp
@@ -52,6 +52,7 @@
     fields["processor_share"] = { Presence::Optional, doubleReader(settings.processorShare, 0, maxCores) };
     fields["link_mbps"] = { Presence::Optional, doubleReader(settings.linkMbps, 0, maxLinkMbps) };
     fields["memory_mb"] = { Presence::Optional, integerReader(settings.memoryMb, 0, maxMemoryMb) };
+    fields["features"] = { Presence::Optional, stringListReader(settings.features) };
     fields["log_level"] = { Presence::Optional, choiceReader(settings.logLevel, { "debug", "info", "warning", "error" }) };
     return fields;
 }
--- a/Services/jujuberelayd/src/RelaySettings.h
+++ b/Services/jujuberelayd/src/RelaySettings.h
@@ -36,6 +36,8 @@
     double linkMbps { 1'000 };
     // Memory that the daemon may use in MB; 0: that of the host.
     int64_t memoryMb { 0 };
+    // Names of the platform's rules in force; they switch on optional behaviour.
+    std::vector<std::string> features;
     // One of debug, info, warning, error.
     std::string logLevel { "info" };
 
--- a/Services/jujuberelayd/src/SettingsReader.cpp
+++ b/Services/jujuberelayd/src/SettingsReader.cpp
@@ -30,6 +30,22 @@
     };
 }
 
+Reader stringListReader(std::vector<std::string>& target)
+{
+    return [&target](const YAML::Node& node) -> std::optional<std::string> {
+        static const char* const expected = "a list of words such as [base, drain]";
+        if (!node.IsSequence())
+            return expected;
+        for (const YAML::Node& item : node) {
+            std::string word;
+            if (stringReader(word)(item))
+                return expected;
+            target.push_back(std::move(word));
+        }
+        return std::nullopt;
+    };
+}
+
 Reader addressListReader(std::vector<Core::Address>& target)
 {
     return [&target](const YAML::Node& node) -> std::optional<std::string> {
--- a/Services/jujuberelayd/src/SettingsReader.h
+++ b/Services/jujuberelayd/src/SettingsReader.h
@@ -32,6 +32,7 @@
 using Fields = std::map<std::string, Field>;
 
 Reader stringReader(std::string&);
+Reader stringListReader(std::vector<std::string>&);
 Reader addressReader(Core::Address&);
 Reader addressListReader(std::vector<Core::Address>&);
 Reader integerReader(int64_t&, int64_t minimum, int64_t maximum);
--- a/Tests/LibDaemon/TestRelaySettings.cpp
+++ b/Tests/LibDaemon/TestRelaySettings.cpp
@@ -37,6 +37,18 @@
     cr_assert(parseRelaySettings(std::string(valid) + "seed_peers: []\n", "s.yaml", reason)->seedPeers.empty());
 }
 
+// Features must be accepted as written by the deploy template, also if the platform names none.
+Test(RelaySettings, features)
+{
+    Core::Reason reason;
+    std::optional<RelaySettings> settings = parseRelaySettings(std::string(valid) + "features: [base,pressure]\n", "s.yaml", reason);
+    cr_assert(settings, "%s", reason.text().c_str());
+    cr_assert_eq(settings->features.size(), 2);
+    cr_assert_eq(settings->features[1], "pressure");
+    cr_assert(parseRelaySettings(std::string(valid) + "features: []\n", "s.yaml", reason)->features.empty());
+    cr_assert_not(parseRelaySettings(std::string(valid) + "features: pressure\n", "s.yaml", reason));
+}
+
 // An invalid value must be reported with its location instead of being replaced by the default.
 Test(RelaySettings, errorsGiveLocationAndReason)
 {
