--- a/Libraries/LibRelay/src/StoreFollower.cpp
+++ b/Libraries/LibRelay/src/StoreFollower.cpp
@@ -10,6 +10,8 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
+// Maximum wait time of the first watch after the store was lost.
+static constexpr milliseconds maxWaitAfterLoss(20);
 // Maximum time that another daemon's watch is held open.
 static constexpr milliseconds maxServedWait(5'000);
 
@@ -83,7 +85,8 @@
 {
     m_isWatchingStore = true;
     Core::SteadyClock::time_point askedAt = Core::SteadyClock::now();
-    Deadline deadline = Deadline::after(milliseconds(m_settings.watchMs));
+    // The first answer after a loss shows that the store is back, so it must not wait long for a change.
+    Deadline deadline = Deadline::after(m_isLost ? std::min(maxWaitAfterLoss, milliseconds(m_settings.watchMs)) : milliseconds(m_settings.watchMs));
     std::optional<Platform::Changes> changes = co_await m_store.watch(m_prefix, m_cache.revision(), deadline, reason);
     if (!changes)
         co_return false;
@@ -154,10 +157,14 @@
                 co_await Core::sleepUntil(Deadline::after(milliseconds(m_settings.firstWatchDelayMs)));
             continue;
         }
-        needsListing = true;
         // The store answered, but has dropped its history; list again without delay.
-        if (reason.kind == FailureKind::NotFound)
+        if (reason.kind == FailureKind::NotFound) {
+            needsListing = true;
             continue;
+        }
+        // After a loss the copy is continued from its revision. Listings of a large configuration by all hosts at the same time
+        // would fill their links and cost a store call each, while a peer may have the changes already.
+        needsListing = !m_hasListed;
         markLost(reason);
         co_await Core::sleepUntil(Deadline::after(milliseconds(m_settings.retryDelayMs)));
     }
--- a/Tests/LibRelay/TestStoreFollower.cpp
+++ b/Tests/LibRelay/TestStoreFollower.cpp
@@ -8,6 +8,7 @@
     boost::asio::io_context context;
     Platform::InMemoryObjectStore store { context.get_executor(), { 2, 1'000'000 } };
     std::map<std::string, std::string> seen;
+    int listings { 0 };
     int lost { 0 };
     int regained { 0 };
     int restored { 0 };
@@ -18,6 +19,7 @@
     {
         FollowerHooks hooks;
         hooks.listed = [this](const std::vector<Platform::Object>& objects) {
+            ++listings;
             for (const Platform::Object& object : objects)
                 seen[object.name] = object.value;
         };
@@ -83,6 +85,23 @@
     fixture.follower.stop();
 }
 
+// Guards against listings of all objects by every daemon after an outage, which fill the links of small hosts.
+Test(StoreFollower, copyIsContinuedAfterALoss)
+{
+    FollowerFixture fixture;
+    fixture.put("config/main", "1");
+    Core::spawn(fixture.context.get_executor(), "follow", fixture.follower.run());
+    fixture.runUntilSeen("config/main", "1");
+    fixture.store.setOutage(true);
+    TestSupport::runUntil(fixture.context, [&fixture] { return fixture.lost == 1; });
+    fixture.put("config/main", "2");
+    fixture.store.setOutage(false);
+    fixture.runUntilSeen("config/main", "2");
+    cr_assert_eq(fixture.regained, 1);
+    cr_assert_eq(fixture.listings, 1);
+    fixture.follower.stop();
+}
+
 // Two daemons, one of which watches the store through the other.
 struct SharingFixture : FollowerFixture {
     FollowerFixture watcher;
