Relay: a follower that lost a slow store lists it again, and suspect parts are watched for 2.4 s

Every other attempt lists now. A watch through a peer waits as short while the store is lost. With a watch of 4.5 s a silent connection would have delayed a quarantine beyond 3 s.

--- a/Libraries/LibRelay/include/LibRelay/StoreFollower.h
+++ b/Libraries/LibRelay/include/LibRelay/StoreFollower.h
@@ -66,6 +66,8 @@
     Core::Task<bool> watch(Core::Reason&);
     Core::Task<bool> watchStore(Core::Reason&);
     Core::Task<bool> watchPeer(Core::Reason&);
+    // Wait time of a watch that usually takes this long.
+    std::chrono::milliseconds waitTime(int64_t usualMs) const;
     bool canServe() const { return m_hasListed && !m_isLost && m_isWatchingStore && !m_isStopping; }
     void markLost(const Core::Reason&);
     void recordAnswer(Core::SteadyClock::time_point confirmedAt);
--- a/Libraries/LibRelay/src/StoreFollower.cpp
+++ b/Libraries/LibRelay/src/StoreFollower.cpp
@@ -10,7 +10,7 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
-// Maximum wait time of the first watch after the store was lost.
+// Maximum wait time of a watch while the store is lost: its answer shows that the store is back.
 static constexpr milliseconds maxWaitAfterLoss(20);
 // Maximum time that another daemon's watch is held open.
 static constexpr milliseconds maxServedWait(5'000);
@@ -81,12 +81,16 @@
     co_return co_await watchStore(reason);
 }
 
+milliseconds StoreFollower::waitTime(int64_t usualMs) const
+{
+    return m_isLost ? std::min(maxWaitAfterLoss, milliseconds(usualMs)) : milliseconds(usualMs);
+}
+
 Core::Task<bool> StoreFollower::watchStore(Reason& reason)
 {
     m_isWatchingStore = true;
     Core::SteadyClock::time_point askedAt = Core::SteadyClock::now();
-    // The first answer after a loss shows that the store is back, so it must not wait long for a change.
-    Deadline deadline = Deadline::after(m_isLost ? std::min(maxWaitAfterLoss, milliseconds(m_settings.watchMs)) : milliseconds(m_settings.watchMs));
+    Deadline deadline = Deadline::after(waitTime(m_settings.watchMs));
     std::optional<Platform::Changes> changes = co_await m_store.watch(m_prefix, m_cache.revision(), deadline, reason);
     if (!changes)
         co_return false;
@@ -107,7 +111,7 @@
 {
     Core::SteadyClock::time_point askedAt = Core::SteadyClock::now();
     std::optional<WatchReply> reply
-        = co_await m_hooks.watchAtPeer({ m_prefix, m_cache.revision(), milliseconds(m_settings.peerWatchMs) }, reason);
+        = co_await m_hooks.watchAtPeer({ m_prefix, m_cache.revision(), waitTime(m_settings.peerWatchMs) }, reason);
     if (!reply)
         co_return false;
     if (std::exchange(m_isWatchingStore, false))
@@ -162,9 +166,10 @@
             needsListing = true;
             continue;
         }
-        // After a loss the copy is continued from its revision. Listings of a large configuration by all hosts at the same time
-        // would fill their links and cost a store call each, while a peer may have the changes already.
-        needsListing = !m_hasListed;
+        // After a loss the copy is continued from its revision: listings of a large configuration by all hosts at the same time would
+        // fill their links and cost a store call each, while a peer may have the changes already. Every other attempt lists, since
+        // the answer to a listing may take longer, and does not contain all versions since then.
+        needsListing = !m_hasListed || (m_isLost && !needsListing);
         markLost(reason);
         co_await Core::sleepUntil(Deadline::after(milliseconds(m_settings.retryDelayMs)));
     }
--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -23,9 +23,11 @@
 static constexpr int64_t announcementBatchMs = 500;
 // Daemons that start together know of each other after about this time.
 static constexpr int64_t peerDiscoveryTimeMs = 1'000;
-// A silent connection to the store may leave announcements and suspect parts out of date for longer than the configuration and the
-// endpoints: a daemon that has gone is noticed by calling it, and a daemon counts the crashes that it sees itself at once.
-static constexpr int64_t longWatchMs = 4'500;
+// A daemon that has gone is noticed by calling it, so a silent connection to the store may leave the announcements out of date for
+// longer than the configuration and the endpoints.
+static constexpr int64_t announcementWatchMs = 4'500;
+// A part must be quarantined by all daemons within 3 s, also if the connection of a watch falls silent.
+static constexpr int64_t suspectWatchMs = 2'400;
 // Changes in quick succession are batched, since each message is sent to several daemons.
 static constexpr int64_t changeBatchMs = 250;
 static constexpr int64_t retryAfterMs = 500;
@@ -66,10 +68,10 @@
     return settings;
 }
 
-static Relay::FollowerSettings withLongWatches(Relay::FollowerSettings settings)
+static Relay::FollowerSettings withWatchTime(int64_t milliseconds, Relay::FollowerSettings settings)
 {
-    settings.maxSharedAgeMs += longWatchMs - settings.watchMs;
-    settings.watchMs = longWatchMs;
+    settings.maxSharedAgeMs += milliseconds - settings.watchMs;
+    settings.watchMs = milliseconds;
     return settings;
 }
 
@@ -96,8 +98,8 @@
     , m_quarantineStore(executor, m_store, m_quarantine)
     , m_configurationFollower(executor, m_store, PlatformAdapter::configurationPrefix, sharedFollowerSettings(), withSharedWatches(makeConfigurationHooks()))
     , m_endpointFollower(executor, m_store, PlatformAdapter::endpointPrefix, sharedFollowerSettings(), withSharedWatches(makeEndpointHooks()))
-    , m_announcementFollower(executor, m_store, Relay::PeerDirectory::prefix, withLongWatches(batchingSettings(announcementBatchMs)), withSharedWatches(makeAnnouncementHooks()))
-    , m_suspectFollower(executor, m_store, Relay::SuspectPart::prefix, withLongWatches(sharedFollowerSettings()), withSharedWatches(makeSuspectHooks()))
+    , m_announcementFollower(executor, m_store, Relay::PeerDirectory::prefix, withWatchTime(announcementWatchMs, batchingSettings(announcementBatchMs)), withSharedWatches(makeAnnouncementHooks()))
+    , m_suspectFollower(executor, m_store, Relay::SuspectPart::prefix, withWatchTime(suspectWatchMs, sharedFollowerSettings()), withSharedWatches(makeSuspectHooks()))
     , m_handler(executor, PlatformAdapter::makeCodec(), makeHandlerHooks(), handlerSettingsOf(m_settings), m_client, m_selector, m_budgets, m_quarantine, m_metrics)
     , m_callerServer(executor, [this](HTTP::Request request, HTTP::ResponseWriter& writer) { return m_handler.handle(std::move(request), writer); })
     , m_readinessServer(executor, [this](HTTP::Request request, HTTP::ResponseWriter& writer) { return handleReadiness(std::move(request), writer); })
--- a/Tests/LibRelay/TestStoreFollower.cpp
+++ b/Tests/LibRelay/TestStoreFollower.cpp
@@ -102,6 +102,24 @@
     fixture.follower.stop();
 }
 
+// Guards against a follower that stays lost while the store is slower than the answer to a watch may be.
+Test(StoreFollower, slowStoreIsListedAfterALoss)
+{
+    FollowerFixture fixture;
+    fixture.put("config/main", "1");
+    Core::spawn(fixture.context.get_executor(), "follow", fixture.follower.run());
+    fixture.runUntilSeen("config/main", "1");
+    fixture.store.setOutage(true);
+    TestSupport::runUntil(fixture.context, [&fixture] { return fixture.lost == 1; });
+    fixture.put("config/main", "2");
+    // A watch must be answered within 20 ms here, a listing within 500 ms.
+    fixture.store.setDelay(std::chrono::milliseconds(100));
+    fixture.store.setOutage(false);
+    fixture.runUntilSeen("config/main", "2");
+    cr_assert_eq(fixture.listings, 2);
+    fixture.follower.stop();
+}
+
 // Two daemons, one of which watches the store through the other.
 struct SharingFixture : FollowerFixture {
     FollowerFixture watcher;
