--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -26,6 +26,8 @@
 // A daemon that has gone is noticed by calling it, so a silent connection to the store may leave the announcements out of date for
 // longer than the configuration and the endpoints.
 static constexpr int64_t announcementWatchMs = 4'500;
+// A part must be quarantined by all daemons within 3 s, also if the connection of a watch falls silent.
+static constexpr int64_t suspectWatchMs = 2'400;
 // Changes in quick succession are batched, since each message is sent to several daemons.
 static constexpr int64_t changeBatchMs = 250;
 static constexpr int64_t retryAfterMs = 500;
@@ -66,11 +68,10 @@
     return settings;
 }
 
-static Relay::FollowerSettings announcementSettings()
+static Relay::FollowerSettings withWatchTime(int64_t milliseconds, Relay::FollowerSettings settings)
 {
-    Relay::FollowerSettings settings = batchingSettings(announcementBatchMs);
-    settings.maxSharedAgeMs += announcementWatchMs - settings.watchMs;
-    settings.watchMs = announcementWatchMs;
+    settings.maxSharedAgeMs += milliseconds - settings.watchMs;
+    settings.watchMs = milliseconds;
     return settings;
 }
 
@@ -97,8 +98,8 @@
     , m_quarantineStore(executor, m_store, m_quarantine)
     , m_configurationFollower(executor, m_store, PlatformAdapter::configurationPrefix, sharedFollowerSettings(), withSharedWatches(makeConfigurationHooks()))
     , m_endpointFollower(executor, m_store, PlatformAdapter::endpointPrefix, sharedFollowerSettings(), withSharedWatches(makeEndpointHooks()))
-    , m_announcementFollower(executor, m_store, Relay::PeerDirectory::prefix, announcementSettings(), withSharedWatches(makeAnnouncementHooks()))
-    , m_suspectFollower(executor, m_store, Relay::SuspectPart::prefix, sharedFollowerSettings(), withSharedWatches(makeSuspectHooks()))
+    , m_announcementFollower(executor, m_store, Relay::PeerDirectory::prefix, withWatchTime(announcementWatchMs, batchingSettings(announcementBatchMs)), withSharedWatches(makeAnnouncementHooks()))
+    , m_suspectFollower(executor, m_store, Relay::SuspectPart::prefix, withWatchTime(suspectWatchMs, sharedFollowerSettings()), withSharedWatches(makeSuspectHooks()))
     , m_handler(executor, PlatformAdapter::makeCodec(), makeHandlerHooks(), handlerSettingsOf(m_settings), m_client, m_selector, m_budgets, m_quarantine, m_metrics)
     , m_callerServer(executor, [this](HTTP::Request request, HTTP::ResponseWriter& writer) { return m_handler.handle(std::move(request), writer); })
     , m_readinessServer(executor, [this](HTTP::Request request, HTTP::ResponseWriter& writer) { return handleReadiness(std::move(request), writer); })
