Evacuations of failure domains

While an object evacuations/<failure domain> exists in the store, nothing more is sent to the endpoints there. The set is followed with the shared watches, with watches of two fifths of the limit, and only where the settings give the limit (bounds.evacuate-ms). A process that was suspended sends nothing by a list older than the limit before it has read it again.

Ruled out: refusing all requests whenever the list is older than the limit, since each outage of the store would refuse everything.

--- a/Libraries/LibRelay/include/LibRelay/CrashCheck.h
+++ b/Libraries/LibRelay/include/LibRelay/CrashCheck.h
@@ -2,7 +2,7 @@
 
 #include "LibHTTP/Client.h"
 #include "LibRelay/CallerRequest.h"
-#include "LibRelay/Endpoint.h"
+#include "LibRelay/EndpointSelector.h"
 #include <map>
 #include <memory>
 
@@ -20,7 +20,7 @@
 // Checks whether an engine has ended.
 class CrashCheck {
 public:
-    CrashCheck(const boost::asio::any_io_executor&, std::shared_ptr<HTTP::Client>, WireCodec, std::chrono::milliseconds timeout);
+    CrashCheck(const boost::asio::any_io_executor&, std::shared_ptr<HTTP::Client>, const EndpointSelector&, WireCodec, std::chrono::milliseconds timeout);
 
     // Sends one status request at a time to an endpoint; requests that break while it is in progress or shortly after share its
     // result. Ends at the timeout at the latest.
@@ -39,10 +39,11 @@
         Core::Deadline validUntil { Core::Deadline::never() };
     };
 
-    static Core::Task<void> run(std::shared_ptr<Check>, std::shared_ptr<HTTP::Client>, HTTP::Request, Core::Deadline);
+    static Core::Task<void> run(std::shared_ptr<Check>, std::shared_ptr<HTTP::Client>, const EndpointSelector&, HTTP::Request, Core::Deadline);
 
     boost::asio::any_io_executor m_executor;
     std::shared_ptr<HTTP::Client> m_client;
+    const EndpointSelector& m_selector;
     WireCodec m_codec;
     std::chrono::milliseconds m_timeout;
     std::map<std::string, std::shared_ptr<Check>> m_checks;
--- a/Libraries/LibRelay/include/LibRelay/EndpointSelector.h
+++ b/Libraries/LibRelay/include/LibRelay/EndpointSelector.h
@@ -4,6 +4,7 @@
 #include "LibRelay/CallerRequest.h"
 #include "LibRelay/EndpointDirectory.h"
 #include "LibRelay/EndpointLimits.h"
+#include "LibRelay/EvacuationSet.h"
 #include <map>
 #include <memory>
 #include <optional>
@@ -34,12 +35,19 @@
     // Whether choose() would return an endpoint without recent failures or refusals.
     bool hasHealthy(const SelectionQuery&, Core::SteadyClock::time_point now) const;
     // Whether the endpoint's process takes further requests, as far as this daemon knows.
-    bool takesRequests(const Endpoint& endpoint, Core::SteadyClock::time_point now) const { return !m_directory.isLeaving(endpoint) && !isPaused(endpoint, now); }
+    bool takesRequests(const Endpoint& endpoint, Core::SteadyClock::time_point now) const { return !m_directory.isLeaving(endpoint) && takesStatusRequests(endpoint, now); }
+    // Whether the endpoint may be asked for its status: one that pauses or is evacuated may not, one that is leaving may.
+    bool takesStatusRequests(const Endpoint& endpoint, Core::SteadyClock::time_point now) const { return !isPaused(endpoint, now) && !isEvacuated(endpoint, now); }
+    bool isEvacuated(const Endpoint& endpoint, Core::SteadyClock::time_point now) const { return m_evacuations && m_evacuations->holds(endpoint.failureDomain, now); }
+    // Registered endpoints of the service that are evacuated.
+    size_t evacuatedEndpoints(const std::string& service, Core::SteadyClock::time_point now) const;
+    // Without a set, no endpoint is evacuated. The set must outlive this object.
+    void setEvacuations(const EvacuationSet& evacuations) { m_evacuations = &evacuations; }
     bool isPaused(const Endpoint&, Core::SteadyClock::time_point now) const;
     // Whether the endpoint is registered and its process is not leaving, so that an end of the process is not planned.
     bool isExpectedToRun(const Endpoint& endpoint) const { return isRegistered(endpoint.id) && !m_directory.isLeaving(endpoint); }
     // When the first endpoint of the service takes requests again after a pause or a refused permit. Empty if one takes requests
-    // now, or if none will.
+    // now, or if none will, as when all are evacuated.
     std::optional<Core::SteadyClock::time_point> takesRequestsAt(const std::string& service, Core::SteadyClock::time_point now) const;
     // When the first endpoint that the query may find takes requests, or a permit for it can be asked for. Empty if there is none.
     std::optional<Core::SteadyClock::time_point> nextPermitAt(const SelectionQuery&, Core::SteadyClock::time_point now) const;
@@ -106,6 +114,7 @@
 
     const EndpointDirectory& m_directory;
     std::string m_failureDomain;
+    const EvacuationSet* m_evacuations { nullptr };
     std::map<std::string, EndpointState> m_states;
     // By endpoint id; hashed, since each choice looks up all candidates.
     std::unordered_map<std::string, Pause> m_pauses;
--- a/Libraries/LibRelay/src/CrashCheck.cpp
+++ b/Libraries/LibRelay/src/CrashCheck.cpp
@@ -14,9 +14,10 @@
 static constexpr std::chrono::milliseconds retryDelay(40);
 static constexpr int maxConnections = 3;
 
-CrashCheck::CrashCheck(const boost::asio::any_io_executor& executor, std::shared_ptr<HTTP::Client> client, WireCodec codec, std::chrono::milliseconds timeout)
+CrashCheck::CrashCheck(const boost::asio::any_io_executor& executor, std::shared_ptr<HTTP::Client> client, const EndpointSelector& selector, WireCodec codec, std::chrono::milliseconds timeout)
     : m_executor(executor)
     , m_client(std::move(client))
+    , m_selector(selector)
     , m_codec(std::move(codec))
     , m_timeout(timeout)
 {
@@ -31,7 +32,7 @@
     if (!known || known->endpoint.startedAtMs != endpoint.startedAtMs) {
         known = std::make_shared<Check>(m_executor);
         known->endpoint = endpoint;
-        Core::spawn(m_executor, "check engine", run(known, m_client, m_codec.statusRequest(), Deadline::after(m_timeout)));
+        Core::spawn(m_executor, "check engine", run(known, m_client, m_selector, m_codec.statusRequest(), Deadline::after(m_timeout)));
     }
     std::shared_ptr<Check> check = known;
     while (!check->isFinished)
@@ -39,13 +40,14 @@
     co_return check->state;
 }
 
-Core::Task<void> CrashCheck::run(std::shared_ptr<Check> check, std::shared_ptr<HTTP::Client> client, HTTP::Request request, Deadline deadline)
+Core::Task<void> CrashCheck::run(std::shared_ptr<Check> check, std::shared_ptr<HTTP::Client> client, const EndpointSelector& selector, HTTP::Request request, Deadline deadline)
 {
     for (int connection = 0; connection < maxConnections && check->state == EngineState::Unknown && !deadline.hasPassed(); ++connection) {
         if (connection > 0)
             co_await Core::sleepUntil(std::min(deadline, Deadline::after(retryDelay)));
         HTTP::CallOptions options;
         options.use = HTTP::ConnectionUse::Fresh;
+        options.guard = [&selector, check] { return selector.takesStatusRequests(check->endpoint, Core::SteadyClock::now()); };
         options.connectionRefused = [check] { check->state = EngineState::Ended; };
         Reason ignored;
         if (co_await client->call(check->endpoint.address, request, deadline, std::move(options), ignored))
--- a/Libraries/LibRelay/src/EndpointSelector.cpp
+++ b/Libraries/LibRelay/src/EndpointSelector.cpp
@@ -73,7 +73,7 @@
 
 bool EndpointSelector::isEligible(const Endpoint& endpoint, const SelectionQuery& query, TimePoint now) const
 {
-    return endpoint.service == query.service && !endpoint.isLeaving && !isPaused(endpoint, now) && !query.excluded.contains(endpoint.id)
+    return endpoint.service == query.service && !endpoint.isLeaving && takesStatusRequests(endpoint, now) && !query.excluded.contains(endpoint.id)
         && !(query.isUnlimitedOnly && m_limits.limitOf(endpoint));
 }
 
@@ -109,7 +109,7 @@
 {
     std::optional<TimePoint> first;
     for (const auto& [id, endpoint] : m_directory.endpoints()) {
-        if (endpoint.service != service || endpoint.isLeaving)
+        if (endpoint.service != service || endpoint.isLeaving || isEvacuated(endpoint, now))
             continue;
         TimePoint until = std::max(noPermitUntil(endpoint), isPaused(endpoint, now) ? m_pauses.at(id).until : TimePoint {});
         if (until <= now)
@@ -119,6 +119,12 @@
     return first;
 }
 
+size_t EndpointSelector::evacuatedEndpoints(const std::string& service, TimePoint now) const
+{
+    return static_cast<size_t>(std::count_if(m_directory.endpoints().begin(), m_directory.endpoints().end(),
+        [this, &service, now](const auto& entry) { return entry.second.service == service && isEvacuated(entry.second, now); }));
+}
+
 const Endpoint* EndpointSelector::choose(const SelectionQuery& query, TimePoint now) const
 {
     std::vector<const Endpoint*> candidates;
--- a/Libraries/LibRelay/src/RequestHandler.cpp
+++ b/Libraries/LibRelay/src/RequestHandler.cpp
@@ -18,7 +18,7 @@
     , m_selector(selector)
     , m_budgets(budgets)
     , m_quarantine(quarantine)
-    , m_crashCheck(executor, m_client, m_codec, std::chrono::milliseconds(settings.crashCheckTimeoutMs))
+    , m_crashCheck(executor, m_client, m_selector, m_codec, std::chrono::milliseconds(settings.crashCheckTimeoutMs))
     , m_confirmation(executor, m_client, m_crashCheck, m_selector, m_quarantine, std::chrono::milliseconds(settings.survivalTimeMs))
     , m_metrics(metrics)
 {
--- a/Libraries/LibRelay/src/StreamWatch.cpp
+++ b/Libraries/LibRelay/src/StreamWatch.cpp
@@ -38,12 +38,12 @@
                 continue;
             }
             checkAt = Core::SteadyClock::now() + silenceLimit();
-            if (!m_stream->canMove() || isEndpointPaused())
+            if (!m_stream->canMove() || !mayAskEndpoint())
                 continue;
             Core::SteadyClock::time_point silentSince = m_stream->lastEventAt;
             co_await gatherEvidence();
-            // A status request that the endpoint refused, or that was not sent because of a pause, is no evidence.
-            if (m_stream->isOver || m_stream->lastEventAt != silentSince || !m_stream->canMove() || isEndpointPaused())
+            // A status request that the endpoint refused, or that was not sent because of a pause or an evacuation, is no evidence.
+            if (m_stream->isOver || m_stream->lastEventAt != silentSince || !m_stream->canMove() || !mayAskEndpoint())
                 continue;
             m_stream->lossReason = findStreamLoss(m_evidence, m_stream->requestId, m_stream->lastEvent);
             logCheck();
@@ -62,7 +62,7 @@
         return std::chrono::milliseconds(m_stream->hasEvents ? m_settings.streamIdleTimeoutMs : m_settings.firstEventTimeoutMs);
     }
 
-    bool isEndpointPaused() const { return m_selector.isPaused(m_stream->endpoint, Core::SteadyClock::now()); }
+    bool mayAskEndpoint() const { return m_selector.takesStatusRequests(m_stream->endpoint, Core::SteadyClock::now()); }
 
     Core::Task<void> gatherEvidence()
     {
@@ -70,7 +70,7 @@
         if (m_codec.statusRequest) {
             Reason reason;
             m_evidence.status = co_await requestStatus(reason);
-            if (!isEndpointPaused())
+            if (mayAskEndpoint())
                 m_evidence.failedStatusRequests = m_evidence.status ? 0 : m_evidence.failedStatusRequests + 1;
         }
         const std::string& id = m_stream->endpoint.id;
@@ -84,7 +84,7 @@
         HTTP::CallOptions options;
         // A new connection, since the pooled ones may have been cut silently together with the stream.
         options.use = HTTP::ConnectionUse::Fresh;
-        options.guard = [this] { return !isEndpointPaused(); };
+        options.guard = [this] { return mayAskEndpoint(); };
         std::optional<std::unique_ptr<HTTP::ResponseStream>> response
             = co_await m_client->call(m_stream->endpoint.address, m_codec.statusRequest(), deadline, std::move(options), reason);
         if (!response)
--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -66,6 +66,13 @@
     return settings;
 }
 
+static Relay::FollowerSettings evacuationFollowerSettings(std::chrono::milliseconds limit)
+{
+    Relay::FollowerSettings settings = Relay::EvacuationSet::followerSettings(limit);
+    settings.firstWatchDelayMs = peerDiscoveryTimeMs;
+    return settings;
+}
+
 static Relay::FollowerSettings announcementSettings()
 {
     Relay::FollowerSettings settings = batchingSettings(announcementBatchMs);
@@ -91,6 +98,7 @@
         m_selector.forget(endpoint.id);
         Core::logEvent(RelayEvents::endpointRemoved, "endpoint=" + endpoint.id + " service=" + endpoint.service + " reason=\"" + why + "\"");
     })
+    , m_evacuations(PlatformAdapter::evacuationPrefix, m_settings.evacuateLimit(), makeEvacuationSetHooks())
     , m_selector(m_endpoints, m_settings.failureDomain)
     , m_budgets(executor, makeBudgetHooks(), { m_settings.host })
     , m_quarantine({}, [this] { m_quarantineStore.wake(); })
@@ -99,11 +107,14 @@
     , m_endpointFollower(executor, m_store, PlatformAdapter::endpointPrefix, sharedFollowerSettings(), withSharedWatches(makeEndpointHooks()))
     , m_announcementFollower(executor, m_store, Relay::PeerDirectory::prefix, announcementSettings(), withSharedWatches(makeAnnouncementHooks()))
     , m_suspectFollower(executor, m_store, Relay::SuspectPart::prefix, sharedFollowerSettings(), withSharedWatches(makeSuspectHooks()))
+    , m_evacuationFollower(executor, m_store, PlatformAdapter::evacuationPrefix, evacuationFollowerSettings(m_settings.evacuateLimit()), withSharedWatches(makeEvacuationHooks()))
     , m_handler(executor, PlatformAdapter::makeCodec(), makeHandlerHooks(), handlerSettingsOf(m_settings), m_client, m_selector, m_budgets, m_quarantine, m_metrics)
     , m_callerServer(executor, [this](HTTP::Request request, HTTP::ResponseWriter& writer) { return m_handler.handle(std::move(request), writer); })
     , m_readinessServer(executor, [this](HTTP::Request request, HTTP::ResponseWriter& writer) { return handleReadiness(std::move(request), writer); })
     , m_metricsServer(executor, [this](HTTP::Request request, HTTP::ResponseWriter& writer) { return handleMetrics(std::move(request), writer); })
 {
+    if (m_settings.followsEvacuations())
+        m_selector.setEvacuations(m_evacuations);
     m_metrics.observe("jujuberelay_relay_configuration_age_seconds", "Time since the store last confirmed the configuration.",
         [this] { return static_cast<double>(configurationAgeMs()) / 1'000; });
     m_metrics.observe("jujuberelay_relay_response_bytes", "Memory in use for what has been received of responses; see memory_mb.",
@@ -138,6 +149,8 @@
     Core::spawn(m_executor, "follow endpoints", m_endpointFollower.run());
     Core::spawn(m_executor, "follow announcements", m_announcementFollower.run());
     Core::spawn(m_executor, "follow suspect parts", m_suspectFollower.run());
+    if (m_settings.followsEvacuations())
+        Core::spawn(m_executor, "follow evacuations", m_evacuationFollower.run());
     Core::spawn(m_executor, "share suspect parts", m_quarantineStore.run());
     Core::spawn(m_executor, "expire endpoints", expireEndpoints());
     Core::spawn(m_executor, "maintain budgets", m_budgets.maintain());
@@ -281,6 +294,8 @@
 {
     if (!m_configuration || !m_endpointFollower.hasListed())
         return Relay::Refusal { 503, "not_started", "the configuration or the list of endpoints has not been read yet", retryAfterMs };
+    if (m_settings.followsEvacuations() && !m_evacuationFollower.hasListed())
+        return Relay::Refusal { 503, "not_started", "the list of evacuations has not been read yet", retryAfterMs };
     if (configurationAgeMs() > m_settings.outageLimitMs)
         return Relay::Refusal { 503, "stale_configuration", "the store last confirmed the configuration " + std::to_string(configurationAgeMs()) + " ms ago", retryAfterMs };
     if (m_load.isOverloaded())
@@ -351,6 +366,7 @@
     m_endpointFollower.stop();
     m_announcementFollower.stop();
     m_suspectFollower.stop();
+    m_evacuationFollower.stop();
     m_quarantineStore.stop();
     m_peers.stop();
     // Before the withdrawal, after which another daemon issues permits.
--- a/Services/jujuberelayd/src/RelayDaemon.h
+++ b/Services/jujuberelayd/src/RelayDaemon.h
@@ -2,6 +2,7 @@
 
 #include "LibHTTP/Server.h"
 #include "LibPeer/Network.h"
+#include "LibRelay/EvacuationSet.h"
 #include "LibRelay/GrantRouter.h"
 #include "LibRelay/LoadMonitor.h"
 #include "LibRelay/PeerDirectory.h"
@@ -10,6 +11,7 @@
 #include "LibRelay/RequestHandler.h"
 #include "LibRelay/StoreFollower.h"
 #include "RelaySettings.h"
+#include <set>
 
 // A relay daemon: follows the configuration and endpoints in the store, and serves callers.
 class RelayDaemon {
@@ -42,6 +44,10 @@
     Relay::FollowerHooks makeEndpointHooks();
     Relay::FollowerHooks makeAnnouncementHooks();
     Relay::FollowerHooks makeSuspectHooks();
+    Relay::FollowerHooks makeEvacuationHooks();
+    Relay::EvacuationHooks makeEvacuationSetHooks();
+    void reportEvacuation(const std::string& failureDomain, bool isEvacuated);
+    size_t requestsInDomain(const std::string& failureDomain) const;
     // Extends the hooks so that the follower can use the watch of another daemon.
     Relay::FollowerHooks withSharedWatches(Relay::FollowerHooks);
     Core::Task<std::optional<Relay::WatchReply>> watchAtPeer(Relay::WatchRequest, Core::Reason&);
@@ -82,6 +88,7 @@
     Relay::PermitService m_permits;
     std::shared_ptr<const Relay::Configuration> m_configuration;
     Relay::EndpointDirectory m_endpoints;
+    Relay::EvacuationSet m_evacuations;
     Relay::EndpointSelector m_selector;
     Relay::BudgetManager m_budgets;
     Relay::PromptQuarantine m_quarantine;
@@ -90,11 +97,15 @@
     Relay::StoreFollower m_endpointFollower;
     Relay::StoreFollower m_announcementFollower;
     Relay::StoreFollower m_suspectFollower;
+    // Runs only where the settings have a limit for evacuations.
+    Relay::StoreFollower m_evacuationFollower;
     Relay::RequestHandler m_handler;
     HTTP::Server m_callerServer;
     HTTP::Server m_readinessServer;
     HTTP::Server m_metricsServer;
     Relay::LoadMonitor m_load;
+    // Failure domains that have a metric of their evacuation.
+    std::set<std::string> m_measuredEvacuations;
     // Last logged watch source of each object prefix.
     std::map<std::string, std::string> m_loggedWatchSources;
     bool m_isStopping { false };
--- a/Services/jujuberelayd/src/RelayDaemonLinks.cpp
+++ b/Services/jujuberelayd/src/RelayDaemonLinks.cpp
@@ -205,7 +205,7 @@
     std::optional<Relay::WatchRequest> request = Relay::decodeWatchRequest(body, reason);
     if (!request)
         co_return std::nullopt;
-    for (Relay::StoreFollower* follower : { &m_configurationFollower, &m_endpointFollower, &m_announcementFollower, &m_suspectFollower }) {
+    for (Relay::StoreFollower* follower : { &m_configurationFollower, &m_endpointFollower, &m_announcementFollower, &m_suspectFollower, &m_evacuationFollower }) {
         if (follower->prefix() != request->prefix)
             continue;
         std::optional<Relay::WatchReply> reply = co_await follower->serve(std::move(*request), reason);
--- a/Services/jujuberelayd/src/RelayEvents.h
+++ b/Services/jujuberelayd/src/RelayEvents.h
@@ -17,6 +17,8 @@
 inline constexpr Core::Event overloaded { 1715, Core::Severity::Warning, "host_overloaded" };
 inline constexpr Core::Event overloadEnded { 1716, Core::Severity::Info, "host_overload_ended" };
 inline constexpr Core::Event announced { 1713, Core::Severity::Info, "relay_announced" };
+inline constexpr Core::Event evacuationAdopted { 1745, Core::Severity::Warning, "evacuation_adopted" };
+inline constexpr Core::Event evacuationLifted { 1746, Core::Severity::Info, "evacuation_lifted" };
 inline constexpr Core::Event endpointAdded { 1709, Core::Severity::Info, "endpoint_added" };
 inline constexpr Core::Event endpointLeaving { 1710, Core::Severity::Info, "endpoint_leaving" };
 inline constexpr Core::Event endpointRemoved { 1711, Core::Severity::Info, "endpoint_removed" };
--- a/Services/jujuberelayd/src/RelaySettings.cpp
+++ b/Services/jujuberelayd/src/RelaySettings.cpp
@@ -34,6 +34,7 @@
     static constexpr double maxRetries = 1e12;
     static constexpr double maxCores = 1e12;
     static constexpr double maxLinkMbps = 1e12;
+    static constexpr double maxEvacuateLimitMs = 1e12;
     static constexpr int64_t maxMemoryMb = 1'000'000'000;
     Fields fields;
     fields["host"] = { Presence::Required, stringReader(settings.host) };
@@ -46,6 +47,7 @@
     fields["peer_key"] = { Presence::Required, stringReader(settings.peerKey) };
     fields["seed_peers"] = { Presence::Optional, addressListReader(settings.seedPeers) };
     fields["outage_limit_ms"] = { Presence::Optional, integerReader(settings.outageLimitMs, 1'000, hourMs) };
+    fields["evacuate_limit_ms"] = { Presence::Optional, doubleReader(settings.evacuateLimitMs, 0, maxEvacuateLimitMs) };
     fields["stop_limit_s"] = { Presence::Optional, doubleReader(settings.stopLimitSeconds, 0.1, hourSeconds) };
     fields["retry_share"] = { Presence::Optional, doubleReader(settings.retryShare, 0, 1) };
     fields["retry_extra"] = { Presence::Optional, doubleReader(settings.retryExtra, 0, maxRetries) };
--- a/Services/jujuberelayd/src/RelaySettings.h
+++ b/Services/jujuberelayd/src/RelaySettings.h
@@ -26,6 +26,9 @@
     // How long a daemon keeps serving with its last configuration while it can reach the store neither directly nor through
     // a peer.
     int64_t outageLimitMs { 60'000 };
+    // Time in milliseconds from the store's acknowledgement of an evacuation to the last request that an endpoint in the failure domain
+    // may get. 0: evacuations are not followed.
+    double evacuateLimitMs { 0 };
     // Seconds from SIGTERM to SIGKILL.
     double stopLimitSeconds { 8 };
     // Retries that all daemons together may send to one service in 10 s: a share of its requests plus a fixed number.
@@ -43,6 +46,8 @@
 
     // Memory for what has been received of responses.
     size_t responseBytes() const;
+    bool followsEvacuations() const { return evacuateLimitMs > 0; }
+    std::chrono::milliseconds evacuateLimit() const { return std::chrono::milliseconds(static_cast<int64_t>(evacuateLimitMs)); }
     std::chrono::milliseconds stopLimit() const { return std::chrono::milliseconds(static_cast<int64_t>(stopLimitSeconds * 1'000)); }
 };
 
--- a/Tests/LibDaemon/TestRelaySettings.cpp
+++ b/Tests/LibDaemon/TestRelaySettings.cpp
@@ -69,6 +69,13 @@
     std::stringstream source;
     source << file.rdbuf();
     std::string text = source.str();
+    // A section is left out if its field has no value. Within it, the field is a dot.
+    static const std::regex section(R"(\{\{#([^}]*)\}\}([^\n]*)\{\{/\1\}\})");
+    for (std::smatch found; std::regex_search(text, found, section);) {
+        std::string value = valueOf(found[1].str());
+        std::string content = value.empty() ? "" : std::regex_replace(found[2].str(), std::regex(R"(\{\{\.\}\})"), value);
+        text = found.prefix().str() + content + found.suffix().str();
+    }
     static const std::regex placeholder(R"(\{\{([^}]*)\}\})");
     std::string rendered;
     std::sregex_iterator end;
@@ -130,3 +137,27 @@
     cr_assert(settings, "%s", reason.text().c_str());
     cr_assert_eq(settings->stopLimit(), std::chrono::milliseconds(8'500));
 }
+
+// Evacuations must be followed only where the deployment gives a limit for them, whichever number it gives.
+Test(RelaySettings, evacuationsAreFollowedWhereTheDeploymentGivesALimit)
+{
+    auto parse = [](const std::string& limit) {
+        Core::Reason reason;
+        std::optional<RelaySettings> settings = parseRelaySettings(renderTemplate([&limit](const std::string& field) {
+            bool isNumber = field.starts_with("bounds.") || field.starts_with("limits.");
+            return field == "bounds.evacuate-ms" ? limit : isNumber ? std::string("1")
+                                                                    : textOf(field);
+        }),
+            "relay.yaml", reason);
+        cr_assert(settings, "%s: %s", limit.c_str(), reason.text().c_str());
+        return *settings;
+    };
+    cr_assert_not(parse("").followsEvacuations());
+    cr_assert_not(parse("0").followsEvacuations());
+    for (const char* limit : { "5000", "5000.0", "5e3", "5000.75" })
+        cr_assert_eq(parse(limit).evacuateLimit(), std::chrono::milliseconds(5'000), "%s", limit);
+    cr_assert(parse("0.5").followsEvacuations());
+    cr_assert(parse("999999999999").followsEvacuations());
+    Core::Reason reason;
+    cr_assert_not(parseRelaySettings(valid, "s.yaml", reason)->followsEvacuations());
+}
