Evacuated endpoints are connected to, but not asked, for evidence of a loss

Skipping the checks held streams until their deadline when the host of an evacuated endpoint was switched off.

--- a/Libraries/LibRelay/include/LibRelay/EndpointSelector.h
+++ b/Libraries/LibRelay/include/LibRelay/EndpointSelector.h
@@ -35,9 +35,8 @@
     // Whether choose() would return an endpoint without recent failures or refusals.
     bool hasHealthy(const SelectionQuery&, Core::SteadyClock::time_point now) const;
     // Whether the endpoint's process takes further requests, as far as this daemon knows.
-    bool takesRequests(const Endpoint& endpoint, Core::SteadyClock::time_point now) const { return !m_directory.isLeaving(endpoint) && takesStatusRequests(endpoint, now); }
-    // Whether the endpoint may be asked for its status: one that pauses or is evacuated may not, one that is leaving may.
-    bool takesStatusRequests(const Endpoint& endpoint, Core::SteadyClock::time_point now) const { return !isPaused(endpoint, now) && !isEvacuated(endpoint, now); }
+    bool takesRequests(const Endpoint& endpoint, Core::SteadyClock::time_point now) const { return !m_directory.isLeaving(endpoint) && !isPaused(endpoint, now) && !isEvacuated(endpoint, now); }
+    // Whether nothing may be sent to the endpoint because of an evacuation.
     bool isEvacuated(const Endpoint& endpoint, Core::SteadyClock::time_point now) const { return m_evacuations && m_evacuations->holds(endpoint.failureDomain, now); }
     // Registered endpoints of the service that are evacuated.
     size_t evacuatedEndpoints(const std::string& service, Core::SteadyClock::time_point now) const;
--- a/Libraries/LibRelay/src/AnswerConfirmation.cpp
+++ b/Libraries/LibRelay/src/AnswerConfirmation.cpp
@@ -54,7 +54,7 @@
         m_quarantine.recordSurvival(answer.parts, now);
         return;
     }
-    bool mayAsk = m_selector.isExpectedToRun(answer.endpoint) && m_selector.takesStatusRequests(answer.endpoint, now);
+    bool mayAsk = m_selector.isExpectedToRun(answer.endpoint) && !m_selector.isPaused(answer.endpoint, now);
     if (mayAsk && m_quarantine.hasUnprovenParts(answer.parts, now))
         Core::spawn(m_executor, "examine engine", examine(std::move(answer)));
 }
--- a/Libraries/LibRelay/src/CrashCheck.cpp
+++ b/Libraries/LibRelay/src/CrashCheck.cpp
@@ -47,11 +47,18 @@
             co_await Core::sleepUntil(std::min(deadline, Deadline::after(retryDelay)));
         HTTP::CallOptions options;
         options.use = HTTP::ConnectionUse::Fresh;
-        options.guard = [&selector, check] { return selector.takesStatusRequests(check->endpoint, Core::SteadyClock::now()); };
+        bool isWithheld = false;
+        options.guard = [&selector, &isWithheld, check] {
+            isWithheld = selector.isEvacuated(check->endpoint, Core::SteadyClock::now());
+            return !isWithheld;
+        };
         options.connectionRefused = [check] { check->state = EngineState::Ended; };
         Reason ignored;
         if (co_await client->call(check->endpoint.address, request, deadline, std::move(options), ignored))
             check->state = EngineState::Running;
+        // The endpoint accepts connections, and no more than that may be asked.
+        if (isWithheld)
+            break;
     }
     check->isFinished = true;
     check->validUntil = Deadline::after(resultLifetime);
--- a/Libraries/LibRelay/src/EndpointSelector.cpp
+++ b/Libraries/LibRelay/src/EndpointSelector.cpp
@@ -73,7 +73,7 @@
 
 bool EndpointSelector::isEligible(const Endpoint& endpoint, const SelectionQuery& query, TimePoint now) const
 {
-    return endpoint.service == query.service && !endpoint.isLeaving && takesStatusRequests(endpoint, now) && !query.excluded.contains(endpoint.id)
+    return endpoint.service == query.service && !endpoint.isLeaving && !isPaused(endpoint, now) && !isEvacuated(endpoint, now) && !query.excluded.contains(endpoint.id)
         && !(query.isUnlimitedOnly && m_limits.limitOf(endpoint));
 }
 
--- a/Libraries/LibRelay/src/QuarantineChecks.cpp
+++ b/Libraries/LibRelay/src/QuarantineChecks.cpp
@@ -31,7 +31,7 @@
     if (!m_hasConnectionBroken || *m_isCallerGone || m_deadline.hasPassed() || lossReason() || !m_handler.m_selector.isExpectedToRun(endpoint))
         co_return;
     SteadyClock::time_point now = SteadyClock::now();
-    bool wantsNoStatusRequest = !m_handler.m_selector.takesStatusRequests(endpoint, now);
+    bool wantsNoStatusRequest = m_handler.m_selector.isPaused(endpoint, now);
     if (wantsNoStatusRequest || !m_handler.m_quarantine.hasUnprovenParts(m_request.promptParts, now))
         co_return;
     bool hasEnded = co_await m_handler.m_crashCheck.check(endpoint) == EngineState::Ended;
--- a/Libraries/LibRelay/src/StreamWatch.cpp
+++ b/Libraries/LibRelay/src/StreamWatch.cpp
@@ -38,12 +38,12 @@
                 continue;
             }
             checkAt = Core::SteadyClock::now() + silenceLimit();
-            if (!m_stream->canMove() || !mayAskEndpoint())
+            if (!m_stream->canMove() || isEndpointPaused())
                 continue;
             Core::SteadyClock::time_point silentSince = m_stream->lastEventAt;
             co_await gatherEvidence();
-            // A status request that the endpoint refused, or that was not sent because of a pause or an evacuation, is no evidence.
-            if (m_stream->isOver || m_stream->lastEventAt != silentSince || !m_stream->canMove() || !mayAskEndpoint())
+            // A status request that the endpoint refused, or that was not sent because of a pause, is no evidence.
+            if (m_stream->isOver || m_stream->lastEventAt != silentSince || !m_stream->canMove() || isEndpointPaused())
                 continue;
             m_stream->lossReason = findStreamLoss(m_evidence, m_stream->requestId, m_stream->lastEvent);
             logCheck();
@@ -62,29 +62,34 @@
         return std::chrono::milliseconds(m_stream->hasEvents ? m_settings.streamIdleTimeoutMs : m_settings.firstEventTimeoutMs);
     }
 
-    bool mayAskEndpoint() const { return m_selector.takesStatusRequests(m_stream->endpoint, Core::SteadyClock::now()); }
+    bool isEndpointPaused() const { return m_selector.isPaused(m_stream->endpoint, Core::SteadyClock::now()); }
 
     Core::Task<void> gatherEvidence()
     {
         m_evidence.status = std::nullopt;
         if (m_codec.statusRequest) {
             Reason reason;
-            m_evidence.status = co_await requestStatus(reason);
-            if (mayAskEndpoint())
-                m_evidence.failedStatusRequests = m_evidence.status ? 0 : m_evidence.failedStatusRequests + 1;
+            bool wasWithheld = false;
+            m_evidence.status = co_await requestStatus(wasWithheld, reason);
+            // A connection that an evacuated endpoint accepts is no evidence of a loss; one that it does not accept is.
+            if (!isEndpointPaused())
+                m_evidence.failedStatusRequests = m_evidence.status || wasWithheld ? 0 : m_evidence.failedStatusRequests + 1;
         }
         const std::string& id = m_stream->endpoint.id;
         m_evidence.isRegistered = m_selector.isRegistered(id);
         m_evidence.areOthersSilent = m_selector.inFlight(id) > 1 && m_selector.lastBytesAt(id) <= m_stream->lastEventAt;
     }
 
-    Core::Task<std::optional<EngineStatus>> requestStatus(Reason& reason)
+    Core::Task<std::optional<EngineStatus>> requestStatus(bool& wasWithheld, Reason& reason)
     {
         Deadline deadline = Deadline::after(std::chrono::milliseconds(m_settings.statusTimeoutMs));
         HTTP::CallOptions options;
         // A new connection, since the pooled ones may have been cut silently together with the stream.
         options.use = HTTP::ConnectionUse::Fresh;
-        options.guard = [this] { return mayAskEndpoint(); };
+        options.guard = [this, &wasWithheld] {
+            wasWithheld = isEndpointPaused() || m_selector.isEvacuated(m_stream->endpoint, Core::SteadyClock::now());
+            return !wasWithheld;
+        };
         std::optional<std::unique_ptr<HTTP::ResponseStream>> response
             = co_await m_client->call(m_stream->endpoint.address, m_codec.statusRequest(), deadline, std::move(options), reason);
         if (!response)
--- a/Libraries/LibRelay/src/StreamWatch.h
+++ b/Libraries/LibRelay/src/StreamWatch.h
@@ -25,8 +25,8 @@
     std::optional<std::string> lossReason;
 };
 
-// Cancels the attempt if it is silent and there is evidence that it will not continue. An endpoint that pauses or is evacuated is not
-// asked for its status. Runs until the attempt is over.
+// Cancels the attempt if it is silent and there is evidence that it will not continue. An endpoint that pauses is not asked for its status.
+// One that is evacuated is only connected to. Runs until the attempt is over.
 Core::Task<void> watchStream(
     std::shared_ptr<WatchedStream>, std::shared_ptr<HTTP::Client>, const WireCodec&, const HandlerSettings&, const EndpointSelector&);
 
--- a/Tests/LibRelay/TestEvacuatedEndpoints.cpp
+++ b/Tests/LibRelay/TestEvacuatedEndpoints.cpp
@@ -211,9 +211,31 @@
     cr_assert_eq(fixture.statusRequests, 0);
 }
 
+// Guards against holding a stream until its deadline whose evacuated endpoint is gone without a reset: its address takes no connections.
+Test(EvacuatedEndpoints, silentStreamIsMovedIfItsEndpointIsGone)
+{
+    EvacuationFixture fixture;
+    fixture.answer = [&fixture](const HTTP::Request& request, HTTP::ResponseWriter& writer) -> Core::Task<void> {
+        Core::Reason reason;
+        if (HTTP::findHeader(request.headers, "Last-Event")) {
+            co_await writer.send({ 200, sealed(request), "id: 2\ndata: b\n\n" }, reason);
+            co_return;
+        }
+        co_await writer.startStream(200, sealed(request), reason);
+        co_await writer.writeChunk("id: 1\ndata: a\n\n", reason);
+        std::string endpoint = expectedEndpoint(request);
+        fixture.evacuate(endpoint);
+        fixture.endpoints.at(std::stoul(endpoint.substr(1)))->stopAccepting();
+        co_await Core::sleepUntil(Core::Deadline::after(callTimeout));
+    };
+    cr_assert_eq(fixture.call(fixture.makeRequest("/stream/a"))->body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    cr_assert_eq(fixture.arrivals.size(), 2);
+    cr_assert_eq(fixture.statusRequests, 0);
+}
+
 // Guards against a status request to an evacuated endpoint after an answer or a broken connection, which examine whether the engine
 // still runs.
-Test(EvacuatedEndpoints, enginesAreNotExaminedWhileEvacuated)
+Test(EvacuatedEndpoints, enginesGetNoStatusRequestsWhileEvacuated)
 {
     for (bool isBroken : { false, true }) {
         EvacuationFixture fixture;
--- a/Tests/LibRelay/TestEvacuationSet.cpp
+++ b/Tests/LibRelay/TestEvacuationSet.cpp
@@ -322,7 +322,7 @@
     current.set.adopt(change("zone-b"));
     cr_assert_eq(chosenDomains(), std::set<std::string> { "zone-c" });
     cr_assert_not(selector.takesRequests(*directory.find("a1"), now));
-    cr_assert_not(selector.takesStatusRequests(*directory.find("b1"), now));
+    cr_assert(selector.isEvacuated(*directory.find("b1"), now));
     cr_assert(selector.takesRequests(*directory.find("c1"), now));
     // The only endpoint left pauses.
     selector.recordPause(*directory.find("c1"), now + milliseconds(300), now);
