--- a/Tests/LibRelay/TestEvacuatedEndpoints.cpp
+++ b/Tests/LibRelay/TestEvacuatedEndpoints.cpp
@@ -117,6 +117,7 @@
         TestSupport::runUntil(fixture.context, [&response] { return response.has_value(); });
         cr_assert_eq((*response)->status, 200, "round %d: %s", round, (*response)->body.c_str());
         cr_assert_eq(fixture.arrivals.size(), 2);
+        cr_assert_neq(expectedEndpoint(fixture.arrivals.at(1)), withheld);
         // The endpoints of the next round have no connections yet.
         fixture.evacuate(refusing);
         fixture.evacuate(expectedEndpoint(fixture.arrivals.at(1)));
@@ -170,6 +171,27 @@
     cr_assert_eq(expectedEndpoint(fixture.arrivals.at(0)), "e1");
 }
 
+// Guards against repeating a request on a fresh connection at an endpoint that was evacuated while the endpoint closed the reused one.
+Test(EvacuatedEndpoints, requestIsNotRepeatedAtAnEvacuatedEndpoint)
+{
+    EvacuationFixture fixture;
+    fixture.evacuate("e1");
+    cr_assert_eq(fixture.call(fixture.makeRequest("/again/a"))->status, 200);
+    fixture.answer = [&fixture](const HTTP::Request& request, HTTP::ResponseWriter& writer) -> Core::Task<void> {
+        if (expectedEndpoint(request) == "e1") {
+            co_await answerOk(request, writer);
+            co_return;
+        }
+        fixture.evacuate("e0");
+        fixture.lift("e1");
+        writer.abort();
+    };
+    cr_assert_eq(fixture.call(fixture.makeRequest("/again/a", { { "Parts", "p" } }))->status, 200);
+    cr_assert_eq(fixture.arrivals.size(), 3);
+    cr_assert_eq(expectedEndpoint(fixture.arrivals.at(1)), "e0");
+    cr_assert_eq(expectedEndpoint(fixture.arrivals.at(2)), "e1");
+}
+
 // Guards against holding requests while all failure domains are evacuated, and against refusals that do not tell when to retry.
 Test(EvacuatedEndpoints, requestsAreRefusedAtOnceIfAllAreEvacuated)
 {
