Evacuation test waits for its requests before it closes their session

A request that began during the end of the test raised "Session is closed".

Run: Tests/Soak/test_evacuations.py three times (4 passed each).

--- a/Tests/Soak/test_evacuations.py
+++ b/Tests/Soak/test_evacuations.py
@@ -66,6 +66,7 @@
     async def asyncTearDown(self):
         if self.load:
             self.load.cancel()
+            await asyncio.gather(self.load, return_exceptions=True)
         await self.session.close()
         for daemon in self.fleet.daemons:
             daemon.signal(signal.SIGCONT)
@@ -115,14 +116,18 @@
                 self.statuses.append(None)
         tasks = set()
         number = 0
-        while True:
-            number += 1
-            daemon = self.fleet.daemons[number % DAEMONS]
-            if daemon.is_running and not daemon.paused:
-                task = asyncio.create_task(send(daemon))
-                tasks.add(task)
-                task.add_done_callback(tasks.discard)
-            await asyncio.sleep(1 / REQUESTS_PER_S)
+        try:
+            while True:
+                number += 1
+                daemon = self.fleet.daemons[number % DAEMONS]
+                if daemon.is_running and not daemon.paused:
+                    task = asyncio.create_task(send(daemon))
+                    tasks.add(task)
+                    task.add_done_callback(tasks.discard)
+                await asyncio.sleep(1 / REQUESTS_PER_S)
+        finally:
+            # The requests in progress end before the session is closed.
+            await asyncio.gather(*tasks, return_exceptions=True)
 
     async def open_stream(self, daemon):
         """Runs a stream to its end. Returns the number of events."""
