Evacuations: no hold by the age of the list

A daemon refused everything while its list was older than the limit. In ordinary cuts this cost far more than it protected: a host that was suspended or cut off is excused for 4 s after it resumes, and its follower reads the list again within that time. Removes EvacuationSet::isOutdated with its hook and times, so that the choice of an endpoint makes one check while nothing is evacuated, and no call of a std::function.

Removes the two tests of the hold (nothingIsSentByAnOutdatedListUnlessTheStoreIsAway, listOfAFollowerWithoutFaultsIsNeverOutdated), since what they describe is no longer meant.

--- a/Libraries/LibRelay/include/LibRelay/EndpointSelector.h
+++ b/Libraries/LibRelay/include/LibRelay/EndpointSelector.h
@@ -35,11 +35,11 @@
     // Whether choose() would return an endpoint without recent failures or refusals.
     bool hasHealthy(const SelectionQuery&, Core::SteadyClock::time_point now) const;
     // Whether the endpoint's process takes further requests, as far as this daemon knows.
-    bool takesRequests(const Endpoint& endpoint, Core::SteadyClock::time_point now) const { return !m_directory.isLeaving(endpoint) && !isPaused(endpoint, now) && !isEvacuated(endpoint, now); }
+    bool takesRequests(const Endpoint& endpoint, Core::SteadyClock::time_point now) const { return !m_directory.isLeaving(endpoint) && !isPaused(endpoint, now) && !isEvacuated(endpoint); }
     // Whether nothing may be sent to the endpoint because of an evacuation.
-    bool isEvacuated(const Endpoint& endpoint, Core::SteadyClock::time_point now) const { return m_evacuations && m_evacuations->holds(endpoint.failureDomain, now); }
+    bool isEvacuated(const Endpoint& endpoint) const { return m_evacuations->isEvacuated(endpoint.failureDomain); }
     // Registered endpoints of the service that are evacuated.
-    size_t evacuatedEndpoints(const std::string& service, Core::SteadyClock::time_point now) const;
+    size_t evacuatedEndpoints(const std::string& service) const;
     // Without a set, no endpoint is evacuated. The set must outlive this object.
     void setEvacuations(const EvacuationSet& evacuations) { m_evacuations = &evacuations; }
     bool isPaused(const Endpoint&, Core::SteadyClock::time_point now) const;
@@ -113,7 +113,7 @@
 
     const EndpointDirectory& m_directory;
     std::string m_failureDomain;
-    const EvacuationSet* m_evacuations { nullptr };
+    const EvacuationSet* m_evacuations;
     std::map<std::string, EndpointState> m_states;
     // By endpoint id; hashed, since each choice looks up all candidates.
     std::unordered_map<std::string, Pause> m_pauses;
--- a/Libraries/LibRelay/src/CrashCheck.cpp
+++ b/Libraries/LibRelay/src/CrashCheck.cpp
@@ -47,17 +47,17 @@
             co_await Core::sleepUntil(std::min(deadline, Deadline::after(retryDelay)));
         HTTP::CallOptions options;
         options.use = HTTP::ConnectionUse::Fresh;
-        bool isWithheld = false;
-        options.guard = [&selector, &isWithheld, check] {
-            isWithheld = selector.isEvacuated(check->endpoint, Core::SteadyClock::now());
-            return !isWithheld;
+        bool wasWithheld = false;
+        options.guard = [&selector, &wasWithheld, check] {
+            wasWithheld = selector.isEvacuated(check->endpoint);
+            return !wasWithheld;
         };
         options.connectionRefused = [check] { check->state = EngineState::Ended; };
         Reason ignored;
         if (co_await client->call(check->endpoint.address, request, deadline, std::move(options), ignored))
             check->state = EngineState::Running;
         // The endpoint accepts connections, and no more than that may be asked.
-        if (isWithheld)
+        if (wasWithheld)
             break;
     }
     check->isFinished = true;
--- a/Libraries/LibRelay/src/EndpointSelector.cpp
+++ b/Libraries/LibRelay/src/EndpointSelector.cpp
@@ -30,9 +30,17 @@
 // Requests of this daemon that an endpoint may carry on top before its prompts go to the next endpoint in hash order.
 static constexpr double boundedLoadSlack = 3;
 
+// An empty set, so that the choice needs no check for a missing one.
+static const EvacuationSet& noEvacuations()
+{
+    static const EvacuationSet set({}, {});
+    return set;
+}
+
 EndpointSelector::EndpointSelector(const EndpointDirectory& directory, std::string failureDomain)
     : m_directory(directory)
     , m_failureDomain(std::move(failureDomain))
+    , m_evacuations(&noEvacuations())
 {
 }
 
@@ -73,7 +81,7 @@
 
 bool EndpointSelector::isEligible(const Endpoint& endpoint, const SelectionQuery& query, TimePoint now) const
 {
-    return endpoint.service == query.service && !endpoint.isLeaving && !isPaused(endpoint, now) && !isEvacuated(endpoint, now) && !query.excluded.contains(endpoint.id)
+    return endpoint.service == query.service && !endpoint.isLeaving && !isPaused(endpoint, now) && !isEvacuated(endpoint) && !query.excluded.contains(endpoint.id)
         && !(query.isUnlimitedOnly && m_limits.limitOf(endpoint));
 }
 
@@ -109,7 +117,7 @@
 {
     std::optional<TimePoint> first;
     for (const auto& [id, endpoint] : m_directory.endpoints()) {
-        if (endpoint.service != service || endpoint.isLeaving || isEvacuated(endpoint, now))
+        if (endpoint.service != service || endpoint.isLeaving || isEvacuated(endpoint))
             continue;
         TimePoint until = std::max(noPermitUntil(endpoint), isPaused(endpoint, now) ? m_pauses.at(id).until : TimePoint {});
         if (until <= now)
@@ -119,10 +127,10 @@
     return first;
 }
 
-size_t EndpointSelector::evacuatedEndpoints(const std::string& service, TimePoint now) const
+size_t EndpointSelector::evacuatedEndpoints(const std::string& service) const
 {
     return static_cast<size_t>(std::count_if(m_directory.endpoints().begin(), m_directory.endpoints().end(),
-        [this, &service, now](const auto& entry) { return entry.second.service == service && isEvacuated(entry.second, now); }));
+        [this, &service](const auto& entry) { return entry.second.service == service && isEvacuated(entry.second); }));
 }
 
 const Endpoint* EndpointSelector::choose(const SelectionQuery& query, TimePoint now) const
--- a/Libraries/LibRelay/src/EvacuationSet.cpp
+++ b/Libraries/LibRelay/src/EvacuationSet.cpp
@@ -15,26 +15,15 @@
 static constexpr int64_t watchDenominator = 5;
 static constexpr int64_t minWatchMs = 500;
 static constexpr int64_t maxWatchMs = 10'000;
-// The list is one short page.
-static constexpr int64_t listTimeoutMs = 700;
 static constexpr int64_t batchWindowMs = 250;
 // Time for the answer of a watch after its wait.
 static constexpr int64_t answerMarginMs = 500;
-// A follower that has lost the store has tried once to read the list again after this time.
-static constexpr milliseconds recoveryTime(1'000);
 
 static int64_t watchTimeMs(milliseconds limit)
 {
     return std::clamp(std::min<int64_t>(limit.count(), maxWatchMs * watchDenominator) * watchNumerator / watchDenominator, minWatchMs, maxWatchMs);
 }
 
-// Without faults the list is confirmed at least this often: a watch that ends with a change confirms the time at which it began, and
-// the next one follows after the batch window.
-static milliseconds maxFaultlessAge(milliseconds limit)
-{
-    return milliseconds(2 * watchTimeMs(limit) + batchWindowMs + answerMarginMs);
-}
-
 // The text with percent-encoded bytes decoded. A sequence that is not valid is left as it is.
 static std::string percentDecoded(const std::string& text)
 {
@@ -55,9 +44,8 @@
     return decoded;
 }
 
-EvacuationSet::EvacuationSet(std::string prefix, milliseconds limit, EvacuationHooks hooks)
+EvacuationSet::EvacuationSet(std::string prefix, EvacuationHooks hooks)
     : m_prefix(std::move(prefix))
-    , m_maxAge(std::max(limit, maxFaultlessAge(limit)))
     , m_hooks(std::move(hooks))
 {
 }
@@ -66,7 +54,6 @@
 {
     FollowerSettings settings;
     settings.watchMs = watchTimeMs(limit);
-    settings.listTimeoutMs = listTimeoutMs;
     settings.batchWindowMs = batchWindowMs;
     settings.peerWatchMs = std::min(settings.peerWatchMs, settings.watchMs);
     settings.maxSharedAgeMs = settings.watchMs + answerMarginMs;
@@ -114,11 +101,4 @@
     report(before, m_failureDomains, m_hooks.lifted);
 }
 
-bool EvacuationSet::isOutdated(TimePoint now) const
-{
-    if (m_lostAt && now - *m_lostAt >= recoveryTime)
-        return false;
-    return now - m_hooks.confirmedAt() > m_maxAge;
-}
-
 }
--- a/Libraries/LibRelay/src/RequestExecution.cpp
+++ b/Libraries/LibRelay/src/RequestExecution.cpp
@@ -207,7 +207,7 @@
     Core::SteadyClock::time_point now = Core::SteadyClock::now();
     std::optional<Core::SteadyClock::time_point> takesRequestsAt = m_handler.m_selector.takesRequestsAt(m_service, now);
     if (!takesRequestsAt && !m_wasOverloaded) {
-        if (size_t evacuated = m_handler.m_selector.evacuatedEndpoints(m_service, now); evacuated > 0)
+        if (size_t evacuated = m_handler.m_selector.evacuatedEndpoints(m_service); evacuated > 0)
             message += "; " + std::to_string(evacuated) + " endpoints are evacuated";
     }
     if (!takesRequestsAt)
@@ -411,7 +411,7 @@
     endWatch();
     bool isAborted = *m_isCallerGone || m_wasWithheld || m_deadline.hasPassed();
     selector.recordEnd(endpoint.id, isAborted ? EndpointSelector::End::Neutral : EndpointSelector::End::Failure, Core::SteadyClock::now());
-    m_lastFailure = m_wasWithheld ? "endpoint " + endpoint.id + (selector.isEvacuated(endpoint, Core::SteadyClock::now()) ? " was evacuated" : " began to refuse all requests") + " before this one was sent" : lossReason().value_or(reason.text());
+    m_lastFailure = m_wasWithheld ? "endpoint " + endpoint.id + (selector.isEvacuated(endpoint) ? " was evacuated" : " began to refuse all requests") + " before this one was sent" : lossReason().value_or(reason.text());
     Core::logEvent(Events::attemptFailed, "request=" + m_request.id + " endpoint=" + endpoint.id + " sent=" + std::to_string(wasSent) + " reused_connection=" + std::to_string(m_wasConnectionStale) + " reason=\"" + m_lastFailure + "\"");
     m_hasConnectionBroken = wasSent;
     co_await examineBreak(endpoint);
--- a/Libraries/LibRelay/src/StreamWatch.cpp
+++ b/Libraries/LibRelay/src/StreamWatch.cpp
@@ -87,7 +87,7 @@
         // A new connection, since the pooled ones may have been cut silently together with the stream.
         options.use = HTTP::ConnectionUse::Fresh;
         options.guard = [this, &wasWithheld] {
-            wasWithheld = isEndpointPaused() || m_selector.isEvacuated(m_stream->endpoint, Core::SteadyClock::now());
+            wasWithheld = isEndpointPaused() || m_selector.isEvacuated(m_stream->endpoint);
             return !wasWithheld;
         };
         std::optional<std::unique_ptr<HTTP::ResponseStream>> response
--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -98,7 +98,7 @@
         m_selector.forget(endpoint.id);
         Core::logEvent(RelayEvents::endpointRemoved, "endpoint=" + endpoint.id + " service=" + endpoint.service + " reason=\"" + why + "\"");
     })
-    , m_evacuations(PlatformAdapter::evacuationPrefix, m_settings.evacuateLimit(), makeEvacuationSetHooks())
+    , m_evacuations(PlatformAdapter::evacuationPrefix, makeEvacuationSetHooks())
     , m_selector(m_endpoints, m_settings.failureDomain)
     , m_budgets(executor, makeBudgetHooks(), { m_settings.host })
     , m_quarantine({}, [this] { m_quarantineStore.wake(); })
--- a/Services/jujuberelayd/src/RelayDaemonEvacuations.cpp
+++ b/Services/jujuberelayd/src/RelayDaemonEvacuations.cpp
@@ -11,7 +11,6 @@
 Relay::EvacuationHooks RelayDaemon::makeEvacuationSetHooks()
 {
     Relay::EvacuationHooks hooks;
-    hooks.confirmedAt = [this] { return m_evacuationFollower.confirmedAt(); };
     hooks.adopted = [this](const std::string& failureDomain) { reportEvacuation(failureDomain, true); };
     hooks.lifted = [this](const std::string& failureDomain) { reportEvacuation(failureDomain, false); };
     return hooks;
@@ -22,14 +21,8 @@
     Relay::FollowerHooks hooks;
     hooks.listed = [this](const std::vector<Platform::Object>& objects) { m_evacuations.replaceAll(objects); };
     hooks.changed = [this](const Platform::Change& change) { m_evacuations.adopt(change); };
-    hooks.lost = [this](const Reason& reason) {
-        m_evacuations.storeLost(Core::SteadyClock::now());
-        logStoreAvailability("evacuations", true, " reason=\"" + reason.text() + "\"");
-    };
-    hooks.regained = [this] {
-        m_evacuations.storeRegained();
-        logStoreAvailability("evacuations", false, "");
-    };
+    hooks.lost = [this](const Reason& reason) { logStoreAvailability("evacuations", true, " reason=\"" + reason.text() + "\""); };
+    hooks.regained = [this] { logStoreAvailability("evacuations", false, ""); };
     hooks.restored = [this] { logStoreRestored("evacuations"); };
     return hooks;
 }
--- a/Tests/LibRelay/TestEvacuatedEndpoints.cpp
+++ b/Tests/LibRelay/TestEvacuatedEndpoints.cpp
@@ -27,7 +27,7 @@
 
 // Endpoint "e0" is in failure domain "zone-0", and so on.
 struct EvacuationFixture : Fixture {
-    Relay::EvacuationSet evacuations { "evacuations/", milliseconds(5'000), { [] { return Core::SteadyClock::now(); } } };
+    Relay::EvacuationSet evacuations { "evacuations/", {} };
 
     explicit EvacuationFixture(size_t endpointCount = 2)
         : Fixture(endpointCount)
--- a/Tests/LibRelay/TestEvacuationSet.cpp
+++ b/Tests/LibRelay/TestEvacuationSet.cpp
@@ -19,11 +19,10 @@
 
 namespace {
 
-// A set whose list is always current.
-struct CurrentSet {
+struct RecordedSet {
     std::vector<std::string> adopted;
     std::vector<std::string> lifted;
-    EvacuationSet set { prefix, limit, { [] { return SteadyClock::now(); }, [this](const std::string& name) { adopted.push_back(name); }, [this](const std::string& name) { lifted.push_back(name); } } };
+    EvacuationSet set { prefix, { [this](const std::string& name) { adopted.push_back(name); }, [this](const std::string& name) { lifted.push_back(name); } } };
 };
 
 }
@@ -31,65 +30,25 @@
 // Guards against an evacuation that is missed because of the value or the name of its object, and against one that is reported twice.
 Test(EvacuationSet, anyObjectOfTheKindCountsUnderItsName)
 {
-    CurrentSet current;
+    RecordedSet recorded;
     for (const char* value : { "{}", "null", "[1]", "no JSON", "" })
-        current.set.adopt({ { prefix + "zone-a", 1, value }, false });
-    cr_assert(current.set.isEvacuated("zone-a"));
-    cr_assert_eq(current.adopted, std::vector<std::string> { "zone-a" });
+        recorded.set.adopt({ { prefix + "zone-a", 1, value }, false });
+    cr_assert(recorded.set.isEvacuated("zone-a"));
+    cr_assert_eq(recorded.adopted, std::vector<std::string> { "zone-a" });
     for (const char* name : { "zone%20b", "a/b", "100%", "%zz", "z\n" })
-        current.set.adopt(change(name));
+        recorded.set.adopt(change(name));
     for (const char* failureDomain : { "zone%20b", "zone b", "a/b", "100%", "%zz", "z\n" })
-        cr_assert(current.set.isEvacuated(failureDomain), "%s", failureDomain);
+        cr_assert(recorded.set.isEvacuated(failureDomain), "%s", failureDomain);
     for (const char* failureDomain : { "", "zone", "a", "zone-", "zone-aa" })
-        cr_assert_not(current.set.isEvacuated(failureDomain), "%s", failureDomain);
+        cr_assert_not(recorded.set.isEvacuated(failureDomain), "%s", failureDomain);
     // An object without a name concerns no endpoint, also none without a failure domain.
-    current.set.adopt(change(""));
-    cr_assert_not(current.set.isEvacuated(""));
-    current.set.adopt(change("zone%20b", true));
-    cr_assert_not(current.set.isEvacuated("zone b"));
-    current.set.replaceAll({});
-    cr_assert(current.set.failureDomains().empty());
-    cr_assert_eq(current.lifted.size(), current.adopted.size());
-}
-
-// Guards against sending requests by a list that is older than the limit, after the process was suspended, and against refusing them
-// during an outage of the store, in which no evacuation can be acknowledged.
-Test(EvacuationSet, nothingIsSentByAnOutdatedListUnlessTheStoreIsAway)
-{
-    SteadyClock::time_point confirmedAt = SteadyClock::now();
-    EvacuationHooks hooks;
-    hooks.confirmedAt = [&confirmedAt] { return confirmedAt; };
-    EvacuationSet set(prefix, limit, hooks);
-    set.adopt(change("zone-a"));
-    cr_assert_not(set.holds("zone-b", confirmedAt + limit));
-    cr_assert(set.holds("zone-b", confirmedAt + limit + milliseconds(1)));
-    // The process resumes, its watch fails, and the list is being read again.
-    SteadyClock::time_point resumedAt = confirmedAt + 4 * limit;
-    set.storeLost(resumedAt);
-    cr_assert(set.holds("zone-b", resumedAt));
-    cr_assert(set.holds("zone-b", resumedAt + milliseconds(900)));
-    // The store does not answer: what is known stays in force.
-    cr_assert_not(set.holds("zone-b", resumedAt + milliseconds(1'000)));
-    cr_assert(set.holds("zone-a", resumedAt + std::chrono::hours(1)));
-    confirmedAt = resumedAt + milliseconds(500);
-    set.storeRegained();
-    cr_assert_not(set.holds("zone-b", confirmedAt + milliseconds(500)));
-}
-
-// Guards against settings with which a follower without faults holds requests back: a change at the end of a watch is followed by a
-// whole one.
-Test(EvacuationSet, listOfAFollowerWithoutFaultsIsNeverOutdated)
-{
-    for (int64_t limitMs : { int64_t { 1 }, int64_t { 500 }, int64_t { 5'000 }, int64_t { 60'000 }, int64_t { 1'000'000'000'000 } }) {
-        FollowerSettings settings = EvacuationSet::followerSettings(milliseconds(limitMs));
-        SteadyClock::time_point confirmedAt = SteadyClock::now();
-        EvacuationHooks hooks;
-        hooks.confirmedAt = [&confirmedAt] { return confirmedAt; };
-        EvacuationSet set(prefix, milliseconds(limitMs), hooks);
-        cr_assert_not(set.isOutdated(confirmedAt + milliseconds(2 * settings.watchMs + settings.batchWindowMs + 350)), "%ld", static_cast<long>(limitMs));
-        cr_assert_gt(settings.watchMs, 0);
-        cr_assert_leq(settings.peerWatchMs, settings.watchMs);
-    }
+    recorded.set.adopt(change(""));
+    cr_assert_not(recorded.set.isEvacuated(""));
+    recorded.set.adopt(change("zone%20b", true));
+    cr_assert_not(recorded.set.isEvacuated("zone b"));
+    recorded.set.replaceAll({});
+    cr_assert(recorded.set.failureDomains().empty());
+    cr_assert_eq(recorded.lifted.size(), recorded.adopted.size());
 }
 
 namespace {
@@ -104,7 +63,7 @@
 
     FollowedSet(boost::asio::io_context& context, Platform::ObjectStore store, FollowerSettings settings)
         : context(context)
-        , set(prefix, limit, makeSetHooks())
+        , set(prefix, makeSetHooks())
         , follower(context.get_executor(), std::move(store), prefix, settings, makeFollowerHooks())
     {
         Core::spawn(context.get_executor(), "follow", follower.run());
@@ -113,7 +72,6 @@
     EvacuationHooks makeSetHooks()
     {
         EvacuationHooks hooks;
-        hooks.confirmedAt = [this] { return follower.confirmedAt(); };
         hooks.adopted = [this](const std::string& name) { cr_assert(reported.insert(name).second); };
         hooks.lifted = [this](const std::string& name) { cr_assert_eq(reported.erase(name), 1); };
         return hooks;
@@ -124,8 +82,8 @@
         FollowerHooks hooks;
         hooks.listed = [this](const std::vector<Platform::Object>& objects) { set.replaceAll(objects); };
         hooks.changed = [this](const Platform::Change& change) { set.adopt(change); };
-        hooks.lost = [this](const Core::Reason&) { set.storeLost(SteadyClock::now()); };
-        hooks.regained = [this] { set.storeRegained(); };
+        hooks.lost = [](const Core::Reason&) {};
+        hooks.regained = [] {};
         hooks.watchAtPeer = [this](WatchRequest request, Core::Reason& reason) -> Core::Task<std::optional<WatchReply>> {
             if (watchAtPeer)
                 co_return co_await watchAtPeer(std::move(request), reason);
@@ -302,8 +260,8 @@
     for (const char* id : { "a1", "a2", "b1", "c1" })
         directory.put(makeEndpoint(id, std::string("zone-") + id[0]));
     EndpointSelector selector(directory, "zone-a");
-    CurrentSet current;
-    selector.setEvacuations(current.set);
+    RecordedSet recorded;
+    selector.setEvacuations(recorded.set);
     SteadyClock::time_point now = SteadyClock::now();
     auto chosenDomains = [&selector, now] {
         std::set<std::string> domains;
@@ -316,24 +274,24 @@
     const std::set<std::string> all { "zone-a", "zone-b", "zone-c" };
     const SelectionQuery query { "service", false, 0, {} };
     cr_assert_eq(chosenDomains(), all);
-    current.set.adopt(change("zone-a"));
+    recorded.set.adopt(change("zone-a"));
     cr_assert_eq(chosenDomains(), (std::set<std::string> { "zone-b", "zone-c" }));
-    cr_assert_eq(selector.evacuatedEndpoints("service", now), 2);
-    current.set.adopt(change("zone-b"));
+    cr_assert_eq(selector.evacuatedEndpoints("service"), 2);
+    recorded.set.adopt(change("zone-b"));
     cr_assert_eq(chosenDomains(), std::set<std::string> { "zone-c" });
     cr_assert_not(selector.takesRequests(*directory.find("a1"), now));
-    cr_assert(selector.isEvacuated(*directory.find("b1"), now));
+    cr_assert(selector.isEvacuated(*directory.find("b1")));
     cr_assert(selector.takesRequests(*directory.find("c1"), now));
     // The only endpoint left pauses.
     selector.recordPause(*directory.find("c1"), now + milliseconds(300), now);
     cr_assert_eq(selector.takesRequestsAt("service", now), now + milliseconds(300));
     cr_assert_not(selector.hasHealthy(query, now));
     cr_assert_not(selector.nextPermitAt(query, now));
-    current.set.adopt(change("zone-c"));
+    recorded.set.adopt(change("zone-c"));
     cr_assert(chosenDomains().empty());
     cr_assert_not(selector.takesRequestsAt("service", now));
     for (const std::string& failureDomain : all)
-        current.set.adopt(change(failureDomain, true));
+        recorded.set.adopt(change(failureDomain, true));
     now += milliseconds(300);
     cr_assert(selector.hasHealthy(query, now));
     cr_assert(selector.choose(query, now));
