Stream watch: a status request that a pause withheld counts as before

Only an evacuation makes a withheld request no evidence; a pause that began and ended during the request counted as a failed one before evacuations, and does so again.

--- a/Libraries/LibRelay/include/LibRelay/CrashCheck.h
+++ b/Libraries/LibRelay/include/LibRelay/CrashCheck.h
@@ -22,8 +22,8 @@
 public:
     CrashCheck(const boost::asio::any_io_executor&, std::shared_ptr<HTTP::Client>, const EndpointSelector&, WireCodec, std::chrono::milliseconds timeout);
 
-    // Sends one status request at a time to an endpoint, or only connects to it if it is evacuated; requests that break while it is in progress or shortly after share its
-    // result. Ends at the timeout at the latest.
+    // Sends one status request at a time to an endpoint, or only connects to it if it is evacuated. Requests that break while it is in
+    // progress or shortly after share its result. Ends at the timeout at the latest.
     Core::Task<EngineState> check(Endpoint);
 
 private:
--- a/Libraries/LibRelay/src/StreamWatch.cpp
+++ b/Libraries/LibRelay/src/StreamWatch.cpp
@@ -87,8 +87,8 @@
         // A new connection, since the pooled ones may have been cut silently together with the stream.
         options.use = HTTP::ConnectionUse::Fresh;
         options.guard = [this, &wasWithheld] {
-            wasWithheld = isEndpointPaused() || m_selector.isEvacuated(m_stream->endpoint);
-            return !wasWithheld;
+            wasWithheld = m_selector.isEvacuated(m_stream->endpoint);
+            return !wasWithheld && !isEndpointPaused();
         };
         std::optional<std::unique_ptr<HTTP::ResponseStream>> response
             = co_await m_client->call(m_stream->endpoint.address, m_codec.statusRequest(), deadline, std::move(options), reason);
