Evacuation metrics: one pair of series for names that are printed alike

Such names shared their series, but it showed only the one adopted last. The requests counted are those at registered endpoints, as the help text now says.

--- a/Services/jujuberelayd/src/RelayDaemon.h
+++ b/Services/jujuberelayd/src/RelayDaemon.h
@@ -47,7 +47,8 @@
     Relay::FollowerHooks makeEvacuationHooks();
     Relay::EvacuationHooks makeEvacuationSetHooks();
     void reportEvacuation(const std::string& failureDomain, bool isEvacuated);
-    size_t requestsInDomain(const std::string& failureDomain) const;
+    // Requests in progress at registered endpoints of failure domains that are printed like this.
+    size_t requestsInDomain(const std::string& label) const;
     // Extends the hooks so that the follower can use the watch of another daemon.
     Relay::FollowerHooks withSharedWatches(Relay::FollowerHooks);
     Core::Task<std::optional<Relay::WatchReply>> watchAtPeer(Relay::WatchRequest, Core::Reason&);
@@ -104,7 +105,7 @@
     HTTP::Server m_readinessServer;
     HTTP::Server m_metricsServer;
     Relay::LoadMonitor m_load;
-    // Failure domains that have a metric of their evacuation.
+    // Failure domains that have a metric of their evacuation, as printed.
     std::set<std::string> m_measuredEvacuations;
     // Last logged watch source of each object prefix.
     std::map<std::string, std::string> m_loggedWatchSources;
