Relay: outage limit for the list of evacuations, and no failed start by its limit

A daemon that the store served the configuration but not the evacuations went on without end by its old list. It now refuses with stale_evacuations after outage_limit_ms. The watch is as short as this limit asks for, too, so that a daemon without faults does not reach it.

An evacuate_limit_ms above its range (1e300, inf) is taken as the maximum; E1701 shows the limit in use.

--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -66,8 +66,10 @@
     return settings;
 }
 
-static Relay::FollowerSettings evacuationFollowerSettings(std::chrono::milliseconds limit)
+static Relay::FollowerSettings evacuationFollowerSettings(const RelaySettings& relaySettings)
 {
+    // The list must also be confirmed often enough for the outage limit.
+    std::chrono::milliseconds limit = std::min(relaySettings.evacuateLimit(), std::chrono::milliseconds(relaySettings.outageLimitMs));
     Relay::FollowerSettings settings = Relay::EvacuationSet::followerSettings(limit);
     settings.firstWatchDelayMs = peerDiscoveryTimeMs;
     return settings;
@@ -107,7 +109,7 @@
     , m_endpointFollower(executor, m_store, PlatformAdapter::endpointPrefix, sharedFollowerSettings(), withSharedWatches(makeEndpointHooks()))
     , m_announcementFollower(executor, m_store, Relay::PeerDirectory::prefix, announcementSettings(), withSharedWatches(makeAnnouncementHooks()))
     , m_suspectFollower(executor, m_store, Relay::SuspectPart::prefix, sharedFollowerSettings(), withSharedWatches(makeSuspectHooks()))
-    , m_evacuationFollower(executor, m_store, PlatformAdapter::evacuationPrefix, evacuationFollowerSettings(m_settings.evacuateLimit()), withSharedWatches(makeEvacuationHooks()))
+    , m_evacuationFollower(executor, m_store, PlatformAdapter::evacuationPrefix, evacuationFollowerSettings(m_settings), withSharedWatches(makeEvacuationHooks()))
     , m_handler(executor, PlatformAdapter::makeCodec(), makeHandlerHooks(), handlerSettingsOf(m_settings), m_client, m_selector, m_budgets, m_quarantine, m_metrics)
     , m_callerServer(executor, [this](HTTP::Request request, HTTP::ResponseWriter& writer) { return m_handler.handle(std::move(request), writer); })
     , m_readinessServer(executor, [this](HTTP::Request request, HTTP::ResponseWriter& writer) { return handleReadiness(std::move(request), writer); })
@@ -144,7 +146,7 @@
     if (!m_network.listen(reason) || !m_callerServer.listen(m_settings.callerAddress, reason) || !m_readinessServer.listen(m_settings.readinessAddress, reason)
         || !m_metricsServer.listen(m_settings.metricsAddress, reason))
         return false;
-    Core::logEvent(RelayEvents::started, "host=" + m_settings.host + " callers=" + m_settings.callerAddress.text() + " readiness=" + m_settings.readinessAddress.text() + " metrics=" + m_settings.metricsAddress.text() + " store=" + m_settings.storeAddress.text());
+    Core::logEvent(RelayEvents::started, "host=" + m_settings.host + " callers=" + m_settings.callerAddress.text() + " readiness=" + m_settings.readinessAddress.text() + " metrics=" + m_settings.metricsAddress.text() + " store=" + m_settings.storeAddress.text() + " evacuate_limit_ms=" + std::to_string(m_settings.evacuateLimit().count()));
     Core::spawn(m_executor, "follow configuration", m_configurationFollower.run());
     Core::spawn(m_executor, "follow endpoints", m_endpointFollower.run());
     Core::spawn(m_executor, "follow announcements", m_announcementFollower.run());
@@ -285,9 +287,14 @@
     co_return co_await m_configurationFollower.refresh(Deadline::after(refreshTimeout), reason);
 }
 
+static int64_t ageMs(const Relay::StoreFollower& follower)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(Core::SteadyClock::now() - follower.confirmedAt()).count();
+}
+
 int64_t RelayDaemon::configurationAgeMs() const
 {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(Core::SteadyClock::now() - m_configurationFollower.confirmedAt()).count();
+    return ageMs(m_configurationFollower);
 }
 
 std::optional<Relay::Refusal> RelayDaemon::servingRefusal() const
@@ -298,6 +305,8 @@
         return Relay::Refusal { 503, "not_started", "the list of evacuations has not been read yet", retryAfterMs };
     if (configurationAgeMs() > m_settings.outageLimitMs)
         return Relay::Refusal { 503, "stale_configuration", "the store last confirmed the configuration " + std::to_string(configurationAgeMs()) + " ms ago", retryAfterMs };
+    if (m_settings.followsEvacuations() && ageMs(m_evacuationFollower) > m_settings.outageLimitMs)
+        return Relay::Refusal { 503, "stale_evacuations", "the store last confirmed the list of evacuations " + std::to_string(ageMs(m_evacuationFollower)) + " ms ago", retryAfterMs };
     if (m_load.isOverloaded())
         return Relay::Refusal { 503, "host_overloaded", "this host is short of processor time; its timers fire " + std::to_string(m_load.lag().count()) + " ms late", retryAfterOverloadMs };
     return std::nullopt;
--- a/Services/jujuberelayd/src/RelaySettings.cpp
+++ b/Services/jujuberelayd/src/RelaySettings.cpp
@@ -47,7 +47,7 @@
     fields["peer_key"] = { Presence::Required, stringReader(settings.peerKey) };
     fields["seed_peers"] = { Presence::Optional, addressListReader(settings.seedPeers) };
     fields["outage_limit_ms"] = { Presence::Optional, integerReader(settings.outageLimitMs, 1'000, hourMs) };
-    fields["evacuate_limit_ms"] = { Presence::Optional, doubleReader(settings.evacuateLimitMs, 0, maxEvacuateLimitMs) };
+    fields["evacuate_limit_ms"] = { Presence::Optional, cappedDoubleReader(settings.evacuateLimitMs, 0, maxEvacuateLimitMs) };
     fields["stop_limit_s"] = { Presence::Optional, doubleReader(settings.stopLimitSeconds, 0.1, hourSeconds) };
     fields["retry_share"] = { Presence::Optional, doubleReader(settings.retryShare, 0, 1) };
     fields["retry_extra"] = { Presence::Optional, doubleReader(settings.retryExtra, 0, maxRetries) };
--- a/Services/jujuberelayd/src/SettingsReader.cpp
+++ b/Services/jujuberelayd/src/SettingsReader.cpp
@@ -1,7 +1,9 @@
 #include "SettingsReader.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <fstream>
+#include <limits>
 #include <set>
 #include <sstream>
 #include <yaml-cpp/yaml.h>
@@ -79,6 +81,25 @@
     };
 }
 
+Reader cappedDoubleReader(double& target, double minimum, double maximum)
+{
+    return [&target, minimum, maximum](const YAML::Node& node) -> std::optional<std::string> {
+        double value = 0;
+        if (node.IsScalar() && !YAML::convert<double>::decode(node, value)) {
+            // The decoder refuses "inf" and numbers that no double can represent.
+            const std::string& text = node.Scalar();
+            char* end = nullptr;
+            value = std::strtod(text.c_str(), &end);
+            if (text.empty() || end != text.c_str() + text.size())
+                value = std::numeric_limits<double>::quiet_NaN();
+        }
+        if (!node.IsScalar() || !(value >= minimum))
+            return "a number from " + std::to_string(minimum);
+        target = std::min(value, maximum);
+        return std::nullopt;
+    };
+}
+
 Reader boolReader(bool& target)
 {
     return [&target](const YAML::Node& node) -> std::optional<std::string> {
--- a/Tests/LibDaemon/TestRelaySettings.cpp
+++ b/Tests/LibDaemon/TestRelaySettings.cpp
@@ -158,6 +158,11 @@
         cr_assert_eq(parse(limit).evacuateLimit(), std::chrono::milliseconds(5'000), "%s", limit);
     cr_assert(parse("0.5").followsEvacuations());
     cr_assert(parse("999999999999").followsEvacuations());
+    // A limit beyond the range must not keep the daemon from starting.
+    for (const char* limit : { "1e13", "1e300", "1e400", "inf", ".inf", "Infinity" })
+        cr_assert_eq(parse(limit).evacuateLimit(), std::chrono::milliseconds(1'000'000'000'000), "%s", limit);
     Core::Reason reason;
+    for (const char* limit : { "-1", "-inf", "nan", "5000x", "[5000]" })
+        cr_assert_not(parseRelaySettings(std::string(valid) + "evacuate_limit_ms: " + limit + "\n", "s.yaml", reason), "%s", limit);
     cr_assert_not(parseRelaySettings(valid, "s.yaml", reason)->followsEvacuations());
 }
--- a/Tests/Soak/test_evacuations.py
+++ b/Tests/Soak/test_evacuations.py
@@ -12,6 +12,7 @@
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 
 import aiohttp
+from aiohttp import web
 
 import endpoints
 import fleet
@@ -54,10 +55,13 @@
         for daemon in self.fleet.daemons:
             daemon.more_settings = self.more_settings
         self.store_reads = []
+        self.failing_kinds = set()
         read = self.store.read
 
         async def recorded_read(request, kind, name):
             self.store_reads.append(kind)
+            if kind in self.failing_kinds:
+                return web.json_response({}, status=503)
             return await read(request, kind, name)
         self.store.read = recorded_read
         self.session = aiohttp.ClientSession()
@@ -242,6 +246,35 @@
         await self.expect_arrivals("zone-a")
 
 
+class LostEvacuations(Evacuations):
+    more_settings = "evacuate_limit_ms: 5000\noutage_limit_ms: 6000\n"
+
+    # Guards against serving without end by a list of evacuations that the store does not confirm, though it confirms the configuration,
+    # and against a metric that two failure domains whose names look the same share, but that shows only one of them.
+    async def test_unconfirmed_list_is_used_no_longer_than_the_outage_limit(self):
+        await self.fleet.start()
+        daemon = self.fleet.daemons[0]
+        for name in ("zone\tx", "zone\nx"):
+            await self.evacuate(name)
+        await asyncio.sleep(LIMIT_S)
+        self.assertEqual((await self.call(daemon))[0], 200)
+        # The shared metric stays 1 until both are lifted.
+        for name, value in (("zone\nx", "1"), ("zone\tx", "0")):
+            await self.store.delete("evacuations", name)
+            await asyncio.sleep(LIMIT_S)
+            async with self.session.get("http://127.0.0.1:%d/metrics" % daemon.metrics_port) as response:
+                samples = [line for line in (await response.text()).splitlines() if line.startswith("jujuberelay_relay_evacuated{")]
+            self.assertEqual(samples, ['jujuberelay_relay_evacuated{failure_domain="zone?x"} ' + value])
+        self.failing_kinds.add("evacuations")
+        await asyncio.sleep(3)
+        self.assertEqual((await self.call(daemon))[0], 200)
+        await asyncio.sleep(6)
+        self.assertEqual((await self.call(daemon))[0], 503)
+        self.failing_kinds.clear()
+        await asyncio.sleep(2)
+        self.assertEqual((await self.call(daemon))[0], 200)
+
+
 class UnfollowedEvacuations(Evacuations):
     more_settings = "evacuate_limit_ms:\n"
 
