--- a/Libraries/LibRelay/src/StreamWatch.cpp
+++ b/Libraries/LibRelay/src/StreamWatch.cpp
@@ -69,22 +69,27 @@
         m_evidence.status = std::nullopt;
         if (m_codec.statusRequest) {
             Reason reason;
-            m_evidence.status = co_await requestStatus(reason);
+            bool wasWithheld = false;
+            m_evidence.status = co_await requestStatus(wasWithheld, reason);
+            // A connection that an evacuated endpoint accepts is no evidence of a loss; one that it does not accept is.
             if (!isEndpointPaused())
-                m_evidence.failedStatusRequests = m_evidence.status ? 0 : m_evidence.failedStatusRequests + 1;
+                m_evidence.failedStatusRequests = m_evidence.status || wasWithheld ? 0 : m_evidence.failedStatusRequests + 1;
         }
         const std::string& id = m_stream->endpoint.id;
         m_evidence.isRegistered = m_selector.isRegistered(id);
         m_evidence.areOthersSilent = m_selector.inFlight(id) > 1 && m_selector.lastBytesAt(id) <= m_stream->lastEventAt;
     }
 
-    Core::Task<std::optional<EngineStatus>> requestStatus(Reason& reason)
+    Core::Task<std::optional<EngineStatus>> requestStatus(bool& wasWithheld, Reason& reason)
     {
         Deadline deadline = Deadline::after(std::chrono::milliseconds(m_settings.statusTimeoutMs));
         HTTP::CallOptions options;
         // A new connection, since the pooled ones may have been cut silently together with the stream.
         options.use = HTTP::ConnectionUse::Fresh;
-        options.guard = [this] { return !isEndpointPaused(); };
+        options.guard = [this, &wasWithheld] {
+            wasWithheld = m_selector.isEvacuated(m_stream->endpoint);
+            return !wasWithheld && !isEndpointPaused();
+        };
         std::optional<std::unique_ptr<HTTP::ResponseStream>> response
             = co_await m_client->call(m_stream->endpoint.address, m_codec.statusRequest(), deadline, std::move(options), reason);
         if (!response)
--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -68,6 +68,15 @@
     return settings;
 }
 
+static Relay::FollowerSettings evacuationFollowerSettings(const RelaySettings& relaySettings)
+{
+    // The list must also be confirmed often enough for the outage limit.
+    std::chrono::milliseconds limit = std::min(relaySettings.evacuateLimit(), std::chrono::milliseconds(relaySettings.outageLimitMs));
+    Relay::FollowerSettings settings = Relay::EvacuationSet::followerSettings(limit);
+    settings.firstWatchDelayMs = peerDiscoveryTimeMs;
+    return settings;
+}
+
 static Relay::FollowerSettings withWatchTime(int64_t milliseconds, Relay::FollowerSettings settings)
 {
     settings.maxSharedAgeMs += milliseconds - settings.watchMs;
@@ -92,6 +101,7 @@
         m_selector.forget(endpoint.id);
         Core::logEvent(RelayEvents::endpointRemoved, "endpoint=" + endpoint.id + " service=" + endpoint.service + " reason=\"" + why + "\"");
     })
+    , m_evacuations(PlatformAdapter::evacuationPrefix, makeEvacuationSetHooks())
     , m_selector(m_endpoints, m_settings.failureDomain)
     , m_budgets(executor, makeBudgetHooks(), { m_settings.host })
     , m_quarantine({}, [this] { m_quarantineStore.wake(); })
@@ -100,11 +110,14 @@
     , m_endpointFollower(executor, m_store, PlatformAdapter::endpointPrefix, sharedFollowerSettings(), withSharedWatches(makeEndpointHooks()))
     , m_announcementFollower(executor, m_store, Relay::PeerDirectory::prefix, withWatchTime(announcementWatchMs, batchingSettings(announcementBatchMs)), withSharedWatches(makeAnnouncementHooks()))
     , m_suspectFollower(executor, m_store, Relay::SuspectPart::prefix, withWatchTime(suspectWatchMs, sharedFollowerSettings()), withSharedWatches(makeSuspectHooks()))
+    , m_evacuationFollower(executor, m_store, PlatformAdapter::evacuationPrefix, evacuationFollowerSettings(m_settings), withSharedWatches(makeEvacuationHooks()))
     , m_handler(executor, PlatformAdapter::makeCodec(), makeHandlerHooks(), handlerSettingsOf(m_settings), m_client, m_selector, m_budgets, m_quarantine, m_metrics)
     , m_callerServer(executor, [this](HTTP::Request request, HTTP::ResponseWriter& writer) { return m_handler.handle(std::move(request), writer); })
     , m_readinessServer(executor, [this](HTTP::Request request, HTTP::ResponseWriter& writer) { return handleReadiness(std::move(request), writer); })
     , m_metricsServer(executor, [this](HTTP::Request request, HTTP::ResponseWriter& writer) { return handleMetrics(std::move(request), writer); })
 {
+    if (m_settings.followsEvacuations())
+        m_selector.setEvacuations(m_evacuations);
     m_metrics.observe("jujuberelay_relay_configuration_age_seconds", "Time since the store last confirmed the configuration.",
         [this] { return static_cast<double>(configurationAgeMs()) / 1'000; });
     m_metrics.observe("jujuberelay_relay_response_bytes", "Memory in use for what has been received of responses; see memory_mb.",
@@ -134,11 +147,13 @@
     if (!m_network.listen(reason) || !m_callerServer.listen(m_settings.callerAddress, reason) || !m_readinessServer.listen(m_settings.readinessAddress, reason)
         || !m_metricsServer.listen(m_settings.metricsAddress, reason))
         return false;
-    Core::logEvent(RelayEvents::started, "host=" + m_settings.host + " callers=" + m_settings.callerAddress.text() + " readiness=" + m_settings.readinessAddress.text() + " metrics=" + m_settings.metricsAddress.text() + " store=" + m_settings.storeAddress.text());
+    Core::logEvent(RelayEvents::started, "host=" + m_settings.host + " callers=" + m_settings.callerAddress.text() + " readiness=" + m_settings.readinessAddress.text() + " metrics=" + m_settings.metricsAddress.text() + " store=" + m_settings.storeAddress.text() + " evacuate_limit_ms=" + std::to_string(m_settings.evacuateLimit().count()));
     Core::spawn(m_executor, "follow configuration", m_configurationFollower.run());
     Core::spawn(m_executor, "follow endpoints", m_endpointFollower.run());
     Core::spawn(m_executor, "follow announcements", m_announcementFollower.run());
     Core::spawn(m_executor, "follow suspect parts", m_suspectFollower.run());
+    if (m_settings.followsEvacuations())
+        Core::spawn(m_executor, "follow evacuations", m_evacuationFollower.run());
     Core::spawn(m_executor, "share suspect parts", m_quarantineStore.run());
     Core::spawn(m_executor, "expire endpoints", expireEndpoints());
     Core::spawn(m_executor, "maintain budgets", m_budgets.maintain());
@@ -273,17 +288,26 @@
     co_return co_await m_configurationFollower.refresh(Deadline::after(refreshTimeout), reason);
 }
 
+static int64_t ageMs(const Relay::StoreFollower& follower)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(Core::SteadyClock::now() - follower.confirmedAt()).count();
+}
+
 int64_t RelayDaemon::configurationAgeMs() const
 {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(Core::SteadyClock::now() - m_configurationFollower.confirmedAt()).count();
+    return ageMs(m_configurationFollower);
 }
 
 std::optional<Relay::Refusal> RelayDaemon::servingRefusal() const
 {
     if (!m_configuration || !m_endpointFollower.hasListed())
         return Relay::Refusal { 503, "not_started", "the configuration or the list of endpoints has not been read yet", retryAfterMs };
+    if (m_settings.followsEvacuations() && !m_evacuationFollower.hasListed())
+        return Relay::Refusal { 503, "not_started", "the list of evacuations has not been read yet", retryAfterMs };
     if (configurationAgeMs() > m_settings.outageLimitMs)
         return Relay::Refusal { 503, "stale_configuration", "the store last confirmed the configuration " + std::to_string(configurationAgeMs()) + " ms ago", retryAfterMs };
+    if (m_settings.followsEvacuations() && ageMs(m_evacuationFollower) > m_settings.outageLimitMs)
+        return Relay::Refusal { 503, "stale_evacuations", "the store last confirmed the list of evacuations " + std::to_string(ageMs(m_evacuationFollower)) + " ms ago", retryAfterMs };
     if (m_load.isOverloaded())
         return Relay::Refusal { 503, "host_overloaded", "this host is short of processor time; its timers fire " + std::to_string(m_load.lag().count()) + " ms late", retryAfterOverloadMs };
     return std::nullopt;
@@ -352,6 +376,7 @@
     m_endpointFollower.stop();
     m_announcementFollower.stop();
     m_suspectFollower.stop();
+    m_evacuationFollower.stop();
     m_quarantineStore.stop();
     m_peers.stop();
     // Before the withdrawal, after which another daemon issues permits.
