Keep requests to cold endpoints under their service's limit

An endpoint that has just started crashes when it gets well above cold-per-s requests a second from all daemons together. ColdEndpoints reads from the entries, and from X-Cold-Ms where an answer carries it, which endpoints are cold; requests to them take permits of the mechanism that keeps the limits which endpoints name. Only services with cold-per-s > 0 are concerned.

Ruled out: a limit that rises after the cold time.

--- a/Libraries/LibRelay/include/LibRelay/CallerRequest.h
+++ b/Libraries/LibRelay/include/LibRelay/CallerRequest.h
@@ -71,6 +71,8 @@
     std::optional<Core::Deadline> pausedUntil;
     // Requests a second that the endpoint takes from all daemons together.
     std::optional<double> requestLimit;
+    // The rest of the time in which the endpoint is cold; 0 if the answer names none.
+    std::chrono::milliseconds coldLeft { 0 };
 };
 
 // An engine's report about itself. It is some hundred milliseconds old when it arrives.
--- a/Libraries/LibRelay/include/LibRelay/Configuration.h
+++ b/Libraries/LibRelay/include/LibRelay/Configuration.h
@@ -63,6 +63,12 @@
     // Connections that one endpoint accepts from all daemons together; 0: unlimited.
     int64_t maxConnections { 0 };
     std::optional<EngineTraits> engine;
+    // Requests a second that a cold endpoint tolerates from all daemons together; 0: unlimited.
+    double coldPerSecond { 0 };
+    // How long an endpoint is cold after its start, in milliseconds.
+    int64_t coldTimeMs { 0 };
+    // Why these two could not be read as they were given; empty if they could.
+    std::string coldFault {};
     bool operator==(const Service&) const = default;
 };
 
--- a/Libraries/LibRelay/include/LibRelay/Endpoint.h
+++ b/Libraries/LibRelay/include/LibRelay/Endpoint.h
@@ -2,6 +2,7 @@
 
 #include "LibCore/Address.h"
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace Relay {
@@ -19,6 +20,10 @@
     bool isLeaving { false };
     // Start time in milliseconds since the Unix epoch. An endpoint that restarts under the same id has a later one.
     int64_t startedAtMs { 0 };
+    // The rest of the time in which it is cold, when the entry was written, in milliseconds. Empty if the entry has no valid one.
+    std::optional<int64_t> coldLeftMs {};
+    // Why the entry's cold time could not be read; empty if it has none.
+    std::string coldLeftFault {};
 
     // Whether this entry may describe the process that started at processStartMs, or an earlier one. Only a later start time proves
     // a new process; 0 is unknown.
--- a/Libraries/LibRelay/include/LibRelay/EndpointSelector.h
+++ b/Libraries/LibRelay/include/LibRelay/EndpointSelector.h
@@ -2,6 +2,7 @@
 
 #include "LibCore/Deadline.h"
 #include "LibRelay/CallerRequest.h"
+#include "LibRelay/ColdEndpoints.h"
 #include "LibRelay/EndpointDirectory.h"
 #include "LibRelay/EndpointLimits.h"
 #include <map>
@@ -27,7 +28,7 @@
 // Selects endpoints by the load and failures that this daemon has observed.
 class EndpointSelector {
 public:
-    EndpointSelector(const EndpointDirectory&, std::string failureDomain);
+    EndpointSelector(const EndpointDirectory&, std::string failureDomain, ColdAllowance = {});
 
     // The endpoint for a request, or null if the service has none left to try.
     const Endpoint* choose(const SelectionQuery&, Core::SteadyClock::time_point now) const;
@@ -63,6 +64,12 @@
     // The limits that endpoints have named.
     EndpointLimits& limits() { return m_limits; }
     const EndpointLimits& limits() const { return m_limits; }
+    // The endpoints that are cold.
+    ColdEndpoints& cold() { return m_cold; }
+    const ColdEndpoints& cold() const { return m_cold; }
+    // Requests a second from all daemons together for which permits are to be had: the limit that the endpoint has named, or that of a
+    // cold endpoint if that is lower. Empty if there is none.
+    std::optional<double> requestLimit(const Endpoint&, Core::SteadyClock::time_point now) const;
     // Called when the endpoint is no longer registered.
     void forget(const std::string& endpoint);
 
@@ -93,9 +100,11 @@
 
     // Whether the endpoint is a candidate apart from a refused permit.
     bool isEligible(const Endpoint&, const SelectionQuery&, Core::SteadyClock::time_point now) const;
-    bool isCandidate(const Endpoint& endpoint, const SelectionQuery& query, Core::SteadyClock::time_point now) const { return isEligible(endpoint, query, now) && noPermitUntil(endpoint) <= now; }
+    bool isCandidate(const Endpoint& endpoint, const SelectionQuery& query, Core::SteadyClock::time_point now) const { return isEligible(endpoint, query, now) && noPermitUntil(endpoint, now) <= now; }
     // When a permit for the endpoint can be asked for after a refusal.
-    Core::SteadyClock::time_point noPermitUntil(const Endpoint&) const;
+    Core::SteadyClock::time_point noPermitUntil(const Endpoint&, Core::SteadyClock::time_point now) const;
+    // Whether this daemon's part of the endpoints' slots is taken.
+    bool areFull(const std::vector<const Endpoint*>&) const;
     const Endpoint* chooseByAffinity(const std::vector<const Endpoint*>& candidates, uint64_t affinity) const;
     const Endpoint* chooseByCost(const std::vector<const Endpoint*>& candidates, Core::SteadyClock::time_point now) const;
     // Lower is better.
@@ -110,6 +119,7 @@
     // By endpoint id; hashed, since each choice looks up all candidates.
     std::unordered_map<std::string, Pause> m_pauses;
     EndpointLimits m_limits;
+    ColdEndpoints m_cold;
 };
 
 }
--- a/Libraries/LibRelay/include/LibRelay/PermitService.h
+++ b/Libraries/LibRelay/include/LibRelay/PermitService.h
@@ -58,13 +58,14 @@
         bool isOwnShare { false };
     };
 
-    Core::Task<Permit> acquire(std::string endpoint, double perSecond);
+    // All daemons' own shares together are the given part of the limit.
+    Core::Task<Permit> acquire(std::string endpoint, double perSecond, double ownSharesFraction = defaultOwnSharesFraction);
 
     // Answers another daemon. Empty if this daemon does not issue the endpoint's permits now.
     std::optional<PermitReply> serve(const PermitRequest&, TimePoint now);
 
     // Takes a permit from this daemon's own share.
-    PermitReply takeOwnShare(const PermitRequest&, TimePoint now);
+    PermitReply takeOwnShare(const PermitRequest&, TimePoint now, double ownSharesFraction = defaultOwnSharesFraction);
 
     // Called when this daemon's announcement has been written.
     void setAnnounced(TimePoint now) { m_settledAt = now + settlingTime; }
@@ -75,6 +76,10 @@
     static constexpr std::chrono::milliseconds settlingTime { 6'000 };
     // A list of daemons that the store confirmed within this time is current.
     static constexpr std::chrono::milliseconds maxFleetAge { 5'500 };
+    // How far ahead of its turn the issuer admits a request.
+    static constexpr std::chrono::milliseconds issuerBurst { 250 };
+    // Part of an endpoint's limit that all daemons without an issuer share.
+    static constexpr double defaultOwnSharesFraction = 0.25;
 
 private:
     struct OwnShare {
--- a/Libraries/LibRelay/src/EndpointSelector.cpp
+++ b/Libraries/LibRelay/src/EndpointSelector.cpp
@@ -30,9 +30,10 @@
 // Requests of this daemon that an endpoint may carry on top before its prompts go to the next endpoint in hash order.
 static constexpr double boundedLoadSlack = 3;
 
-EndpointSelector::EndpointSelector(const EndpointDirectory& directory, std::string failureDomain)
+EndpointSelector::EndpointSelector(const EndpointDirectory& directory, std::string failureDomain, ColdAllowance coldAllowance)
     : m_directory(directory)
     , m_failureDomain(std::move(failureDomain))
+    , m_cold(coldAllowance)
 {
 }
 
@@ -74,13 +75,33 @@
 bool EndpointSelector::isEligible(const Endpoint& endpoint, const SelectionQuery& query, TimePoint now) const
 {
     return endpoint.service == query.service && !endpoint.isLeaving && !isPaused(endpoint, now) && !query.excluded.contains(endpoint.id)
-        && !(query.isUnlimitedOnly && m_limits.limitOf(endpoint));
+        && !(query.isUnlimitedOnly && requestLimit(endpoint, now));
 }
 
-TimePoint EndpointSelector::noPermitUntil(const Endpoint& endpoint) const
+std::optional<double> EndpointSelector::requestLimit(const Endpoint& endpoint, TimePoint now) const
+{
+    std::optional<double> named = m_limits.limitOf(endpoint);
+    std::optional<double> cold = m_cold.limitOf(endpoint, now);
+    return named && cold ? std::min(*named, *cold) : named ? named
+                                                           : cold;
+}
+
+TimePoint EndpointSelector::noPermitUntil(const Endpoint& endpoint, TimePoint now) const
 {
     const EndpointState* state = find(endpoint.id);
-    return state && m_limits.limitOf(endpoint) ? state->noPermitUntil : TimePoint {};
+    TimePoint refusedUntil = state && requestLimit(endpoint, now) ? state->noPermitUntil : TimePoint {};
+    return std::max(refusedUntil, m_cold.quietUntil(endpoint, now));
+}
+
+bool EndpointSelector::areFull(const std::vector<const Endpoint*>& endpoints) const
+{
+    int64_t slots = 0;
+    size_t total = 0;
+    for (const Endpoint* endpoint : endpoints) {
+        slots = Core::saturatingAdd(slots, std::max<int64_t>(endpoint->slots, 0));
+        total += inFlight(endpoint->id);
+    }
+    return m_cold.isFull(slots, total);
 }
 
 std::optional<TimePoint> EndpointSelector::nextPermitAt(const SelectionQuery& query, TimePoint now) const
@@ -88,7 +109,7 @@
     std::optional<TimePoint> next;
     for (const auto& [id, endpoint] : m_directory.endpoints()) {
         if (isEligible(endpoint, query, now))
-            next = std::min(next.value_or(TimePoint::max()), noPermitUntil(endpoint));
+            next = std::min(next.value_or(TimePoint::max()), noPermitUntil(endpoint, now));
     }
     return next;
 }
@@ -111,7 +132,7 @@
     for (const auto& [id, endpoint] : m_directory.endpoints()) {
         if (endpoint.service != service || endpoint.isLeaving)
             continue;
-        TimePoint until = std::max(noPermitUntil(endpoint), isPaused(endpoint, now) ? m_pauses.at(id).until : TimePoint {});
+        TimePoint until = std::max(noPermitUntil(endpoint, now), isPaused(endpoint, now) ? m_pauses.at(id).until : TimePoint {});
         if (until <= now)
             return std::nullopt;
         first = std::min(first.value_or(until), until);
@@ -122,12 +143,19 @@
 const Endpoint* EndpointSelector::choose(const SelectionQuery& query, TimePoint now) const
 {
     std::vector<const Endpoint*> candidates;
+    std::vector<const Endpoint*> cold;
     std::vector<const Endpoint*> unhealthy;
     for (const auto& [id, endpoint] : m_directory.endpoints()) {
         if (!isCandidate(endpoint, query, now))
             continue;
-        (isHealthy(endpoint, now) ? candidates : unhealthy).push_back(&endpoint);
+        if (!isHealthy(endpoint, now))
+            unhealthy.push_back(&endpoint);
+        else
+            (m_cold.isCold(endpoint, now) ? cold : candidates).push_back(&endpoint);
     }
+    // A cold endpoint keeps no prompt parts, so that it gets only what the others have no room for.
+    if (!cold.empty() && (candidates.empty() || areFull(candidates)))
+        candidates.insert(candidates.end(), cold.begin(), cold.end());
     if (candidates.empty())
         candidates = std::move(unhealthy);
     if (candidates.empty())
@@ -248,6 +276,7 @@
 {
     m_states.erase(endpoint);
     m_limits.forget(endpoint);
+    m_cold.forget(endpoint);
     // Without a start time, the next registration under this id is a new process.
     auto pause = m_pauses.find(endpoint);
     if (pause != m_pauses.end() && pause->second.processStartMs == 0)
--- a/Libraries/LibRelay/src/PermitChecks.cpp
+++ b/Libraries/LibRelay/src/PermitChecks.cpp
@@ -18,7 +18,8 @@
 Core::Task<bool> RequestExecution::acquirePermit(const Endpoint& endpoint)
 {
     m_permitSource.clear();
-    std::optional<double> limit = m_handler.m_selector.limits().limitOf(endpoint);
+    m_permitAskedAt = Core::SteadyClock::now();
+    std::optional<double> limit = m_handler.m_selector.requestLimit(endpoint, m_permitAskedAt);
     if (!limit)
         co_return true;
     ++m_permitRequests;
@@ -32,6 +33,12 @@
     co_return false;
 }
 
+bool RequestExecution::lacksPermit(const Endpoint& endpoint) const
+{
+    Core::SteadyClock::time_point now = Core::SteadyClock::now();
+    return m_handler.m_selector.cold().isCold(endpoint, now) && (m_permitSource.empty() || now - m_permitAskedAt > ColdEndpoints::maxPermitAge);
+}
+
 Core::Task<bool> RequestExecution::waitForPermit()
 {
     m_permitRequests = 0;
--- a/Libraries/LibRelay/src/PermitService.cpp
+++ b/Libraries/LibRelay/src/PermitService.cpp
@@ -10,10 +10,6 @@
 using std::chrono::milliseconds;
 
 static constexpr size_t maxMessageDepth = 1;
-// How far ahead of its turn the issuer admits a request.
-static constexpr milliseconds issuerBurst(250);
-// Part of an endpoint's limit that all daemons without an issuer share.
-static constexpr double ownSharesFraction = 0.25;
 // A daemon that has not used its share for this long starts anew.
 static constexpr milliseconds ownShareLifetime(5'000);
 // Longest time for which a daemon does without an endpoint: its limit may rise or end meanwhile, and an issuer may answer again.
@@ -57,7 +53,7 @@
     return { false, std::clamp<int64_t>(std::chrono::ceil<milliseconds>(*refusedUntil - now).count(), 1, maxWait.count()) };
 }
 
-Core::Task<PermitService::Permit> PermitService::acquire(std::string endpoint, double perSecond)
+Core::Task<PermitService::Permit> PermitService::acquire(std::string endpoint, double perSecond, double ownSharesFraction)
 {
     PermitRequest request { std::move(endpoint), std::max(perSecond, minPerSecond) };
     std::optional<PermitReply> reply;
@@ -69,7 +65,7 @@
     }
     if (reply)
         co_return Permit { *reply, false };
-    co_return Permit { takeOwnShare(request, Core::SteadyClock::now()), true };
+    co_return Permit { takeOwnShare(request, Core::SteadyClock::now(), ownSharesFraction), true };
 }
 
 std::optional<PermitReply> PermitService::serve(const PermitRequest& request, TimePoint now)
@@ -84,7 +80,7 @@
     return replyOf(pacer->second.take(request.perSecond, issuerBurst, now), now);
 }
 
-PermitReply PermitService::takeOwnShare(const PermitRequest& request, TimePoint now)
+PermitReply PermitService::takeOwnShare(const PermitRequest& request, TimePoint now, double ownSharesFraction)
 {
     size_t daemons = m_hooks.daemons();
     if (daemons == 0 || m_isStopped)
--- a/Libraries/LibRelay/src/RequestExecution.cpp
+++ b/Libraries/LibRelay/src/RequestExecution.cpp
@@ -372,7 +372,7 @@
         *m_isCallerGone = *m_isCallerGone || !m_writer.isClientConnected();
         if (*m_isCallerGone)
             return false;
-        m_wasWithheld = !selector.takesRequests(endpoint, Core::SteadyClock::now());
+        m_wasWithheld = !selector.takesRequests(endpoint, Core::SteadyClock::now()) || lacksPermit(endpoint);
         if (m_wasWithheld)
             return false;
         if (!wasSent) {
@@ -407,7 +407,7 @@
     endWatch();
     bool isAborted = *m_isCallerGone || m_wasWithheld || m_deadline.hasPassed();
     selector.recordEnd(endpoint.id, isAborted ? EndpointSelector::End::Neutral : EndpointSelector::End::Failure, Core::SteadyClock::now());
-    m_lastFailure = m_wasWithheld ? "endpoint " + endpoint.id + " began to refuse all requests before this one was sent" : lossReason().value_or(reason.text());
+    m_lastFailure = m_wasWithheld ? "endpoint " + endpoint.id + " began to refuse all requests, or became cold, before this one was sent" : lossReason().value_or(reason.text());
     Core::logEvent(Events::attemptFailed, "request=" + m_request.id + " endpoint=" + endpoint.id + " sent=" + std::to_string(wasSent) + " reused_connection=" + std::to_string(m_wasConnectionStale) + " reason=\"" + m_lastFailure + "\"");
     m_hasConnectionBroken = wasSent;
     co_await examineBreak(endpoint);
--- a/Libraries/LibRelay/src/RequestExecution.h
+++ b/Libraries/LibRelay/src/RequestExecution.h
@@ -37,6 +37,9 @@
     SelectionQuery selectionQuery(const std::string& service) const;
     // Whether the request may be sent to the endpoint now, if that has named a limit.
     Core::Task<bool> acquirePermit(const Endpoint&);
+    // Whether the endpoint is cold and the current attempt has no permit, or one that is too old: the endpoint became cold, or connecting
+    // to it took long, after the permit was asked for.
+    bool lacksPermit(const Endpoint&) const;
     // Waits for the next permit at any endpoint that is left; false if the wait would be too long.
     Core::Task<bool> waitForPermit();
     // A request waits for permits up to this time.
@@ -93,6 +96,7 @@
     int m_permitRequests { 0 };
     // Where the permit of the current attempt came from; for logs.
     std::string m_permitSource;
+    Core::SteadyClock::time_point m_permitAskedAt {};
     // Addresses to which the request was sent. Another endpoint may take over an address.
     std::set<Core::Address> m_addresses;
     // Number of endpoints to which the request was sent.
--- a/Libraries/LibRelay/src/RequestHandler.cpp
+++ b/Libraries/LibRelay/src/RequestHandler.cpp
@@ -43,6 +43,7 @@
     if (metadata.isLeaving && m_hooks.endpointLeaves)
         m_hooks.endpointLeaves(endpoint, request);
     Core::SteadyClock::time_point now = Core::SteadyClock::now();
+    m_selector.cold().recordAnswer(endpoint, metadata.coldLeft, now);
     if (metadata.pausedUntil && m_selector.recordPause(endpoint, metadata.pausedUntil->at(), now))
         Core::logEvent(Events::endpointPaused, "endpoint=" + endpoint.id + " service=" + endpoint.service + " pause_ms=" + std::to_string(metadata.pausedUntil->remaining().count()) + " request=" + request);
 }
--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -91,7 +91,7 @@
         m_selector.forget(endpoint.id);
         Core::logEvent(RelayEvents::endpointRemoved, "endpoint=" + endpoint.id + " service=" + endpoint.service + " reason=\"" + why + "\"");
     })
-    , m_selector(m_endpoints, m_settings.failureDomain)
+    , m_selector(m_endpoints, m_settings.failureDomain, { m_settings.coldOverage, m_settings.coldExtra })
     , m_budgets(executor, makeBudgetHooks(), { m_settings.host })
     , m_quarantine({}, [this] { m_quarantineStore.wake(); })
     , m_quarantineStore(executor, m_store, m_quarantine)
@@ -118,6 +118,8 @@
         [this] { return static_cast<double>(m_quarantine.quarantinedParts(Core::SteadyClock::now())); });
     m_metrics.observe("jujuberelay_relay_limited_endpoints", "Endpoints that have named a limit on requests a second.",
         [this] { return static_cast<double>(m_selector.limits().size()); });
+    m_metrics.observe("jujuberelay_relay_cold_endpoints", "Endpoints that are cold and get requests only with a permit.",
+        [this] { return static_cast<double>(m_selector.cold().countCold(Core::SteadyClock::now())); });
     m_metrics.observe("jujuberelay_relay_active_requests", "Requests in progress.", [this] { return static_cast<double>(m_callerServer.activeRequests()); });
     m_metrics.observeCounter("jujuberelay_relay_connections_opened_total", "Connections opened to endpoints and the store.",
         [this] { return m_client->connectionsOpened(); });
@@ -178,10 +180,12 @@
     hooks.listed = [this](const std::vector<Platform::Object>& objects) {
         std::vector<Relay::Endpoint> endpoints;
         for (const Platform::Object& object : objects) {
-            if (std::optional<Relay::Endpoint> endpoint = readEndpoint(object))
+            if (std::optional<Relay::Endpoint> endpoint = readEndpoint(object, !m_hasListedEndpoints))
                 endpoints.push_back(std::move(*endpoint));
         }
+        m_hasListedEndpoints = true;
         m_endpoints.replaceAll(std::move(endpoints), Core::SteadyClock::now());
+        logColdNotices();
     };
     hooks.changed = [this](const Platform::Change& change) {
         if (change.isDeleted)
@@ -221,10 +225,16 @@
     m_configuration = std::make_shared<const Relay::Configuration>(std::move(*configuration));
     m_callerServer.setLimits(limitsOf(m_configuration->callerLimits()));
     m_budgets.adopt(*m_configuration);
+    m_selector.cold().setServices(m_configuration->services());
+    for (const auto& [name, service] : m_configuration->services()) {
+        if (!service.coldFault.empty())
+            Core::logEvent(RelayEvents::coldTimeUnreadable, "service=" + name + " configuration=" + std::to_string(m_configuration->version()) + " reason=\"" + service.coldFault + "\"");
+    }
+    logColdNotices();
     Core::logEvent(RelayEvents::configurationAdopted, "version=" + std::to_string(m_configuration->version()) + " before=" + std::to_string(current) + " store_version=" + std::to_string(object.version) + " routes=" + std::to_string(m_configuration->routes().size()) + " workspaces=" + std::to_string(m_configuration->workspaces().size()) + " idle_timeout_ms=" + std::to_string(m_configuration->callerLimits().idleTimeoutMs) + " request_timeout_ms=" + std::to_string(m_configuration->callerLimits().requestTimeoutMs));
 }
 
-std::optional<Relay::Endpoint> RelayDaemon::readEndpoint(const Platform::Object& object)
+std::optional<Relay::Endpoint> RelayDaemon::readEndpoint(const Platform::Object& object, bool isFirstListing)
 {
     Reason reason;
     std::optional<Relay::Endpoint> endpoint = PlatformAdapter::decodeEndpoint(object.name, object.value, reason);
@@ -232,6 +242,7 @@
         Core::logEvent(RelayEvents::objectIgnored, "object=" + object.name + " store_version=" + std::to_string(object.version) + " reason=\"" + reason.text() + "\"");
         return std::nullopt;
     }
+    m_selector.cold().observe(*endpoint, object.version, Core::SteadyClock::now(), isFirstListing);
     const Relay::Endpoint* known = m_endpoints.find(endpoint->id);
     std::string detail = "endpoint=" + endpoint->id + " service=" + endpoint->service + " address=" + endpoint->address.text() + " store_version=" + std::to_string(object.version);
     if (!known)
@@ -243,8 +254,20 @@
 
 void RelayDaemon::adoptEndpoint(const Platform::Object& object)
 {
-    if (std::optional<Relay::Endpoint> endpoint = readEndpoint(object))
+    if (std::optional<Relay::Endpoint> endpoint = readEndpoint(object, false))
         m_endpoints.put(std::move(*endpoint));
+    logColdNotices();
+}
+
+void RelayDaemon::logColdNotices()
+{
+    for (const Relay::ColdNotice& notice : m_selector.cold().takeNotices()) {
+        std::string subject = "endpoint=" + notice.endpoint + " service=" + notice.service;
+        if (notice.kind == Relay::ColdNotice::Kind::Cold)
+            Core::logEvent(RelayEvents::endpointCold, subject + " source=" + notice.detail);
+        else
+            Core::logEvent(RelayEvents::coldTimeUnreadable, subject + " reason=\"" + notice.detail + "\"");
+    }
 }
 
 Relay::HandlerHooks RelayDaemon::makeHandlerHooks()
@@ -256,7 +279,12 @@
     hooks.storeSilence = [this] { return std::chrono::milliseconds(configurationAgeMs()); };
     hooks.servesUntil = [this] { return m_servesUntil; };
     hooks.rejectEndpoint = [this](const std::string& endpoint) { m_endpoints.reject(endpoint); };
-    hooks.acquirePermit = [this](std::string endpoint, double perSecond) { return m_permits.acquire(std::move(endpoint), perSecond); };
+    hooks.acquirePermit = [this](std::string endpoint, double perSecond) {
+        const Relay::Endpoint* known = m_endpoints.find(endpoint);
+        bool isCold = known && m_selector.cold().limitOf(*known, Core::SteadyClock::now());
+        double ownSharesFraction = isCold ? Relay::ColdEndpoints::ownSharesFraction : Relay::PermitService::defaultOwnSharesFraction;
+        return m_permits.acquire(std::move(endpoint), perSecond, ownSharesFraction);
+    };
     hooks.endpointLeaves = [this](const Relay::Endpoint& endpoint, const std::string& request) {
         if (m_endpoints.markLeaving(endpoint, Core::SteadyClock::now()))
             Core::logEvent(RelayEvents::endpointLeaving, "endpoint=" + endpoint.id + " service=" + endpoint.service + " address=" + endpoint.address.text() + " source=answer request=" + request);
--- a/Services/jujuberelayd/src/RelayDaemon.h
+++ b/Services/jujuberelayd/src/RelayDaemon.h
@@ -49,7 +49,9 @@
     void logWatchSource(const std::string& prefix, const std::string& source);
     void adoptConfiguration(const Platform::Object&);
     void adoptEndpoint(const Platform::Object&);
-    std::optional<Relay::Endpoint> readEndpoint(const Platform::Object&);
+    // isFirstListing: whether the object is from the first listing of the endpoints.
+    std::optional<Relay::Endpoint> readEndpoint(const Platform::Object&, bool isFirstListing);
+    void logColdNotices();
     Core::Task<bool> refreshConfiguration();
     // Returns the refusal for all requests while this daemon cannot serve any.
     std::optional<Relay::Refusal> servingRefusal() const;
@@ -95,6 +97,7 @@
     HTTP::Server m_readinessServer;
     HTTP::Server m_metricsServer;
     Relay::LoadMonitor m_load;
+    bool m_hasListedEndpoints { false };
     // Last logged watch source of each object prefix.
     std::map<std::string, std::string> m_loggedWatchSources;
     bool m_isStopping { false };
--- a/Services/jujuberelayd/src/RelayDaemonLinks.cpp
+++ b/Services/jujuberelayd/src/RelayDaemonLinks.cpp
@@ -1,6 +1,7 @@
 #include "LibCore/Hash.h"
 #include "RelayDaemon.h"
 #include "RelayEvents.h"
+#include <algorithm>
 
 // Calls between relay daemons: token transfers, shared watches, and forwarded store calls.
 
@@ -106,6 +107,11 @@
     std::optional<Relay::PermitRequest> request = Relay::decodePermitRequest(body, reason);
     if (!request)
         co_return std::nullopt;
+    // The other daemon may not know yet that the endpoint is cold.
+    const Relay::Endpoint* endpoint = m_endpoints.find(request->endpoint);
+    std::optional<double> coldLimit = endpoint ? m_selector.cold().limitOf(*endpoint, Core::SteadyClock::now()) : std::nullopt;
+    if (coldLimit)
+        request->perSecond = std::min(request->perSecond, *coldLimit);
     std::optional<Relay::PermitReply> reply = m_permits.serve(*request, Core::SteadyClock::now());
     if (reply)
         co_return Relay::encodePermitReply(*reply);
@@ -132,6 +138,7 @@
         m_issuers.setPeers(peers);
         m_watchers.setPeers(std::move(peers));
         m_budgets.setDaemons(m_watchers.size());
+        m_selector.cold().setDaemons(m_watchers.size());
     };
     return hooks;
 }
--- a/Services/jujuberelayd/src/RelayEvents.h
+++ b/Services/jujuberelayd/src/RelayEvents.h
@@ -20,5 +20,7 @@
 inline constexpr Core::Event endpointAdded { 1709, Core::Severity::Info, "endpoint_added" };
 inline constexpr Core::Event endpointLeaving { 1710, Core::Severity::Info, "endpoint_leaving" };
 inline constexpr Core::Event endpointRemoved { 1711, Core::Severity::Info, "endpoint_removed" };
+inline constexpr Core::Event endpointCold { 1761, Core::Severity::Info, "endpoint_cold" };
+inline constexpr Core::Event coldTimeUnreadable { 1762, Core::Severity::Warning, "cold_time_unreadable" };
 
 }
--- a/Services/jujuberelayd/src/RelaySettings.cpp
+++ b/Services/jujuberelayd/src/RelaySettings.cpp
@@ -32,6 +32,7 @@
     static constexpr int64_t hourMs = 3'600'000;
     static constexpr double hourSeconds = 3'600;
     static constexpr double maxRetries = 1e12;
+    static constexpr double maxColdRequests = 1e12;
     static constexpr double maxCores = 1e12;
     static constexpr double maxLinkMbps = 1e12;
     static constexpr int64_t maxMemoryMb = 1'000'000'000;
@@ -49,6 +50,8 @@
     fields["stop_limit_s"] = { Presence::Optional, doubleReader(settings.stopLimitSeconds, 0.1, hourSeconds) };
     fields["retry_share"] = { Presence::Optional, doubleReader(settings.retryShare, 0, 1) };
     fields["retry_extra"] = { Presence::Optional, doubleReader(settings.retryExtra, 0, maxRetries) };
+    fields["cold_overage"] = { Presence::Optional, doubleReader(settings.coldOverage, 0, maxColdRequests) };
+    fields["cold_extra"] = { Presence::Optional, doubleReader(settings.coldExtra, 0, maxColdRequests) };
     fields["processor_share"] = { Presence::Optional, doubleReader(settings.processorShare, 0, maxCores) };
     fields["link_mbps"] = { Presence::Optional, doubleReader(settings.linkMbps, 0, maxLinkMbps) };
     fields["memory_mb"] = { Presence::Optional, integerReader(settings.memoryMb, 0, maxMemoryMb) };
--- a/Services/jujuberelayd/src/RelaySettings.h
+++ b/Services/jujuberelayd/src/RelaySettings.h
@@ -31,6 +31,9 @@
     // Retries that all daemons together may send to one service in 10 s: a share of its requests plus a fixed number.
     double retryShare { 0.2 };
     double retryExtra { 50 };
+    // Requests that a cold endpoint may get from all daemons in one second: a multiple of its service's limit plus a fixed number.
+    double coldOverage { 1.5 };
+    double coldExtra { 5 };
     // CPU quota of the host in cores, and its link speed in Mbit/s. Hosts with more capacity do more work for their peers.
     double processorShare { 1 };
     double linkMbps { 1'000 };
--- a/Tests/LibDaemon/TestRelaySettings.cpp
+++ b/Tests/LibDaemon/TestRelaySettings.cpp
@@ -130,3 +130,28 @@
     cr_assert(settings, "%s", reason.text().c_str());
     cr_assert_eq(settings->stopLimit(), std::chrono::milliseconds(8'500));
 }
+
+// The limits for cold endpoints must be read as fractions, and have their defaults where the platform leaves them out.
+Test(RelaySettings, limitsForColdEndpoints)
+{
+    struct Example {
+        std::string overage;
+        std::string extra;
+        double expectedOverage;
+        double expectedExtra;
+    };
+    for (const Example& example : { Example { "1.25", "2.5", 1.25, 2.5 }, Example { "", "", 1.5, 5 }, Example { "0", "99999999999", 0, 99'999'999'999 } }) {
+        std::string text = renderTemplate([&example](const std::string& field) {
+            if (field == "bounds.cold-overage")
+                return example.overage;
+            if (field == "bounds.cold-extra")
+                return example.extra;
+            bool isNumber = field.starts_with("bounds.") || field.starts_with("limits.");
+            return isNumber ? std::string("1") : textOf(field);
+        });
+        Core::Reason reason;
+        std::optional<RelaySettings> settings = parseRelaySettings(text, "relay.yaml", reason);
+        cr_assert(settings, "%s", reason.text().c_str());
+        cr_assert(settings->coldOverage == example.expectedOverage && settings->coldExtra == example.expectedExtra);
+    }
+}
--- a/Tests/LibRelay/RelayFixture.h
+++ b/Tests/LibRelay/RelayFixture.h
@@ -122,6 +122,8 @@
     std::chrono::milliseconds storeSilence { 0 };
     std::optional<Core::Deadline> servesUntil;
     std::vector<std::string> rejected;
+    // How long a permit takes to arrive.
+    std::chrono::milliseconds permitDelay { 0 };
     Relay::PermitService permits { makePermitHooks() };
     Relay::RequestHandler handler { context.get_executor(), makeCodec(), makeHooks(), makeHandlerSettings(), client, selector, budgets, quarantine, metrics };
     HTTP::Server relay { context.get_executor(), [this](HTTP::Request request, HTTP::ResponseWriter& response) { return handler.handle(std::move(request), response); } };
@@ -205,7 +207,12 @@
         hooks.storeSilence = [this] { return storeSilence; };
         hooks.servesUntil = [this] { return servesUntil; };
         hooks.rejectEndpoint = [this](const std::string& endpoint) { rejected.push_back(endpoint); };
-        hooks.acquirePermit = [this](std::string endpoint, double perSecond) { return permits.acquire(std::move(endpoint), perSecond); };
+        hooks.acquirePermit = [this](std::string endpoint, double perSecond) -> Core::Task<Relay::PermitService::Permit> {
+            Relay::PermitService::Permit permit = co_await permits.acquire(std::move(endpoint), perSecond);
+            if (permitDelay.count() > 0)
+                co_await Core::sleepUntil(Core::Deadline::after(permitDelay));
+            co_return permit;
+        };
         hooks.endpointLeaves = [this](const Relay::Endpoint& endpoint, const std::string&) { directory.markLeaving(endpoint, Core::SteadyClock::now()); };
         return hooks;
     }
--- a/Tests/LibRelay/TestLimitedEndpoints.cpp
+++ b/Tests/LibRelay/TestLimitedEndpoints.cpp
@@ -82,3 +82,57 @@
     for (int i = 0; i < 6; ++i)
         cr_assert_eq(fixture.call(fixture.makeRequest("/once/a"))->status, 200, "request %d", i);
 }
+
+// The configuration of the fixture with a limit for cold endpoints.
+static std::map<std::string, Relay::Service> servicesWithColdLimit()
+{
+    Relay::Service service;
+    service.name = "service";
+    service.coldPerSecond = limitPerSecond;
+    service.coldTimeMs = 10'000;
+    return { { "service", service } };
+}
+
+// Guards against sending a cold endpoint more requests than it tolerates, whatever the kind of request, and against holding those that it
+// does not take.
+Test(LimitedEndpoints, coldEndpointGetsNoMoreThanItTolerates)
+{
+    for (const char* target : { "/once/a", "/again/a", "/stream/a" }) {
+        Fixture fixture(1);
+        fixture.answer = [](const HTTP::Request& request, HTTP::ResponseWriter& writer) -> Core::Task<void> {
+            Core::Reason ignored;
+            co_await writer.send({ 200, sealed(request), "id: 1\ndata: a\n\n" }, ignored);
+        };
+        fixture.selector.cold().setServices(servicesWithColdLimit());
+        fixture.selector.cold().observe(*fixture.directory.find("e0"), 1, Core::SteadyClock::now(), false);
+        Core::SteadyClock::time_point startedAt = Core::SteadyClock::now();
+        for (int i = 0; i < 25; ++i) {
+            std::optional<HTTP::Response> response = fixture.call(fixture.makeRequest(target));
+            cr_assert(response);
+            cr_assert(response->status == 200 || (response->status == 503 && HTTP::findHeader(response->headers, "Retry-After")), "%u", response->status);
+        }
+        cr_assert_leq(fixture.arrivals.size(), mostRequests(Core::SteadyClock::now() - startedAt), "%s", target);
+        cr_assert_geq(fixture.arrivals.size(), 2);
+    }
+}
+
+// Guards against requests that arrive long after the second for which their permit was issued.
+Test(LimitedEndpoints, oldPermitForAColdEndpointIsNotUsed)
+{
+    Fixture fixture(1);
+    fixture.answer = [](const HTTP::Request& request, HTTP::ResponseWriter& writer) -> Core::Task<void> {
+        Core::Reason ignored;
+        co_await writer.send({ 200, sealed(request), "ok" }, ignored);
+    };
+    fixture.selector.cold().setServices(servicesWithColdLimit());
+    Relay::Endpoint endpoint = *fixture.directory.find("e0");
+    endpoint.coldLeftMs = 3'000;
+    fixture.selector.cold().observe(endpoint, 1, Core::SteadyClock::now(), true);
+    fixture.permitDelay = Relay::ColdEndpoints::maxPermitAge + std::chrono::milliseconds(50);
+    std::optional<HTTP::Response> response = fixture.call(fixture.makeRequest("/once/a"));
+    cr_assert_eq(response->status, 503);
+    cr_assert(response->body.find("\"ran\":\"not_run\"") != std::string::npos, "%s", response->body.c_str());
+    cr_assert_eq(fixture.arrivals.size(), 0);
+    fixture.permitDelay = std::chrono::milliseconds(0);
+    cr_assert_eq(fixture.call(fixture.makeRequest("/once/a"))->status, 200);
+}
--- a/Tests/PlatformAdapter/TestCodec.cpp
+++ b/Tests/PlatformAdapter/TestCodec.cpp
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 #include <limits>
+#include <map>
 #include <random>
 
 using namespace PlatformAdapter;
@@ -145,6 +146,62 @@
         cr_assert_not(decodeEndpoint("servers/i-1", bad, reason), "%s", bad);
 }
 
+// Guards against an endpoint that is not used, or taken to be warm, because its cold time cannot be read.
+Test(EndpointDecoder, unreadableColdTimeIsNoted)
+{
+    auto decode = [](const std::string& member) {
+        Core::Reason reason;
+        return decodeEndpoint("servers/i-1", R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":64,"state":"ready")" + member + "}", reason).value();
+    };
+    for (const auto& [text, value] : std::map<std::string, int64_t> { { "0", 0 }, { "3000", 3'000 }, { "600000", 600'000 } }) {
+        cr_assert_eq(decode(",\"cold-left-ms\":" + text).coldLeftMs.value(), value);
+        cr_assert(decode(",\"cold-left-ms\":" + text).coldLeftFault.empty());
+    }
+    cr_assert(!decode("").coldLeftMs && decode("").coldLeftFault.empty());
+    for (const char* bad : { "-1", "1500.5", "1e300", "600001", "9223372036854775808", "18446744073709551616", "\"3000\"", "null", "true", "[]", "{}" }) {
+        Relay::Endpoint endpoint = decode(",\"cold-left-ms\":" + std::string(bad));
+        cr_assert(!endpoint.coldLeftMs && endpoint.coldLeftFault.starts_with("'cold-left-ms' must be"), "%s", bad);
+        cr_assert_leq(endpoint.coldLeftFault.size(), 120, "%s", endpoint.coldLeftFault.c_str());
+    }
+}
+
+// Guards against a configuration that is rejected, or a limit that is misread, because of the numbers for cold endpoints.
+Test(ConfigurationDecoder, coldLimitsAreReadSafely)
+{
+    auto decode = [](const std::string& members) {
+        Core::Reason reason;
+        return *decodeConfiguration(R"({"version":1,"routes":[],"services":[{"name":"s")" + members + "}]}", reason)->findService("s");
+    };
+    Relay::Service service = decode(R"(,"cold-s":3.0,"cold-per-s":8.9)");
+    cr_assert(service.coldPerSecond == 8.9 && service.coldTimeMs == 3'000 && service.coldFault.empty());
+    cr_assert_eq(decode(R"(,"cold-s":0.25,"cold-per-s":2)").coldTimeMs, 250);
+    for (const char* none : { "", R"(,"cold-s":3)", R"(,"cold-s":"x","cold-per-s":0)", R"(,"cold-per-s":null)" }) {
+        service = decode(none);
+        cr_assert(service.coldPerSecond == 0 && service.coldFault.empty(), "%s", none);
+    }
+    for (const char* bad : { "-1", "\"8.9\"", "true", "[]" }) {
+        service = decode(",\"cold-s\":3,\"cold-per-s\":" + std::string(bad));
+        cr_assert(service.coldPerSecond == 0 && !service.coldFault.empty(), "%s", bad);
+    }
+    for (const char* bad : { "-1", "\"3\"", "null", "{}" }) {
+        service = decode(",\"cold-per-s\":8.9,\"cold-s\":" + std::string(bad));
+        cr_assert(service.coldPerSecond == 8.9 && service.coldTimeMs == 3'000 && !service.coldFault.empty(), "%s", bad);
+    }
+    service = decode(R"(,"cold-s":1e300,"cold-per-s":1e300)");
+    cr_assert(service.coldPerSecond > 0 && service.coldPerSecond < 1e9 && service.coldTimeMs == 600'000);
+}
+
+// Guards against a cold time in an answer that is missed or misread, and against believing another endpoint's.
+Test(Codec, coldTimeInAnAnswer)
+{
+    auto decode = [](unsigned status, const char* value) { return PlatformAdapter::makeCodec().decodeResponseMetadata(status, { { "X-Cold-Ms", value } }).coldLeft.count(); };
+    cr_assert_eq(decode(200, " 2500 "), 2'500);
+    cr_assert_eq(decode(503, "1"), 1);
+    cr_assert_eq(decode(421, "2500"), 0);
+    for (const char* bad : { "", "-5", "1.5", "x", "600001", "99999999999999999999" })
+        cr_assert_eq(decode(200, bad), 0, "%s", bad);
+}
+
 static const char* const configurationText = R"({"version":7,"routes":[{"name":"r","host":"h","path-prefix":"/p/","route-kind":"streaming","timeout-ms":12000,
     "goal-ms":1200,"priority":1,"split":[{"service":"a","weight":90},{"service":"b","weight":10}],"attempts":2,"public":false,"resumable":true}],
     "services":[{"name":"a","max-conns":370,"engine":{"slots":64,"kv-capacity":444995,"stride":7}},{"name":"b","max-conns":110}],
