Choose warm endpoints first, and believe cold times only as far as they can be right

Own requests in flight times the number of daemons say nothing where callers are spread unevenly, so that cold endpoints were used while warm ones had room. They are candidates now when no healthy warm endpoint is left.

A rejected entry came back when only its cold time counted down. Entries shortened the time that an answer had named. Values over the service's cold time held for minutes, and a new id that says it is warm was taken to be cold. Entries that the directory does not adopt left processes behind.

The new tests of ColdEndpoints and EndpointDirectory failed before the change.

--- a/Libraries/LibRelay/include/LibRelay/Endpoint.h
+++ b/Libraries/LibRelay/include/LibRelay/Endpoint.h
@@ -29,6 +29,13 @@
     // a new process; 0 is unknown.
     bool isWithinLifeOf(int64_t processStartMs) const { return processStartMs == 0 || startedAtMs <= processStartMs; }
 
+    // Whether both entries describe one registration. The rest of the cold time counts down without any other change.
+    bool isSameRegistration(const Endpoint& other) const
+    {
+        return id == other.id && service == other.service && address == other.address && failureDomain == other.failureDomain && slots == other.slots
+            && isLeaving == other.isLeaving && startedAtMs == other.startedAtMs;
+    }
+
     bool operator==(const Endpoint&) const = default;
 };
 
--- a/Libraries/LibRelay/include/LibRelay/EndpointSelector.h
+++ b/Libraries/LibRelay/include/LibRelay/EndpointSelector.h
@@ -69,7 +69,7 @@
     const ColdEndpoints& cold() const { return m_cold; }
     // Requests a second from all daemons together for which permits are to be had: the limit that the endpoint has named, or that of a
     // cold endpoint if that is lower. Empty if there is none.
-    std::optional<double> requestLimit(const Endpoint&, Core::SteadyClock::time_point now) const;
+    std::optional<double> requestLimit(const Endpoint& endpoint, Core::SteadyClock::time_point now) const { return requestLimit(endpoint, m_cold.stateOf(endpoint, now)); }
     // Called when the endpoint is no longer registered.
     void forget(const std::string& endpoint);
 
@@ -99,12 +99,11 @@
     };
 
     // Whether the endpoint is a candidate apart from a refused permit.
-    bool isEligible(const Endpoint&, const SelectionQuery&, Core::SteadyClock::time_point now) const;
-    bool isCandidate(const Endpoint& endpoint, const SelectionQuery& query, Core::SteadyClock::time_point now) const { return isEligible(endpoint, query, now) && noPermitUntil(endpoint, now) <= now; }
+    bool isEligible(const Endpoint&, const SelectionQuery&, const ColdState&, Core::SteadyClock::time_point now) const;
+    bool isCandidate(const Endpoint&, const SelectionQuery&, const ColdState&, Core::SteadyClock::time_point now) const;
+    std::optional<double> requestLimit(const Endpoint&, const ColdState&) const;
     // When a permit for the endpoint can be asked for after a refusal.
-    Core::SteadyClock::time_point noPermitUntil(const Endpoint&, Core::SteadyClock::time_point now) const;
-    // Whether this daemon's part of the endpoints' slots is taken.
-    bool areFull(const std::vector<const Endpoint*>&) const;
+    Core::SteadyClock::time_point noPermitUntil(const Endpoint&, const ColdState&) const;
     const Endpoint* chooseByAffinity(const std::vector<const Endpoint*>& candidates, uint64_t affinity) const;
     const Endpoint* chooseByCost(const std::vector<const Endpoint*>& candidates, Core::SteadyClock::time_point now) const;
     // Lower is better.
--- a/Libraries/LibRelay/src/ColdEndpoints.cpp
+++ b/Libraries/LibRelay/src/ColdEndpoints.cpp
@@ -14,10 +14,10 @@
 // Time from the end of the cold time to the end of the limit.
 static constexpr milliseconds returnTime(2'000);
 // Part of what one second may bring that is left to daemons that do not know that the endpoint is cold, to those without an issuer, and
-// to requests that travel longer than others. With 0.25 a generated sequence of 60 daemons exceeded the allowance by one request.
+// to requests that travel longer than others.
 static constexpr double reservedFraction = 0.35;
-// Requests in flight, as a part of the slots, from which endpoints count as full.
-static constexpr double fullFraction = 0.75;
+// A longer rest of the cold time than the service's cold time plus this cannot be right.
+static constexpr milliseconds coldTimeTolerance(1'000);
 // How long a process that is no longer registered is remembered.
 static constexpr std::chrono::minutes processRetention(10);
 
@@ -30,6 +30,11 @@
     return std::clamp((inOneSecond * (1 - reservedFraction) - 1) / issuing.count(), 0.0, coldPerSecond);
 }
 
+static std::string tooLong(int64_t coldLeftMs)
+{
+    return std::to_string(coldLeftMs) + " ms is longer than the cold time of the service";
+}
+
 void ColdEndpoints::setServices(const std::map<std::string, Service>& services)
 {
     m_hasServices = true;
@@ -39,8 +44,17 @@
             m_limits.emplace(name, Limit { permitRate(service.coldPerSecond, m_allowance), milliseconds(service.coldTimeMs) });
     }
     m_activeUntil = {};
-    for (const auto& [id, process] : m_processes)
+    for (auto& [id, process] : m_processes) {
+        bool isJudged = process.limit != nullptr;
+        process.limit = limitOfService(process.service);
+        // Entries may be read before the services.
+        if (!isJudged && process.coldLeftMs && !isReadable(process.coldLeftMs, process.limit)) {
+            process.statedUntil = {};
+            assumeCold(process, process.statedAt);
+            noteUnreadable(id, process, tooLong(*process.coldLeftMs));
+        }
         extendActive(process);
+    }
 }
 
 const ColdEndpoints::Limit* ColdEndpoints::limitOfService(const std::string& service) const
@@ -49,23 +63,34 @@
     return it == m_limits.end() ? nullptr : &it->second;
 }
 
-const ColdEndpoints::Process* ColdEndpoints::find(const Endpoint& endpoint) const
+bool ColdEndpoints::isReadable(std::optional<int64_t> coldLeftMs, const Limit* limit)
 {
-    auto it = m_processes.find(endpoint.id);
-    return it == m_processes.end() ? nullptr : &it->second;
+    return coldLeftMs && (!limit || milliseconds(*coldLeftMs) <= limit->coldTime + coldTimeTolerance);
 }
 
 void ColdEndpoints::extendActive(const Process& process)
 {
-    if (limitOfService(process.service))
-        m_activeUntil = std::max(m_activeUntil, coldUntil(process) + returnTime);
+    if (process.limit)
+        m_activeUntil = std::max({ m_activeUntil, coldUntil(process) + returnTime, process.quietUntil });
+}
+
+TimePoint ColdEndpoints::entryColdUntil(const Process& process)
+{
+    TimePoint assumedUntil = process.isAssumed && process.limit ? *process.assumedSince + process.limit->coldTime : TimePoint {};
+    return std::max(process.statedUntil, assumedUntil);
 }
 
-TimePoint ColdEndpoints::coldUntil(const Process& process) const
+TimePoint ColdEndpoints::coldUntil(const Process& process)
 {
-    const Limit* limit = limitOfService(process.service);
-    TimePoint assumedUntil = process.assumedSince && limit ? *process.assumedSince + limit->coldTime : TimePoint {};
-    return std::max(process.coldUntil, assumedUntil);
+    TimePoint badAnswerUntil = process.badAnswerSince && process.limit ? *process.badAnswerSince + process.limit->coldTime : TimePoint {};
+    return std::max({ entryColdUntil(process), process.answeredUntil, badAnswerUntil });
+}
+
+void ColdEndpoints::assumeCold(Process& process, TimePoint since)
+{
+    process.isAssumed = true;
+    if (!process.assumedSince)
+        process.assumedSince = since;
 }
 
 void ColdEndpoints::noteCold(const Endpoint& endpoint, std::string detail)
@@ -73,12 +98,21 @@
     m_notices.push_back({ ColdNotice::Kind::Cold, endpoint.id, endpoint.service, std::move(detail) });
 }
 
-void ColdEndpoints::noteUnreadable(const Endpoint& endpoint)
+void ColdEndpoints::noteUnreadable(const std::string& endpoint, Process& process, std::string reason)
+{
+    bool mayMatter = process.limit || !m_hasServices;
+    if (mayMatter && !std::exchange(process.hasUnreadableNotice, true))
+        m_notices.push_back({ ColdNotice::Kind::Unreadable, endpoint, process.service, std::move(reason) });
+}
+
+static std::string unreadableReason(const Endpoint& endpoint)
 {
-    m_notices.push_back({ ColdNotice::Kind::Unreadable, endpoint.id, endpoint.service, endpoint.coldLeftFault.empty() ? "missing" : endpoint.coldLeftFault });
+    if (endpoint.coldLeftMs)
+        return tooLong(*endpoint.coldLeftMs);
+    return endpoint.coldLeftFault.empty() ? "missing" : endpoint.coldLeftFault;
 }
 
-void ColdEndpoints::observe(const Endpoint& endpoint, uint64_t version, TimePoint now, bool isFirstListing)
+void ColdEndpoints::observe(const Endpoint& endpoint, uint64_t version, TimePoint now)
 {
     auto known = m_processes.find(endpoint.id);
     if (known == m_processes.end()) {
@@ -88,7 +122,7 @@
         }
         std::erase_if(m_processes, [now](const auto& entry) { return entry.second.removedAt && now - *entry.second.removedAt >= processRetention; });
         Process& process = m_processes[endpoint.id];
-        adoptNewProcess(endpoint, process, now, !isFirstListing);
+        adoptNewProcess(endpoint, process, now, false);
         process.version = version;
         extendActive(process);
         return;
@@ -102,14 +136,13 @@
     if (!endpoint.isWithinLifeOf(process.startedAtMs)) {
         process = {};
         adoptNewProcess(endpoint, process, now, true);
-        // Requests that were meant for the earlier process may have reached this one.
-        process.quietUntil = now + quietTime;
         process.version = version;
         extendActive(process);
         return;
     }
     process.startedAtMs = std::max(process.startedAtMs, endpoint.startedAtMs);
     process.service = endpoint.service;
+    process.limit = limitOfService(endpoint.service);
     if (version < process.version)
         return;
     bool isNewVersion = version > process.version;
@@ -118,20 +151,27 @@
     extendActive(process);
 }
 
-void ColdEndpoints::adoptNewProcess(const Endpoint& endpoint, Process& process, TimePoint now, bool isSeenToStart)
+void ColdEndpoints::adoptNewProcess(const Endpoint& endpoint, Process& process, TimePoint now, bool isRestart)
 {
     process.service = endpoint.service;
+    process.limit = limitOfService(endpoint.service);
     process.startedAtMs = endpoint.startedAtMs;
     process.coldLeftMs = endpoint.coldLeftMs;
-    if (!endpoint.coldLeftMs)
-        noteUnreadable(endpoint);
+    process.statedAt = now;
+    bool hasTime = isReadable(endpoint.coldLeftMs, process.limit);
+    if (!hasTime)
+        noteUnreadable(endpoint.id, process, unreadableReason(endpoint));
     else if (*endpoint.coldLeftMs > 0)
-        process.coldUntil = now + milliseconds(*endpoint.coldLeftMs);
-    if (isSeenToStart || !endpoint.coldLeftMs)
-        process.assumedSince = now;
-    if (process.coldUntil > now || process.assumedSince)
-        noteCold(endpoint, isSeenToStart ? "new_process" : endpoint.coldLeftMs ? "entry"
-                                                                               : "unreadable_entry");
+        process.statedUntil = now + milliseconds(*endpoint.coldLeftMs);
+    // The first entry of a process that has started again under its id may have been written before it served, with 0.
+    if (isRestart || !hasTime)
+        assumeCold(process, now);
+    // Requests that were meant for the earlier process may have reached this one.
+    if (isRestart)
+        process.quietUntil = now + quietTime;
+    if (process.statedUntil > now || process.isAssumed)
+        noteCold(endpoint, isRestart ? "new_process" : hasTime ? "entry"
+                                                               : "unreadable_entry");
 }
 
 void ColdEndpoints::adoptStatement(const Endpoint& endpoint, Process& process, TimePoint now, bool isNewVersion)
@@ -139,36 +179,45 @@
     // An entry may be written again for another reason, with the cold time that it had. It must not extend the cold time, but after its
     // end it may also mean that the endpoint has become cold again. Heartbeats change an entry without a new version.
     bool isUnchanged = process.coldLeftMs == endpoint.coldLeftMs;
-    TimePoint end = coldUntil(process);
-    if (isUnchanged && (now < end || !isNewVersion || !endpoint.coldLeftMs))
+    bool hasTime = isReadable(endpoint.coldLeftMs, process.limit);
+    if (isUnchanged && (now < entryColdUntil(process) || !isNewVersion || !hasTime))
         return;
+    bool wasCold = now < coldUntil(process);
+    TimePoint end = entryColdUntil(process);
     process.coldLeftMs = endpoint.coldLeftMs;
-    if (!endpoint.coldLeftMs) {
-        process.assumedSince = now;
-        noteUnreadable(endpoint);
+    process.statedAt = now;
+    if (hasTime) {
+        process.isAssumed = false;
+        // An end in the past is kept, since the limit outlasts it.
+        process.statedUntil = *endpoint.coldLeftMs > 0 ? now + milliseconds(*endpoint.coldLeftMs) : std::min(end, now);
     } else {
-        process.assumedSince.reset();
-        process.coldUntil = *endpoint.coldLeftMs > 0 ? now + milliseconds(*endpoint.coldLeftMs) : std::min(end, now);
+        assumeCold(process, now);
+        noteUnreadable(endpoint.id, process, unreadableReason(endpoint));
     }
-    bool wasCold = now < end;
     if (wasCold || now >= coldUntil(process))
         return;
     process.quietUntil = now + quietTime;
-    noteCold(endpoint, endpoint.coldLeftMs ? "entry" : "unreadable_entry");
+    noteCold(endpoint, hasTime ? "entry" : "unreadable_entry");
 }
 
 void ColdEndpoints::recordAnswer(const Endpoint& endpoint, milliseconds left, TimePoint now)
 {
     auto known = m_processes.find(endpoint.id);
-    if (known == m_processes.end() || !limitOfService(endpoint.service) || left <= milliseconds(0))
+    if (known == m_processes.end() || !known->second.limit || left <= milliseconds(0))
         return;
     Process& process = known->second;
     if (endpoint.startedAtMs != process.startedAtMs)
         return;
     bool wasCold = now < coldUntil(process);
-    process.coldUntil = std::max(process.coldUntil, now + left);
+    if (isReadable(left.count(), process.limit)) {
+        process.answeredUntil = std::max(process.answeredUntil, now + left);
+    } else {
+        if (!process.badAnswerSince)
+            process.badAnswerSince = now;
+        noteUnreadable(endpoint.id, process, "in an answer: " + tooLong(left.count()));
+    }
     extendActive(process);
-    if (wasCold)
+    if (wasCold || now >= coldUntil(process))
         return;
     process.quietUntil = now + quietTime;
     noteCold(endpoint, "answer");
@@ -186,41 +235,23 @@
         it->second.isRegistered = false;
 }
 
-bool ColdEndpoints::isCold(const Endpoint& endpoint, TimePoint now) const
+ColdState ColdEndpoints::findState(const Endpoint& endpoint, TimePoint now) const
 {
-    if (now >= m_activeUntil || !limitOfService(endpoint.service))
-        return false;
-    const Process* process = find(endpoint);
-    return process && now < coldUntil(*process);
-}
-
-std::optional<double> ColdEndpoints::limitOf(const Endpoint& endpoint, TimePoint now) const
-{
-    const Limit* limit = now >= m_activeUntil ? nullptr : limitOfService(endpoint.service);
-    const Process* process = limit ? find(endpoint) : nullptr;
-    if (!process)
-        return std::nullopt;
-    TimePoint end = coldUntil(*process);
-    if (end == TimePoint {} || now >= end + returnTime)
-        return std::nullopt;
-    return limit->perSecond;
-}
-
-TimePoint ColdEndpoints::quietUntil(const Endpoint& endpoint, TimePoint now) const
-{
-    const Process* process = now >= m_activeUntil || !limitOfService(endpoint.service) ? nullptr : find(endpoint);
-    return process ? process->quietUntil : TimePoint {};
-}
-
-bool ColdEndpoints::isFull(int64_t slots, size_t inFlight) const
-{
-    return slots > 0 && static_cast<double>(inFlight) * static_cast<double>(m_daemons) >= fullFraction * static_cast<double>(slots);
+    auto it = m_processes.find(endpoint.id);
+    if (it == m_processes.end() || !it->second.limit)
+        return {};
+    const Process& process = it->second;
+    TimePoint end = coldUntil(process);
+    ColdState state { now < end, std::nullopt, process.quietUntil };
+    if (end != TimePoint {} && now < end + returnTime)
+        state.limit = process.limit->perSecond;
+    return state;
 }
 
 size_t ColdEndpoints::countCold(TimePoint now) const
 {
-    return static_cast<size_t>(std::count_if(m_processes.begin(), m_processes.end(), [this, now](const auto& entry) {
-        return entry.second.isRegistered && limitOfService(entry.second.service) && now < coldUntil(entry.second);
+    return static_cast<size_t>(std::count_if(m_processes.begin(), m_processes.end(), [now](const auto& entry) {
+        return entry.second.isRegistered && entry.second.limit && now < coldUntil(entry.second);
     }));
 }
 
--- a/Libraries/LibRelay/src/EndpointDirectory.cpp
+++ b/Libraries/LibRelay/src/EndpointDirectory.cpp
@@ -21,7 +21,7 @@
     std::erase(m_lapsed, endpoint.id);
     endpoint.isLeaving = endpoint.isLeaving || isMarkedLeaving(endpoint);
     auto rejected = m_rejected.find(endpoint.id);
-    if (rejected != m_rejected.end() && rejected->second == endpoint)
+    if (rejected != m_rejected.end() && rejected->second.isSameRegistration(endpoint))
         return;
     m_rejected.erase(endpoint.id);
     std::string id = endpoint.id;
--- a/Libraries/LibRelay/src/EndpointSelector.cpp
+++ b/Libraries/LibRelay/src/EndpointSelector.cpp
@@ -72,44 +72,38 @@
     return cost;
 }
 
-bool EndpointSelector::isEligible(const Endpoint& endpoint, const SelectionQuery& query, TimePoint now) const
+bool EndpointSelector::isEligible(const Endpoint& endpoint, const SelectionQuery& query, const ColdState& cold, TimePoint now) const
 {
     return endpoint.service == query.service && !endpoint.isLeaving && !isPaused(endpoint, now) && !query.excluded.contains(endpoint.id)
-        && !(query.isUnlimitedOnly && requestLimit(endpoint, now));
+        && !(query.isUnlimitedOnly && requestLimit(endpoint, cold));
 }
 
-std::optional<double> EndpointSelector::requestLimit(const Endpoint& endpoint, TimePoint now) const
+bool EndpointSelector::isCandidate(const Endpoint& endpoint, const SelectionQuery& query, const ColdState& cold, TimePoint now) const
 {
-    std::optional<double> named = m_limits.limitOf(endpoint);
-    std::optional<double> cold = m_cold.limitOf(endpoint, now);
-    return named && cold ? std::min(*named, *cold) : named ? named
-                                                           : cold;
+    return isEligible(endpoint, query, cold, now) && noPermitUntil(endpoint, cold) <= now;
 }
 
-TimePoint EndpointSelector::noPermitUntil(const Endpoint& endpoint, TimePoint now) const
+std::optional<double> EndpointSelector::requestLimit(const Endpoint& endpoint, const ColdState& cold) const
 {
-    const EndpointState* state = find(endpoint.id);
-    TimePoint refusedUntil = state && requestLimit(endpoint, now) ? state->noPermitUntil : TimePoint {};
-    return std::max(refusedUntil, m_cold.quietUntil(endpoint, now));
+    std::optional<double> named = m_limits.limitOf(endpoint);
+    return named && cold.limit ? std::min(*named, *cold.limit) : named ? named
+                                                                       : cold.limit;
 }
 
-bool EndpointSelector::areFull(const std::vector<const Endpoint*>& endpoints) const
+TimePoint EndpointSelector::noPermitUntil(const Endpoint& endpoint, const ColdState& cold) const
 {
-    int64_t slots = 0;
-    size_t total = 0;
-    for (const Endpoint* endpoint : endpoints) {
-        slots = Core::saturatingAdd(slots, std::max<int64_t>(endpoint->slots, 0));
-        total += inFlight(endpoint->id);
-    }
-    return m_cold.isFull(slots, total);
+    const EndpointState* state = find(endpoint.id);
+    TimePoint refusedUntil = state && requestLimit(endpoint, cold) ? state->noPermitUntil : TimePoint {};
+    return std::max(refusedUntil, cold.quietUntil);
 }
 
 std::optional<TimePoint> EndpointSelector::nextPermitAt(const SelectionQuery& query, TimePoint now) const
 {
     std::optional<TimePoint> next;
     for (const auto& [id, endpoint] : m_directory.endpoints()) {
-        if (isEligible(endpoint, query, now))
-            next = std::min(next.value_or(TimePoint::max()), noPermitUntil(endpoint, now));
+        ColdState cold = m_cold.stateOf(endpoint, now);
+        if (isEligible(endpoint, query, cold, now))
+            next = std::min(next.value_or(TimePoint::max()), noPermitUntil(endpoint, cold));
     }
     return next;
 }
@@ -117,7 +111,7 @@
 bool EndpointSelector::hasHealthy(const SelectionQuery& query, TimePoint now) const
 {
     return std::any_of(m_directory.endpoints().begin(), m_directory.endpoints().end(),
-        [this, &query, now](const auto& entry) { return isCandidate(entry.second, query, now) && isHealthy(entry.second, now); });
+        [this, &query, now](const auto& entry) { return isCandidate(entry.second, query, m_cold.stateOf(entry.second, now), now) && isHealthy(entry.second, now); });
 }
 
 bool EndpointSelector::isPaused(const Endpoint& endpoint, TimePoint now) const
@@ -132,7 +126,7 @@
     for (const auto& [id, endpoint] : m_directory.endpoints()) {
         if (endpoint.service != service || endpoint.isLeaving)
             continue;
-        TimePoint until = std::max(noPermitUntil(endpoint, now), isPaused(endpoint, now) ? m_pauses.at(id).until : TimePoint {});
+        TimePoint until = std::max(noPermitUntil(endpoint, m_cold.stateOf(endpoint, now)), isPaused(endpoint, now) ? m_pauses.at(id).until : TimePoint {});
         if (until <= now)
             return std::nullopt;
         first = std::min(first.value_or(until), until);
@@ -146,16 +140,17 @@
     std::vector<const Endpoint*> cold;
     std::vector<const Endpoint*> unhealthy;
     for (const auto& [id, endpoint] : m_directory.endpoints()) {
-        if (!isCandidate(endpoint, query, now))
+        ColdState coldState = m_cold.stateOf(endpoint, now);
+        if (!isCandidate(endpoint, query, coldState, now))
             continue;
         if (!isHealthy(endpoint, now))
             unhealthy.push_back(&endpoint);
         else
-            (m_cold.isCold(endpoint, now) ? cold : candidates).push_back(&endpoint);
+            (coldState.isCold ? cold : candidates).push_back(&endpoint);
     }
-    // A cold endpoint keeps no prompt parts, so that it gets only what the others have no room for.
-    if (!cold.empty() && (candidates.empty() || areFull(candidates)))
-        candidates.insert(candidates.end(), cold.begin(), cold.end());
+    // A cold endpoint is slow and keeps no prompt parts, so that it gets only what no healthy warm one takes.
+    if (candidates.empty())
+        candidates = std::move(cold);
     if (candidates.empty())
         candidates = std::move(unhealthy);
     if (candidates.empty())
--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -179,12 +179,16 @@
     Relay::FollowerHooks hooks;
     hooks.listed = [this](const std::vector<Platform::Object>& objects) {
         std::vector<Relay::Endpoint> endpoints;
+        std::vector<uint64_t> versions;
         for (const Platform::Object& object : objects) {
-            if (std::optional<Relay::Endpoint> endpoint = readEndpoint(object, !m_hasListedEndpoints))
+            if (std::optional<Relay::Endpoint> endpoint = readEndpoint(object)) {
                 endpoints.push_back(std::move(*endpoint));
+                versions.push_back(object.version);
+            }
         }
-        m_hasListedEndpoints = true;
-        m_endpoints.replaceAll(std::move(endpoints), Core::SteadyClock::now());
+        m_endpoints.replaceAll(endpoints, Core::SteadyClock::now());
+        for (size_t i = 0; i < endpoints.size(); ++i)
+            observeColdTime(endpoints[i], versions[i]);
         logColdNotices();
     };
     hooks.changed = [this](const Platform::Change& change) {
@@ -227,14 +231,14 @@
     m_budgets.adopt(*m_configuration);
     m_selector.cold().setServices(m_configuration->services());
     for (const auto& [name, service] : m_configuration->services()) {
-        if (!service.coldFault.empty())
+        if (std::exchange(m_loggedColdFaults[name], service.coldFault) != service.coldFault && !service.coldFault.empty())
             Core::logEvent(RelayEvents::coldTimeUnreadable, "service=" + name + " configuration=" + std::to_string(m_configuration->version()) + " reason=\"" + service.coldFault + "\"");
     }
     logColdNotices();
     Core::logEvent(RelayEvents::configurationAdopted, "version=" + std::to_string(m_configuration->version()) + " before=" + std::to_string(current) + " store_version=" + std::to_string(object.version) + " routes=" + std::to_string(m_configuration->routes().size()) + " workspaces=" + std::to_string(m_configuration->workspaces().size()) + " idle_timeout_ms=" + std::to_string(m_configuration->callerLimits().idleTimeoutMs) + " request_timeout_ms=" + std::to_string(m_configuration->callerLimits().requestTimeoutMs));
 }
 
-std::optional<Relay::Endpoint> RelayDaemon::readEndpoint(const Platform::Object& object, bool isFirstListing)
+std::optional<Relay::Endpoint> RelayDaemon::readEndpoint(const Platform::Object& object)
 {
     Reason reason;
     std::optional<Relay::Endpoint> endpoint = PlatformAdapter::decodeEndpoint(object.name, object.value, reason);
@@ -242,7 +246,6 @@
         Core::logEvent(RelayEvents::objectIgnored, "object=" + object.name + " store_version=" + std::to_string(object.version) + " reason=\"" + reason.text() + "\"");
         return std::nullopt;
     }
-    m_selector.cold().observe(*endpoint, object.version, Core::SteadyClock::now(), isFirstListing);
     const Relay::Endpoint* known = m_endpoints.find(endpoint->id);
     std::string detail = "endpoint=" + endpoint->id + " service=" + endpoint->service + " address=" + endpoint->address.text() + " store_version=" + std::to_string(object.version);
     if (!known)
@@ -254,11 +257,21 @@
 
 void RelayDaemon::adoptEndpoint(const Platform::Object& object)
 {
-    if (std::optional<Relay::Endpoint> endpoint = readEndpoint(object, false))
-        m_endpoints.put(std::move(*endpoint));
+    std::optional<Relay::Endpoint> endpoint = readEndpoint(object);
+    if (!endpoint)
+        return;
+    m_endpoints.put(*endpoint);
+    observeColdTime(*endpoint, object.version);
     logColdNotices();
 }
 
+void RelayDaemon::observeColdTime(const Relay::Endpoint& endpoint, uint64_t version)
+{
+    const Relay::Endpoint* adopted = m_endpoints.find(endpoint.id);
+    if (adopted && adopted->startedAtMs == endpoint.startedAtMs && adopted->address == endpoint.address)
+        m_selector.cold().observe(endpoint, version, Core::SteadyClock::now());
+}
+
 void RelayDaemon::logColdNotices()
 {
     for (const Relay::ColdNotice& notice : m_selector.cold().takeNotices()) {
--- a/Services/jujuberelayd/src/RelayDaemon.h
+++ b/Services/jujuberelayd/src/RelayDaemon.h
@@ -49,8 +49,9 @@
     void logWatchSource(const std::string& prefix, const std::string& source);
     void adoptConfiguration(const Platform::Object&);
     void adoptEndpoint(const Platform::Object&);
-    // isFirstListing: whether the object is from the first listing of the endpoints.
-    std::optional<Relay::Endpoint> readEndpoint(const Platform::Object&, bool isFirstListing);
+    std::optional<Relay::Endpoint> readEndpoint(const Platform::Object&);
+    // Records the cold time in the entry if the endpoint directory has adopted it.
+    void observeColdTime(const Relay::Endpoint&, uint64_t version);
     void logColdNotices();
     Core::Task<bool> refreshConfiguration();
     // Returns the refusal for all requests while this daemon cannot serve any.
@@ -97,7 +98,8 @@
     HTTP::Server m_readinessServer;
     HTTP::Server m_metricsServer;
     Relay::LoadMonitor m_load;
-    bool m_hasListedEndpoints { false };
+    // Last logged fault in the cold limit of each service.
+    std::map<std::string, std::string> m_loggedColdFaults;
     // Last logged watch source of each object prefix.
     std::map<std::string, std::string> m_loggedWatchSources;
     bool m_isStopping { false };
--- a/Services/jujuberelayd/src/RelayDaemonLinks.cpp
+++ b/Services/jujuberelayd/src/RelayDaemonLinks.cpp
@@ -138,7 +138,6 @@
         m_issuers.setPeers(peers);
         m_watchers.setPeers(std::move(peers));
         m_budgets.setDaemons(m_watchers.size());
-        m_selector.cold().setDaemons(m_watchers.size());
     };
     return hooks;
 }
--- a/Tests/LibRelay/TestColdEndpoints.cpp
+++ b/Tests/LibRelay/TestColdEndpoints.cpp
@@ -16,7 +16,7 @@
 static const TimePoint start { std::chrono::hours(1) };
 static constexpr double coldPerSecond = 8.9;
 static constexpr milliseconds coldTime(3'000);
-// The users' rule: most requests that a cold endpoint may get in one second.
+// The limit of the platform: most requests that a cold endpoint may get in one second.
 static constexpr size_t mostInOneSecond = static_cast<size_t>(1.5 * coldPerSecond + 5);
 
 static std::map<std::string, Service> servicesWithLimit(double perSecond = coldPerSecond)
@@ -54,8 +54,8 @@
     for (double perSecond : { 0.0, -1.0 }) {
         ColdEndpoints cold;
         cold.setServices(servicesWithLimit(perSecond));
-        cold.observe(makeEndpoint(3'000), 1, start, true);
-        cold.observe(makeEndpoint(std::nullopt, 2), 2, start, false);
+        cold.observe(makeEndpoint(3'000), 1, start);
+        cold.observe(makeEndpoint(std::nullopt, 2), 2, start);
         cold.recordAnswer(makeEndpoint(std::nullopt, 2), milliseconds(9'000), start);
         cr_assert_not(cold.isCold(makeEndpoint(0, 2), start));
         cr_assert_not(cold.limitOf(makeEndpoint(0, 2), start));
@@ -64,72 +64,138 @@
     }
 }
 
-// Guards against endpoints that are limited after a start of the daemon although they are warm, and against using a cold one freely.
-Test(ColdEndpoints, firstListingBelievesTheEntry)
+// Guards against limits on endpoints that say that they are warm, whether this daemon or the endpoint has just started, and against
+// using a cold one freely.
+Test(ColdEndpoints, firstEntryOfAnIdIsBelieved)
 {
     ColdEndpoints cold;
     cold.setServices(servicesWithLimit());
-    cold.observe(makeEndpoint(0), 1, start, true);
+    cold.observe(makeEndpoint(0), 1, start);
     cr_assert_not(cold.limitOf(makeEndpoint(0), start));
-    cold.observe(makeEndpoint(1'500, 1, "f"), 2, start, true);
+    cold.observe(makeEndpoint(1'500, 1, "f"), 2, start);
     cr_assert_eq(coldFor(cold, makeEndpoint(1'500, 1, "f"), start).count(), 1'500);
-    cold.observe(makeEndpoint(std::nullopt, 1, "g"), 3, start, true);
+    cold.observe(makeEndpoint(std::nullopt, 1, "g"), 3, start);
     cr_assert_eq(coldFor(cold, makeEndpoint(std::nullopt, 1, "g"), start), coldTime);
     cr_assert_eq(cold.countCold(start), 2);
 }
 
-// Guards against full load on a process that has just started and whose entry says nothing of it: a new id, a later start under a
-// known id, and an entry that cannot be read.
-Test(ColdEndpoints, aProcessThatIsSeenToStartIsCold)
+// Guards against full load on a process that has started again under its id, and on one whose entry cannot be read.
+Test(ColdEndpoints, aRestartedProcessIsCold)
 {
     ColdEndpoints cold;
     cold.setServices(servicesWithLimit());
-    cold.observe(makeEndpoint(0), 1, start, false);
-    cr_assert_eq(coldFor(cold, makeEndpoint(0), start), coldTime);
+    cold.observe(makeEndpoint(0), 1, start);
     TimePoint later = start + std::chrono::seconds(10);
-    cold.observe(makeEndpoint(0, 2), 2, later, false);
+    cold.observe(makeEndpoint(0, 2), 2, later);
     cr_assert_eq(coldFor(cold, makeEndpoint(0, 2), later), coldTime);
     later += std::chrono::seconds(10);
-    cold.observe(makeEndpoint(7'000, 3), 3, later, false);
-    cr_assert_eq(coldFor(cold, makeEndpoint(7'000, 3), later).count(), 7'000);
+    cold.observe(makeEndpoint(3'500, 3), 3, later);
+    cr_assert_eq(coldFor(cold, makeEndpoint(3'500, 3), later).count(), 3'500);
     // An entry of an earlier process that arrives late changes nothing.
-    cold.observe(makeEndpoint(0, 2), 4, later, false);
-    cr_assert_eq(coldFor(cold, makeEndpoint(7'000, 3), later).count(), 7'000);
+    cold.observe(makeEndpoint(0, 2), 4, later);
+    cr_assert_eq(coldFor(cold, makeEndpoint(3'500, 3), later).count(), 3'500);
     // A later entry of the same process shows otherwise.
-    cold.observe(makeEndpoint(0, 3), 5, later, false);
+    cold.observe(makeEndpoint(0, 3), 5, later);
     cr_assert_eq(coldFor(cold, makeEndpoint(0, 3), later).count(), 0);
-    cold.observe(makeEndpoint(std::nullopt, 3), 6, later, false);
+    cold.observe(makeEndpoint(std::nullopt, 3), 6, later);
     cr_assert_eq(coldFor(cold, makeEndpoint(std::nullopt, 3), later), coldTime);
 }
 
+// Guards against a process that stays cold because its entry is unreadable again and again, in listings, in new versions, after a valid
+// entry or after a removal.
+Test(ColdEndpoints, assumedColdTimeDoesNotStartAgain)
+{
+    ColdEndpoints cold;
+    cold.setServices(servicesWithLimit());
+    cold.observe(makeEndpoint(std::nullopt), 1, start);
+    for (int i = 1; i < 20; ++i)
+        cold.observe(makeEndpoint(std::nullopt), i % 2 ? 1 : 1 + static_cast<uint64_t>(i), start + milliseconds(100 * i));
+    cr_assert_eq(coldFor(cold, makeEndpoint(std::nullopt), start), coldTime);
+    TimePoint later = start + std::chrono::seconds(10);
+    cold.observe(makeEndpoint(0), 30, later);
+    cold.observe(makeEndpoint(std::nullopt), 31, later);
+    cr_assert_not(cold.isCold(makeEndpoint(std::nullopt), later));
+    cold.forget("e");
+    cold.observe(makeEndpoint(std::nullopt), 32, later);
+    cr_assert_not(cold.isCold(makeEndpoint(std::nullopt), later));
+    cold.observe(makeEndpoint(std::nullopt, 2), 33, later);
+    cr_assert_eq(coldFor(cold, makeEndpoint(std::nullopt, 2), later), coldTime);
+}
+
+// Guards against endpoints that get next to nothing for minutes because of a value that cannot be right, whether entries or answers have
+// it and whether entries or services are read first.
+Test(ColdEndpoints, timesOverTheColdTimeOfTheServiceAreUnreadable)
+{
+    auto countUnreadable = [](ColdEndpoints& cold) {
+        std::vector<ColdNotice> notices = cold.takeNotices();
+        return std::count_if(notices.begin(), notices.end(), [](const ColdNotice& notice) { return notice.kind == ColdNotice::Kind::Unreadable; });
+    };
+    for (bool areServicesFirst : { true, false }) {
+        ColdEndpoints cold;
+        if (areServicesFirst)
+            cold.setServices(servicesWithLimit());
+        cold.observe(makeEndpoint(4'000, 1, "f"), 1, start);
+        cold.observe(makeEndpoint(600'000), 1, start);
+        cold.setServices(servicesWithLimit());
+        for (int i = 1; i < 60; ++i)
+            cold.observe(makeEndpoint(600'000 - 100 * i), 1 + static_cast<uint64_t>(i), start + milliseconds(100 * i));
+        cr_assert_eq(coldFor(cold, makeEndpoint(0), start), coldTime);
+        cr_assert_eq(coldFor(cold, makeEndpoint(0, 1, "f"), start).count(), 4'000);
+        cr_assert_eq(countUnreadable(cold), 1);
+    }
+    ColdEndpoints cold;
+    cold.setServices(servicesWithLimit());
+    cold.observe(makeEndpoint(0), 1, start);
+    for (int i = 0; i < 60; ++i)
+        cold.recordAnswer(makeEndpoint(0), milliseconds(600'000 - 100 * i), start + milliseconds(100 * i));
+    cr_assert_eq(coldFor(cold, makeEndpoint(0), start), coldTime);
+    cr_assert_eq(countUnreadable(cold), 1);
+}
+
+// Guards against an entry from before an answer that ends the cold time that the answer has named.
+Test(ColdEndpoints, entriesDoNotShortenTheTimeOfAnAnswer)
+{
+    ColdEndpoints cold;
+    cold.setServices(servicesWithLimit());
+    cold.observe(makeEndpoint(0), 1, start);
+    cold.recordAnswer(makeEndpoint(0), milliseconds(2'000), start);
+    cold.observe(makeEndpoint(0), 2, start);
+    cold.observe(makeEndpoint(100), 3, start);
+    cold.observe(makeEndpoint(0), 4, start + milliseconds(50));
+    cr_assert_eq(coldFor(cold, makeEndpoint(0), start).count(), 2'000);
+    cold.observe(makeEndpoint(3'000), 5, start + milliseconds(50));
+    cr_assert_eq(coldFor(cold, makeEndpoint(0), start).count(), 3'050);
+}
+
 // Guards against a cold time that never ends because the entry is listed or written again, against missing that an endpoint has become
 // cold again, and against taking a process for a new one that has only been registered again.
 Test(ColdEndpoints, onlyANewStatementExtendsTheColdTime)
 {
     ColdEndpoints cold;
     cold.setServices(servicesWithLimit());
-    cold.observe(makeEndpoint(3'000), 1, start, false);
+    cold.observe(makeEndpoint(3'000), 1, start);
     for (int i = 1; i < 30; ++i)
-        cold.observe(makeEndpoint(3'000), i % 2 ? 1 : 1 + static_cast<uint64_t>(i), start + milliseconds(100 * i), false);
+        cold.observe(makeEndpoint(3'000), i % 2 ? 1 : 1 + static_cast<uint64_t>(i), start + milliseconds(100 * i));
     cr_assert_eq(coldFor(cold, makeEndpoint(3'000), start), coldTime);
     TimePoint later = start + std::chrono::seconds(10);
-    cold.observe(makeEndpoint(3'000), 29, later, false);
+    cold.observe(makeEndpoint(3'000), 29, later);
     cr_assert_not(cold.isCold(makeEndpoint(3'000), later));
     cold.forget("e");
-    cold.observe(makeEndpoint(3'000), 29, later, false);
+    cold.observe(makeEndpoint(3'000), 29, later);
     cr_assert_not(cold.isCold(makeEndpoint(3'000), later));
-    cold.observe(makeEndpoint(3'000), 60, later, false);
+    cold.observe(makeEndpoint(3'000), 60, later);
     cr_assert_eq(coldFor(cold, makeEndpoint(3'000), later), coldTime);
     cr_assert_gt(cold.quietUntil(makeEndpoint(3'000), later), later);
     // A listing may show what a heartbeat has written without a new version.
     later += std::chrono::seconds(10);
-    cold.observe(makeEndpoint(1'800), 60, later, false);
+    cold.observe(makeEndpoint(1'800), 60, later);
     cr_assert_eq(coldFor(cold, makeEndpoint(1'800), later).count(), 1'800);
     // Without a start time, a registration that follows a removal is a new process.
-    cold.observe(makeEndpoint(0, 0, "f"), 61, later, true);
+    cold.observe(makeEndpoint(3'000, 0, "f"), 61, later);
+    later += std::chrono::seconds(10);
     cold.forget("f");
-    cold.observe(makeEndpoint(0, 0, "f"), 61, later, false);
-    cr_assert(cold.isCold(makeEndpoint(0, 0, "f"), later));
+    cold.observe(makeEndpoint(3'000, 0, "f"), 61, later);
+    cr_assert(cold.isCold(makeEndpoint(3'000, 0, "f"), later));
 }
 
 // Guards against ignoring an endpoint that says in an answer that it is cold, and against answers of earlier processes.
@@ -137,7 +203,7 @@
 {
     ColdEndpoints cold;
     cold.setServices(servicesWithLimit());
-    cold.observe(makeEndpoint(0, 2), 1, start, true);
+    cold.observe(makeEndpoint(0, 2), 1, start);
     cold.recordAnswer(makeEndpoint(0, 1), milliseconds(2'000), start);
     cr_assert_not(cold.isCold(makeEndpoint(0, 2), start));
     cold.recordAnswer(makeEndpoint(0, 2), milliseconds(0), start);
@@ -154,11 +220,11 @@
     ColdEndpoints cold;
     Endpoint endpoint = makeEndpoint(std::nullopt);
     endpoint.coldLeftFault = "negative";
-    cold.observe(endpoint, 1, start, true);
+    cold.observe(endpoint, 1, start);
     cr_assert(cold.takeNotices().empty());
     cold.setServices(servicesWithLimit());
     for (uint64_t version : { 1, 1, 2, 3 })
-        cold.observe(endpoint, version, start, false);
+        cold.observe(endpoint, version, start);
     std::vector<ColdNotice> notices = cold.takeNotices();
     cr_assert_eq(std::count_if(notices.begin(), notices.end(), [](const ColdNotice& notice) { return notice.kind == ColdNotice::Kind::Unreadable && notice.detail == "negative"; }), 1);
 }
@@ -169,47 +235,58 @@
     ColdEndpoints cold;
     cold.setServices(servicesWithLimit());
     Endpoint endpoint = makeEndpoint(3'000);
-    cold.observe(endpoint, 1, start, true);
+    cold.observe(endpoint, 1, start);
     TimePoint now = start;
     for (; cold.limitOf(endpoint, now); now += milliseconds(100))
         cr_assert(*cold.limitOf(endpoint, now) > coldPerSecond / 2 && *cold.limitOf(endpoint, now) <= coldPerSecond);
     cr_assert(now >= start + coldTime + std::chrono::seconds(1) && now <= start + coldTime + std::chrono::seconds(3));
 }
 
-// Guards against prompts at a cold endpoint while a warm one has room, and against cold endpoints that stay unused while the others
-// are full or gone.
-Test(ColdEndpoints, coldEndpointsAreTheLastChoiceUntilTheOthersAreFull)
+// Guards against requests at a cold endpoint while a healthy warm one takes them, however many requests the daemon has in flight, and
+// against cold endpoints that stay unused while the others refuse or are gone.
+Test(ColdEndpoints, coldEndpointsAreUsedWhenNoHealthyWarmOneIsLeft)
 {
-    EndpointDirectory directory({});
-    EndpointSelector selector(directory, "zone-a");
-    selector.cold().setServices(servicesWithLimit());
-    for (int i = 0; i < 4; ++i) {
-        Endpoint endpoint = makeEndpoint(i < 2 ? 3'000 : 0, 1, "e" + std::to_string(i));
-        directory.put(endpoint);
-        selector.cold().observe(endpoint, 1, start, true);
+    for (uint64_t affinities : { 1, 200 }) {
+        EndpointDirectory directory({});
+        EndpointSelector selector(directory, "zone-a");
+        selector.cold().setServices(servicesWithLimit());
+        for (int i = 0; i < 4; ++i) {
+            Endpoint endpoint = makeEndpoint(i < 2 ? 3'000 : 0, 1, "e" + std::to_string(i));
+            directory.put(endpoint);
+            selector.cold().observe(endpoint, 1, start);
+        }
+        // Without prompt parts, or with those of many prompts.
+        auto chosenWithin = [&selector, affinities](TimePoint now, std::set<std::string> excluded = {}) {
+            std::set<std::string> chosen;
+            for (uint64_t i = 0; i < 200; ++i)
+                chosen.insert(selector.choose({ "engines", true, i % affinities, excluded, false }, now)->id);
+            return chosen;
+        };
+        std::set<std::string> warm { "e2", "e3" };
+        std::set<std::string> cold { "e0", "e1" };
+        cr_assert(chosenWithin(start) == warm);
+        for (int i = 0; i < 200; ++i)
+            selector.recordStart(i % 2 ? "e2" : "e3", start);
+        cr_assert(chosenWithin(start) == warm);
+        cr_assert(chosenWithin(start, { "e2" }) == std::set<std::string>({ "e3" }));
+        cr_assert(chosenWithin(start, { "e2", "e3" }) == cold);
+        for (int i = 0; i < 200; ++i)
+            selector.recordEnd(i % 2 ? "e2" : "e3", EndpointSelector::End::Neutral, start);
+        selector.recordOverload("e2", start);
+        cr_assert(chosenWithin(start) == std::set<std::string>({ "e3" }));
+        selector.recordOverload("e3", start);
+        cr_assert(chosenWithin(start) == cold);
+        cr_assert(chosenWithin(start + milliseconds(500)) == warm);
+        cr_assert_eq(chosenWithin(start + coldTime).size(), 4);
+        directory.remove("e2", start);
+        directory.remove("e3", start);
+        cr_assert(chosenWithin(start) == cold);
+        // A refused permit is not asked for again at once.
+        selector.recordPermitRefusal("e0", start + milliseconds(100));
+        selector.recordPermitRefusal("e1", start + milliseconds(200));
+        cr_assert_null(selector.choose({ "engines", true, 1, {}, false }, start));
+        cr_assert_eq(*selector.nextPermitAt({ "engines", true, 1, {}, false }, start), start + milliseconds(100));
     }
-    auto chosenWithin = [&selector](TimePoint now) {
-        std::set<std::string> chosen;
-        for (uint64_t affinity = 0; affinity < 200; ++affinity)
-            chosen.insert(selector.choose({ "engines", true, affinity, {}, false }, now)->id);
-        return chosen;
-    };
-    cr_assert(chosenWithin(start) == std::set<std::string>({ "e2", "e3" }));
-    for (int i = 0; i < 100; ++i)
-        selector.recordStart(i % 2 ? "e2" : "e3", start);
-    cr_assert_eq(chosenWithin(start).count("e0") + chosenWithin(start).count("e1"), 2);
-    for (int i = 0; i < 100; ++i)
-        selector.recordEnd(i % 2 ? "e2" : "e3", EndpointSelector::End::Neutral, start);
-    cr_assert(chosenWithin(start) == std::set<std::string>({ "e2", "e3" }));
-    cr_assert_eq(chosenWithin(start + coldTime).size(), 4);
-    directory.remove("e2", start);
-    directory.remove("e3", start);
-    cr_assert(chosenWithin(start) == std::set<std::string>({ "e0", "e1" }));
-    // A refused permit is not asked for again at once.
-    selector.recordPermitRefusal("e0", start + milliseconds(100));
-    selector.recordPermitRefusal("e1", start + milliseconds(200));
-    cr_assert_null(selector.choose({ "engines", true, 1, {}, false }, start));
-    cr_assert_eq(*selector.nextPermitAt({ "engines", true, 1, {}, false }, start), start + milliseconds(100));
 }
 
 namespace {
@@ -256,12 +333,11 @@
             SimulatedDaemon& daemon = *m_daemons.back();
             daemon.daemons = count;
             daemon.cold.setServices(servicesWithLimit());
-            daemon.cold.setDaemons(count);
             daemon.isIssuer = i == 0;
             // Daemon 1 has joined a moment ago and believes that it issues the permits as well.
             daemon.permits.setAnnounced(i == 1 ? start : start - PermitService::settlingTime);
             daemon.seen = m_entry;
-            daemon.cold.observe(m_entry, m_version, start, true);
+            daemon.cold.observe(m_entry, m_version, start);
         }
         if (count > 1)
             m_daemons[1]->isIssuer = true;
@@ -346,7 +422,7 @@
             if (delivery.at > now || daemon.isCutOff || now < daemon.frozenUntil)
                 return false;
             daemon.seen = delivery.entry;
-            daemon.cold.observe(delivery.entry, delivery.version, now, false);
+            daemon.cold.observe(delivery.entry, delivery.version, now);
             return true;
         });
     }
--- a/Tests/LibRelay/TestEndpointDirectory.cpp
+++ b/Tests/LibRelay/TestEndpointDirectory.cpp
@@ -59,6 +59,26 @@
     cr_assert_not_null(directory.find("a"));
 }
 
+// Guards against using an address that another endpoint has taken over because the cold time in the entry counts down.
+Test(EndpointDirectory, rejectedEntryStaysRejectedWhenItsColdTimeChanges)
+{
+    EndpointDirectory directory({});
+    Endpoint endpoint = makeEndpoint("a");
+    endpoint.coldLeftMs = 3'000;
+    directory.put(endpoint);
+    directory.reject("a");
+    endpoint.coldLeftMs = 2'000;
+    directory.put(endpoint);
+    cr_assert_null(directory.find("a"));
+    endpoint.coldLeftMs.reset();
+    endpoint.coldLeftFault = "negative";
+    directory.replaceAll({ endpoint }, start);
+    cr_assert_null(directory.find("a"));
+    endpoint.startedAtMs = 2;
+    directory.put(endpoint);
+    cr_assert_not_null(directory.find("a"));
+}
+
 // Guards against sending requests to a process that has said that it is leaving, because the store lags behind, is away, or lists it
 // as ready again.
 Test(EndpointDirectory, leavingProcessStaysLeavingWhateverTheStoreLists)
--- a/Tests/LibRelay/TestLimitedEndpoints.cpp
+++ b/Tests/LibRelay/TestLimitedEndpoints.cpp
@@ -104,7 +104,7 @@
             co_await writer.send({ 200, sealed(request), "id: 1\ndata: a\n\n" }, ignored);
         };
         fixture.selector.cold().setServices(servicesWithColdLimit());
-        fixture.selector.cold().observe(*fixture.directory.find("e0"), 1, Core::SteadyClock::now(), false);
+        fixture.selector.cold().observe(*fixture.directory.find("e0"), 1, Core::SteadyClock::now());
         Core::SteadyClock::time_point startedAt = Core::SteadyClock::now();
         for (int i = 0; i < 25; ++i) {
             std::optional<HTTP::Response> response = fixture.call(fixture.makeRequest(target));
@@ -127,7 +127,7 @@
     fixture.selector.cold().setServices(servicesWithColdLimit());
     Relay::Endpoint endpoint = *fixture.directory.find("e0");
     endpoint.coldLeftMs = 3'000;
-    fixture.selector.cold().observe(endpoint, 1, Core::SteadyClock::now(), true);
+    fixture.selector.cold().observe(endpoint, 1, Core::SteadyClock::now());
     fixture.permitDelay = Relay::ColdEndpoints::maxPermitAge + std::chrono::milliseconds(50);
     std::optional<HTTP::Response> response = fixture.call(fixture.makeRequest("/once/a"));
     cr_assert_eq(response->status, 503);
