Notice cold times in answers that cannot be right; describe permits of cold endpoints

The decoder turned a value above any cold time into 0, so that the relay could not report it. Metric help, comments and pages name cold endpoints beside those that name a limit.

--- a/Libraries/LibRelay/include/LibRelay/PermitService.h
+++ b/Libraries/LibRelay/include/LibRelay/PermitService.h
@@ -10,7 +10,7 @@
 
 namespace Relay {
 
-// Asks for a permit to send one request to an endpoint that has named a limit.
+// Asks for a permit to send one request to an endpoint that has named a limit or is cold.
 struct PermitRequest {
     std::string endpoint;
     // The endpoint's limit on requests a second from all daemons together.
@@ -42,10 +42,10 @@
     std::function<bool()> isFleetCurrent;
 };
 
-// Keeps the limits that endpoints name, for all daemons together. One daemon, chosen by the list of daemons, issues an endpoint's
+// Keeps the limits that endpoints name, and those of cold endpoints, for all daemons together. One daemon, chosen by the list of daemons, issues an endpoint's
 // permits at the full rate. It does so only while its list is current and once its own announcement has reached all others, so that
 // no two daemons issue at the same time. A daemon without an issuer that answers has a share of its own; all those shares together
-// are a quarter of the limit.
+// are a quarter of the limit, or less where the caller says so.
 class PermitService {
 public:
     using TimePoint = Core::SteadyClock::time_point;
--- a/Libraries/LibRelay/src/PermitChecks.cpp
+++ b/Libraries/LibRelay/src/PermitChecks.cpp
@@ -1,7 +1,7 @@
 #include "RequestExecution.h"
 #include <algorithm>
 
-// The part of RequestExecution that keeps the limits that endpoints name.
+// The part of RequestExecution that keeps the limits that endpoints name and those of cold endpoints.
 namespace Relay {
 
 using Core::Deadline;
@@ -25,7 +25,7 @@
     ++m_permitRequests;
     PermitService::Permit permit = co_await m_handler.m_hooks.acquirePermit(endpoint.id, *limit);
     m_permitSource = permit.isOwnShare ? "own_share" : "issuer";
-    m_handler.m_metrics.counter("jujuberelay_relay_permits_total", "Permits for endpoints that name a limit, by source and outcome.", { { "source", m_permitSource }, { "outcome", permit.reply.isGranted ? "granted" : "refused" } }).add();
+    m_handler.m_metrics.counter("jujuberelay_relay_permits_total", "Permits for endpoints that name a limit or are cold, by source and outcome.", { { "source", m_permitSource }, { "outcome", permit.reply.isGranted ? "granted" : "refused" } }).add();
     if (permit.reply.isGranted)
         co_return true;
     m_handler.m_selector.recordPermitRefusal(endpoint.id, Core::SteadyClock::now() + std::chrono::milliseconds(permit.reply.retryAfterMs));
--- a/Libraries/LibRelay/src/RequestExecution.h
+++ b/Libraries/LibRelay/src/RequestExecution.h
@@ -35,7 +35,7 @@
     std::string selectService() const;
     uint64_t affinity() const;
     SelectionQuery selectionQuery(const std::string& service) const;
-    // Whether the request may be sent to the endpoint now, if that has named a limit.
+    // Whether the request may be sent to the endpoint now, if that has named a limit or is cold.
     Core::Task<bool> acquirePermit(const Endpoint&);
     // Whether the endpoint is cold and the current attempt has no permit, or one that is too old: the endpoint became cold, or connecting
     // to it took long, after the permit was asked for.
--- a/Tests/LibRelay/TestLimitedEndpoints.cpp
+++ b/Tests/LibRelay/TestLimitedEndpoints.cpp
@@ -17,7 +17,7 @@
     };
 }
 
-// Most requests that an endpoint may get in the time, by the users' rule.
+// Most requests that an endpoint may get in the time, by the limit of the platform.
 static size_t mostRequests(std::chrono::duration<double> time)
 {
     return static_cast<size_t>(1.5 * limitPerSecond * time.count() + 5);
--- a/Tests/LibRelay/TestPermitService.cpp
+++ b/Tests/LibRelay/TestPermitService.cpp
@@ -12,7 +12,7 @@
 
 static const TimePoint start { std::chrono::hours(1) };
 static constexpr double limitPerSecond = 4;
-// The users' rule: most requests that an endpoint may get in 4 s.
+// The limit of the platform: most requests that an endpoint may get in 4 s.
 static constexpr std::chrono::seconds window(4);
 static constexpr size_t mostInWindow = static_cast<size_t>(1.5 * limitPerSecond * 4 + 5);
 
--- a/Tests/PlatformAdapter/TestCodec.cpp
+++ b/Tests/PlatformAdapter/TestCodec.cpp
@@ -198,8 +198,11 @@
     cr_assert_eq(decode(200, " 2500 "), 2'500);
     cr_assert_eq(decode(503, "1"), 1);
     cr_assert_eq(decode(421, "2500"), 0);
-    for (const char* bad : { "", "-5", "1.5", "x", "600001", "99999999999999999999" })
+    for (const char* bad : { "", "-5", "-99999999999999999999", "1.5", "x" })
         cr_assert_eq(decode(200, bad), 0, "%s", bad);
+    // Longer than the cold time of any service and the tolerance for it, so that the relay notices that it cannot be right.
+    for (const char* tooLong : { "1200000", "9223372036854775807", "99999999999999999999" })
+        cr_assert_eq(decode(200, tooLong), 1'200'000, "%s", tooLong);
 }
 
 static const char* const configurationText = R"({"version":7,"routes":[{"name":"r","host":"h","path-prefix":"/p/","route-kind":"streaming","timeout-ms":12000,
