Ask no further permit issuer after one has not answered in time

A request could wait for four issuers in turn. It turns to endpoints without a limit, or is refused, after the first call that times out; the new test failed before with more than one call. A fault in a service's cold limit is logged when it changes, not with each configuration.

test_cold.py gives its service the cold time that its endpoints state: 7 s under a cold-s of 3 s count as unreadable now, and both tests failed for that. Bounds are unchanged.

--- a/Libraries/LibRelay/include/LibRelay/PermitService.h
+++ b/Libraries/LibRelay/include/LibRelay/PermitService.h
@@ -56,6 +56,8 @@
     struct Permit {
         PermitReply reply;
         bool isOwnShare { false };
+        // The issuer was asked and did not answer in time.
+        bool hasTimedOut { false };
     };
 
     // All daemons' own shares together are the given part of the limit.
--- a/Libraries/LibRelay/src/PermitChecks.cpp
+++ b/Libraries/LibRelay/src/PermitChecks.cpp
@@ -24,6 +24,7 @@
         co_return true;
     ++m_permitRequests;
     PermitService::Permit permit = co_await m_handler.m_hooks.acquirePermit(endpoint.id, *limit);
+    m_hasPermitTimedOut = m_hasPermitTimedOut || permit.hasTimedOut;
     m_permitSource = permit.isOwnShare ? "own_share" : "issuer";
     m_handler.m_metrics.counter("jujuberelay_relay_permits_total", "Permits for endpoints that name a limit or are cold, by source and outcome.", { { "source", m_permitSource }, { "outcome", permit.reply.isGranted ? "granted" : "refused" } }).add();
     if (permit.reply.isGranted)
--- a/Libraries/LibRelay/src/PermitService.cpp
+++ b/Libraries/LibRelay/src/PermitService.cpp
@@ -57,15 +57,18 @@
 {
     PermitRequest request { std::move(endpoint), std::max(perSecond, minPerSecond) };
     std::optional<PermitReply> reply;
+    bool hasTimedOut = false;
     if (std::optional<Core::Address> issuer = m_hooks.issuerOf(request.endpoint)) {
-        Core::Reason ignored;
-        reply = co_await m_hooks.request(*issuer, request, ignored);
+        Core::Reason reason;
+        reply = co_await m_hooks.request(*issuer, request, reason);
+        // A call that was sent and not answered ends with an unknown outcome.
+        hasTimedOut = !reply && (reason.kind == Core::FailureKind::TimedOut || reason.kind == Core::FailureKind::OutcomeUnknown);
     } else {
         reply = serve(request, Core::SteadyClock::now());
     }
     if (reply)
-        co_return Permit { *reply, false };
-    co_return Permit { takeOwnShare(request, Core::SteadyClock::now(), ownSharesFraction), true };
+        co_return Permit { *reply, false, false };
+    co_return Permit { takeOwnShare(request, Core::SteadyClock::now(), ownSharesFraction), true, hasTimedOut };
 }
 
 std::optional<PermitReply> PermitService::serve(const PermitRequest& request, TimePoint now)
--- a/Libraries/LibRelay/src/RequestExecution.cpp
+++ b/Libraries/LibRelay/src/RequestExecution.cpp
@@ -223,7 +223,7 @@
 
 SelectionQuery RequestExecution::selectionQuery(const std::string& service) const
 {
-    return { service, m_isEngine, affinity(), m_excluded, m_permitRequests >= maxPermitRequests };
+    return { service, m_isEngine, affinity(), m_excluded, m_hasPermitTimedOut || m_permitRequests >= maxPermitRequests };
 }
 
 bool RequestExecution::canRetry(Outcome outcome) const
--- a/Libraries/LibRelay/src/RequestExecution.h
+++ b/Libraries/LibRelay/src/RequestExecution.h
@@ -94,6 +94,8 @@
     std::set<std::string> m_excluded;
     // Number of permits that were asked for since the last wait for one.
     int m_permitRequests { 0 };
+    // An issuer did not answer in time. The request asks no further one, since each may take as long.
+    bool m_hasPermitTimedOut { false };
     // Where the permit of the current attempt came from; for logs.
     std::string m_permitSource;
     Core::SteadyClock::time_point m_permitAskedAt {};
--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -230,8 +230,10 @@
     m_callerServer.setLimits(limitsOf(m_configuration->callerLimits()));
     m_budgets.adopt(*m_configuration);
     m_selector.cold().setServices(m_configuration->services());
+    std::map<std::string, std::string> loggedBefore = std::exchange(m_loggedColdFaults, {});
     for (const auto& [name, service] : m_configuration->services()) {
-        if (std::exchange(m_loggedColdFaults[name], service.coldFault) != service.coldFault && !service.coldFault.empty())
+        m_loggedColdFaults[name] = service.coldFault;
+        if (!service.coldFault.empty() && loggedBefore[name] != service.coldFault)
             Core::logEvent(RelayEvents::coldTimeUnreadable, "service=" + name + " configuration=" + std::to_string(m_configuration->version()) + " reason=\"" + service.coldFault + "\"");
     }
     logColdNotices();
--- a/Tests/LibRelay/RelayFixture.h
+++ b/Tests/LibRelay/RelayFixture.h
@@ -122,6 +122,10 @@
     std::chrono::milliseconds storeSilence { 0 };
     std::optional<Core::Deadline> servesUntil;
     std::vector<std::string> rejected;
+    // Issues all permits and answers no call, if set; and the calls to it.
+    std::optional<Core::Address> silentIssuer;
+    size_t permitCalls { 0 };
+    size_t daemons { 1 };
     // How long a permit takes to arrive.
     std::chrono::milliseconds permitDelay { 0 };
     Relay::PermitService permits { makePermitHooks() };
@@ -178,11 +182,17 @@
     }
 
     // The only daemon issues all permits.
-    static Relay::PermitHooks makePermitHooks()
+    Relay::PermitHooks makePermitHooks()
     {
         Relay::PermitHooks hooks;
-        hooks.issuerOf = [](const std::string&) -> std::optional<Core::Address> { return std::nullopt; };
-        hooks.daemons = [] { return size_t { 1 }; };
+        hooks.issuerOf = [this](const std::string&) { return silentIssuer; };
+        hooks.request = [this](Core::Address, Relay::PermitRequest, Core::Reason& reason) -> Core::Task<std::optional<Relay::PermitReply>> {
+            ++permitCalls;
+            co_await Core::sleepUntil(Core::Deadline::after(std::chrono::milliseconds(20)));
+            reason.kind = Core::FailureKind::TimedOut;
+            co_return std::nullopt;
+        };
+        hooks.daemons = [this] { return daemons; };
         hooks.isFleetCurrent = [] { return true; };
         return hooks;
     }
--- a/Tests/LibRelay/TestLimitedEndpoints.cpp
+++ b/Tests/LibRelay/TestLimitedEndpoints.cpp
@@ -136,3 +136,30 @@
     fixture.permitDelay = std::chrono::milliseconds(0);
     cr_assert_eq(fixture.call(fixture.makeRequest("/once/a"))->status, 200);
 }
+
+// Guards against a request that spends its time on one issuer after another when they do not answer.
+Test(LimitedEndpoints, noFurtherIssuerIsAskedAfterATimeout)
+{
+    for (bool hasWarmEndpoint : { false, true }) {
+        Fixture fixture(4);
+        fixture.answer = [](const HTTP::Request& request, HTTP::ResponseWriter& writer) -> Core::Task<void> {
+            Core::Reason ignored;
+            co_await writer.send({ 200, sealed(request), "ok" }, ignored);
+        };
+        fixture.silentIssuer = Core::Address { "10.0.0.1", 1 };
+        // Own shares are small enough not to be granted.
+        fixture.daemons = 100'000;
+        fixture.selector.cold().setServices(servicesWithColdLimit());
+        for (int i = 0; i < 4; ++i) {
+            Relay::Endpoint endpoint = *fixture.directory.find("e" + std::to_string(i));
+            endpoint.coldLeftMs = i == 0 && hasWarmEndpoint ? 0 : 3'000;
+            fixture.selector.cold().observe(endpoint, 1, Core::SteadyClock::now());
+        }
+        if (hasWarmEndpoint)
+            fixture.selector.recordOverload("e0", Core::SteadyClock::now());
+        std::optional<HTTP::Response> response = fixture.call(fixture.makeRequest("/once/a"));
+        cr_assert_eq(response->status, hasWarmEndpoint ? 200 : 503);
+        cr_assert_eq(fixture.permitCalls, 1);
+        cr_assert_eq(fixture.arrivals.size(), hasWarmEndpoint ? 1 : 0);
+    }
+}
--- a/Tests/Soak/test_cold.py
+++ b/Tests/Soak/test_cold.py
@@ -38,7 +38,7 @@
         self.checker = InvariantChecker(True)
         self.store = Store(random.Random(1))
         await self.store.start()
-        services = [dict(service, **{"cold-per-s": COLD_PER_S, "cold-s": 3.0}) for service in SERVICES]
+        services = [dict(service, **{"cold-per-s": COLD_PER_S, "cold-s": COLD_S}) for service in SERVICES]
         await Operator(self.store, self.checker, {"w": 1_000_000}, services).write()
         self.desks = [Endpoint("desk-%d" % number, "desk", "zone-a", 64, self.store, self.checker, random.Random(2)) for number in range(2)]
         for desk in self.desks:
