--- a/Libraries/LibRelay/include/LibRelay/EndpointSelector.h
+++ b/Libraries/LibRelay/include/LibRelay/EndpointSelector.h
@@ -2,6 +2,7 @@
 
 #include "LibCore/Deadline.h"
 #include "LibRelay/CallerRequest.h"
+#include "LibRelay/ColdEndpoints.h"
 #include "LibRelay/EndpointDirectory.h"
 #include "LibRelay/EndpointLimits.h"
 #include "LibRelay/EvacuationSet.h"
@@ -28,7 +29,7 @@
 // Selects endpoints by the load and failures that this daemon has observed.
 class EndpointSelector {
 public:
-    EndpointSelector(const EndpointDirectory&, std::string failureDomain);
+    EndpointSelector(const EndpointDirectory&, std::string failureDomain, ColdAllowance = {});
 
     // The endpoint for a request, or null if the service has none left to try.
     const Endpoint* choose(const SelectionQuery&, Core::SteadyClock::time_point now) const;
@@ -70,6 +71,12 @@
     // The limits that endpoints have named.
     EndpointLimits& limits() { return m_limits; }
     const EndpointLimits& limits() const { return m_limits; }
+    // The endpoints that are cold.
+    ColdEndpoints& cold() { return m_cold; }
+    const ColdEndpoints& cold() const { return m_cold; }
+    // Requests a second from all daemons together for which permits are to be had: the limit that the endpoint has named, or that of a
+    // cold endpoint if that is lower. Empty if there is none.
+    std::optional<double> requestLimit(const Endpoint& endpoint, Core::SteadyClock::time_point now) const { return requestLimit(endpoint, m_cold.stateOf(endpoint, now)); }
     // Called when the endpoint is no longer registered.
     void forget(const std::string& endpoint);
 
@@ -99,10 +106,11 @@
     };
 
     // Whether the endpoint is a candidate apart from a refused permit.
-    bool isEligible(const Endpoint&, const SelectionQuery&, Core::SteadyClock::time_point now) const;
-    bool isCandidate(const Endpoint& endpoint, const SelectionQuery& query, Core::SteadyClock::time_point now) const { return isEligible(endpoint, query, now) && noPermitUntil(endpoint) <= now; }
+    bool isEligible(const Endpoint&, const SelectionQuery&, const ColdState&, Core::SteadyClock::time_point now) const;
+    bool isCandidate(const Endpoint&, const SelectionQuery&, const ColdState&, Core::SteadyClock::time_point now) const;
+    std::optional<double> requestLimit(const Endpoint&, const ColdState&) const;
     // When a permit for the endpoint can be asked for after a refusal.
-    Core::SteadyClock::time_point noPermitUntil(const Endpoint&) const;
+    Core::SteadyClock::time_point noPermitUntil(const Endpoint&, const ColdState&) const;
     const Endpoint* chooseByAffinity(const std::vector<const Endpoint*>& candidates, uint64_t affinity) const;
     const Endpoint* chooseByCost(const std::vector<const Endpoint*>& candidates, Core::SteadyClock::time_point now) const;
     // Lower is better.
@@ -118,6 +126,7 @@
     // By endpoint id; hashed, since each choice looks up all candidates.
     std::unordered_map<std::string, Pause> m_pauses;
     EndpointLimits m_limits;
+    ColdEndpoints m_cold;
 };
 
 }
--- a/Libraries/LibRelay/include/LibRelay/PermitService.h
+++ b/Libraries/LibRelay/include/LibRelay/PermitService.h
@@ -10,7 +10,7 @@
 
 namespace Relay {
 
-// Asks for a permit to send one request to an endpoint that has named a limit.
+// Asks for a permit to send one request to an endpoint that has named a limit or is cold.
 struct PermitRequest {
     std::string endpoint;
     // The endpoint's limit on requests a second from all daemons together.
@@ -42,10 +42,10 @@
     std::function<bool()> isFleetCurrent;
 };
 
-// Keeps the limits that endpoints name, for all daemons together. One daemon, chosen by the list of daemons, issues an endpoint's
+// Keeps the limits that endpoints name, and those of cold endpoints, for all daemons together. One daemon, chosen by the list of daemons, issues an endpoint's
 // permits at the full rate. It does so only while its list is current and once its own announcement has reached all others, so that
 // no two daemons issue at the same time. A daemon without an issuer that answers has a share of its own; all those shares together
-// are a quarter of the limit.
+// are a quarter of the limit, or less where the caller says so.
 class PermitService {
 public:
     using TimePoint = Core::SteadyClock::time_point;
@@ -56,15 +56,18 @@
     struct Permit {
         PermitReply reply;
         bool isOwnShare { false };
+        // The issuer was asked and did not answer in time.
+        bool hasTimedOut { false };
     };
 
-    Core::Task<Permit> acquire(std::string endpoint, double perSecond);
+    // All daemons' own shares together are the given part of the limit.
+    Core::Task<Permit> acquire(std::string endpoint, double perSecond, double ownSharesFraction = defaultOwnSharesFraction);
 
     // Answers another daemon. Empty if this daemon does not issue the endpoint's permits now.
     std::optional<PermitReply> serve(const PermitRequest&, TimePoint now);
 
     // Takes a permit from this daemon's own share.
-    PermitReply takeOwnShare(const PermitRequest&, TimePoint now);
+    PermitReply takeOwnShare(const PermitRequest&, TimePoint now, double ownSharesFraction = defaultOwnSharesFraction);
 
     // Called when this daemon's announcement has been written.
     void setAnnounced(TimePoint now) { m_settledAt = now + settlingTime; }
@@ -75,6 +78,10 @@
     static constexpr std::chrono::milliseconds settlingTime { 6'000 };
     // A list of daemons that the store confirmed within this time is current.
     static constexpr std::chrono::milliseconds maxFleetAge { 5'500 };
+    // How far ahead of its turn the issuer admits a request.
+    static constexpr std::chrono::milliseconds issuerBurst { 250 };
+    // Part of an endpoint's limit that all daemons without an issuer share.
+    static constexpr double defaultOwnSharesFraction = 0.25;
 
 private:
     struct OwnShare {
--- a/Libraries/LibRelay/src/EndpointSelector.cpp
+++ b/Libraries/LibRelay/src/EndpointSelector.cpp
@@ -37,10 +37,11 @@
     return set;
 }
 
-EndpointSelector::EndpointSelector(const EndpointDirectory& directory, std::string failureDomain)
+EndpointSelector::EndpointSelector(const EndpointDirectory& directory, std::string failureDomain, ColdAllowance coldAllowance)
     : m_directory(directory)
     , m_failureDomain(std::move(failureDomain))
     , m_evacuations(&noEvacuations())
+    , m_cold(coldAllowance)
 {
 }
 
@@ -79,24 +80,38 @@
     return cost;
 }
 
-bool EndpointSelector::isEligible(const Endpoint& endpoint, const SelectionQuery& query, TimePoint now) const
+bool EndpointSelector::isEligible(const Endpoint& endpoint, const SelectionQuery& query, const ColdState& cold, TimePoint now) const
 {
     return endpoint.service == query.service && !endpoint.isLeaving && !isPaused(endpoint, now) && !isEvacuated(endpoint) && !query.excluded.contains(endpoint.id)
-        && !(query.isUnlimitedOnly && m_limits.limitOf(endpoint));
+        && !(query.isUnlimitedOnly && requestLimit(endpoint, cold));
 }
 
-TimePoint EndpointSelector::noPermitUntil(const Endpoint& endpoint) const
+bool EndpointSelector::isCandidate(const Endpoint& endpoint, const SelectionQuery& query, const ColdState& cold, TimePoint now) const
+{
+    return isEligible(endpoint, query, cold, now) && noPermitUntil(endpoint, cold) <= now;
+}
+
+std::optional<double> EndpointSelector::requestLimit(const Endpoint& endpoint, const ColdState& cold) const
+{
+    std::optional<double> named = m_limits.limitOf(endpoint);
+    return named && cold.limit ? std::min(*named, *cold.limit) : named ? named
+                                                                       : cold.limit;
+}
+
+TimePoint EndpointSelector::noPermitUntil(const Endpoint& endpoint, const ColdState& cold) const
 {
     const EndpointState* state = find(endpoint.id);
-    return state && m_limits.limitOf(endpoint) ? state->noPermitUntil : TimePoint {};
+    TimePoint refusedUntil = state && requestLimit(endpoint, cold) ? state->noPermitUntil : TimePoint {};
+    return std::max(refusedUntil, cold.quietUntil);
 }
 
 std::optional<TimePoint> EndpointSelector::nextPermitAt(const SelectionQuery& query, TimePoint now) const
 {
     std::optional<TimePoint> next;
     for (const auto& [id, endpoint] : m_directory.endpoints()) {
-        if (isEligible(endpoint, query, now))
-            next = std::min(next.value_or(TimePoint::max()), noPermitUntil(endpoint));
+        ColdState cold = m_cold.stateOf(endpoint, now);
+        if (isEligible(endpoint, query, cold, now))
+            next = std::min(next.value_or(TimePoint::max()), noPermitUntil(endpoint, cold));
     }
     return next;
 }
@@ -104,7 +119,7 @@
 bool EndpointSelector::hasHealthy(const SelectionQuery& query, TimePoint now) const
 {
     return std::any_of(m_directory.endpoints().begin(), m_directory.endpoints().end(),
-        [this, &query, now](const auto& entry) { return isCandidate(entry.second, query, now) && isHealthy(entry.second, now); });
+        [this, &query, now](const auto& entry) { return isCandidate(entry.second, query, m_cold.stateOf(entry.second, now), now) && isHealthy(entry.second, now); });
 }
 
 bool EndpointSelector::isPaused(const Endpoint& endpoint, TimePoint now) const
@@ -119,7 +134,7 @@
     for (const auto& [id, endpoint] : m_directory.endpoints()) {
         if (endpoint.service != service || endpoint.isLeaving || isEvacuated(endpoint))
             continue;
-        TimePoint until = std::max(noPermitUntil(endpoint), isPaused(endpoint, now) ? m_pauses.at(id).until : TimePoint {});
+        TimePoint until = std::max(noPermitUntil(endpoint, m_cold.stateOf(endpoint, now)), isPaused(endpoint, now) ? m_pauses.at(id).until : TimePoint {});
         if (until <= now)
             return std::nullopt;
         first = std::min(first.value_or(until), until);
@@ -136,12 +151,20 @@
 const Endpoint* EndpointSelector::choose(const SelectionQuery& query, TimePoint now) const
 {
     std::vector<const Endpoint*> candidates;
+    std::vector<const Endpoint*> cold;
     std::vector<const Endpoint*> unhealthy;
     for (const auto& [id, endpoint] : m_directory.endpoints()) {
-        if (!isCandidate(endpoint, query, now))
+        ColdState coldState = m_cold.stateOf(endpoint, now);
+        if (!isCandidate(endpoint, query, coldState, now))
             continue;
-        (isHealthy(endpoint, now) ? candidates : unhealthy).push_back(&endpoint);
+        if (!isHealthy(endpoint, now))
+            unhealthy.push_back(&endpoint);
+        else
+            (coldState.isCold ? cold : candidates).push_back(&endpoint);
     }
+    // A cold endpoint is slow and keeps no prompt parts, so that it gets only what no healthy warm one takes.
+    if (candidates.empty())
+        candidates = std::move(cold);
     if (candidates.empty())
         candidates = std::move(unhealthy);
     if (candidates.empty())
@@ -262,6 +285,7 @@
 {
     m_states.erase(endpoint);
     m_limits.forget(endpoint);
+    m_cold.forget(endpoint);
     // Without a start time, the next registration under this id is a new process.
     auto pause = m_pauses.find(endpoint);
     if (pause != m_pauses.end() && pause->second.processStartMs == 0)
--- a/Libraries/LibRelay/src/PermitChecks.cpp
+++ b/Libraries/LibRelay/src/PermitChecks.cpp
@@ -1,7 +1,7 @@
 #include "RequestExecution.h"
 #include <algorithm>
 
-// The part of RequestExecution that keeps the limits that endpoints name.
+// The part of RequestExecution that keeps the limits that endpoints name and those of cold endpoints.
 namespace Relay {
 
 using Core::Deadline;
@@ -18,13 +18,15 @@
 Core::Task<bool> RequestExecution::acquirePermit(const Endpoint& endpoint)
 {
     m_permitSource.clear();
-    std::optional<double> limit = m_handler.m_selector.limits().limitOf(endpoint);
+    m_permitAskedAt = Core::SteadyClock::now();
+    std::optional<double> limit = m_handler.m_selector.requestLimit(endpoint, m_permitAskedAt);
     if (!limit)
         co_return true;
     ++m_permitRequests;
     PermitService::Permit permit = co_await m_handler.m_hooks.acquirePermit(endpoint.id, *limit);
+    m_hasPermitTimedOut = m_hasPermitTimedOut || permit.hasTimedOut;
     m_permitSource = permit.isOwnShare ? "own_share" : "issuer";
-    m_handler.m_metrics.counter("jujuberelay_relay_permits_total", "Permits for endpoints that name a limit, by source and outcome.", { { "source", m_permitSource }, { "outcome", permit.reply.isGranted ? "granted" : "refused" } }).add();
+    m_handler.m_metrics.counter("jujuberelay_relay_permits_total", "Permits for endpoints that name a limit or are cold, by source and outcome.", { { "source", m_permitSource }, { "outcome", permit.reply.isGranted ? "granted" : "refused" } }).add();
     if (permit.reply.isGranted)
         co_return true;
     m_handler.m_selector.recordPermitRefusal(endpoint.id, Core::SteadyClock::now() + std::chrono::milliseconds(permit.reply.retryAfterMs));
@@ -32,6 +34,12 @@
     co_return false;
 }
 
+bool RequestExecution::lacksPermit(const Endpoint& endpoint) const
+{
+    Core::SteadyClock::time_point now = Core::SteadyClock::now();
+    return m_handler.m_selector.cold().isCold(endpoint, now) && (m_permitSource.empty() || now - m_permitAskedAt > ColdEndpoints::maxPermitAge);
+}
+
 Core::Task<bool> RequestExecution::waitForPermit()
 {
     m_permitRequests = 0;
--- a/Libraries/LibRelay/src/RequestExecution.h
+++ b/Libraries/LibRelay/src/RequestExecution.h
@@ -35,8 +35,11 @@
     std::string selectService() const;
     uint64_t affinity() const;
     SelectionQuery selectionQuery(const std::string& service) const;
-    // Whether the request may be sent to the endpoint now, if that has named a limit.
+    // Whether the request may be sent to the endpoint now, if that has named a limit or is cold.
     Core::Task<bool> acquirePermit(const Endpoint&);
+    // Whether the endpoint is cold and the current attempt has no permit, or one that is too old: the endpoint became cold, or connecting
+    // to it took long, after the permit was asked for.
+    bool lacksPermit(const Endpoint&) const;
     // Waits for the next permit at any endpoint that is left; false if the wait would be too long.
     Core::Task<bool> waitForPermit();
     // A request waits for permits up to this time.
@@ -91,8 +94,11 @@
     std::set<std::string> m_excluded;
     // Number of permits that were asked for since the last wait for one.
     int m_permitRequests { 0 };
+    // An issuer did not answer in time. The request asks no further one, since each may take as long.
+    bool m_hasPermitTimedOut { false };
     // Where the permit of the current attempt came from; for logs.
     std::string m_permitSource;
+    Core::SteadyClock::time_point m_permitAskedAt {};
     // Addresses to which the request was sent. Another endpoint may take over an address.
     std::set<Core::Address> m_addresses;
     // Number of endpoints to which the request was sent.
--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -102,7 +102,7 @@
         Core::logEvent(RelayEvents::endpointRemoved, "endpoint=" + endpoint.id + " service=" + endpoint.service + " reason=\"" + why + "\"");
     })
     , m_evacuations(PlatformAdapter::evacuationPrefix, makeEvacuationSetHooks())
-    , m_selector(m_endpoints, m_settings.failureDomain)
+    , m_selector(m_endpoints, m_settings.failureDomain, { m_settings.coldOverage, m_settings.coldExtra })
     , m_budgets(executor, makeBudgetHooks(), { m_settings.host })
     , m_quarantine({}, [this] { m_quarantineStore.wake(); })
     , m_quarantineStore(executor, m_store, m_quarantine)
@@ -132,6 +132,8 @@
         [this] { return static_cast<double>(m_quarantine.quarantinedParts(Core::SteadyClock::now())); });
     m_metrics.observe("jujuberelay_relay_limited_endpoints", "Endpoints that have named a limit on requests a second.",
         [this] { return static_cast<double>(m_selector.limits().size()); });
+    m_metrics.observe("jujuberelay_relay_cold_endpoints", "Endpoints that are cold and get requests only with a permit.",
+        [this] { return static_cast<double>(m_selector.cold().countCold(Core::SteadyClock::now())); });
     m_metrics.observe("jujuberelay_relay_active_requests", "Requests in progress.", [this] { return static_cast<double>(m_callerServer.activeRequests()); });
     m_metrics.observeCounter("jujuberelay_relay_connections_opened_total", "Connections opened to endpoints and the store.",
         [this] { return m_client->connectionsOpened(); });
@@ -193,11 +195,17 @@
     Relay::FollowerHooks hooks;
     hooks.listed = [this](const std::vector<Platform::Object>& objects) {
         std::vector<Relay::Endpoint> endpoints;
+        std::vector<uint64_t> versions;
         for (const Platform::Object& object : objects) {
-            if (std::optional<Relay::Endpoint> endpoint = readEndpoint(object))
+            if (std::optional<Relay::Endpoint> endpoint = readEndpoint(object)) {
                 endpoints.push_back(std::move(*endpoint));
+                versions.push_back(object.version);
+            }
         }
-        m_endpoints.replaceAll(std::move(endpoints), Core::SteadyClock::now());
+        m_endpoints.replaceAll(endpoints, Core::SteadyClock::now());
+        for (size_t i = 0; i < endpoints.size(); ++i)
+            observeColdTime(endpoints[i], versions[i]);
+        logColdNotices();
     };
     hooks.changed = [this](const Platform::Change& change) {
         if (change.isDeleted)
@@ -237,6 +245,14 @@
     m_configuration = std::make_shared<const Relay::Configuration>(std::move(*configuration));
     m_callerServer.setLimits(limitsOf(m_configuration->callerLimits()));
     m_budgets.adopt(*m_configuration);
+    m_selector.cold().setServices(m_configuration->services());
+    std::map<std::string, std::string> loggedBefore = std::exchange(m_loggedColdFaults, {});
+    for (const auto& [name, service] : m_configuration->services()) {
+        m_loggedColdFaults[name] = service.coldFault;
+        if (!service.coldFault.empty() && loggedBefore[name] != service.coldFault)
+            Core::logEvent(RelayEvents::coldTimeUnreadable, "service=" + name + " configuration=" + std::to_string(m_configuration->version()) + " reason=\"" + service.coldFault + "\"");
+    }
+    logColdNotices();
     Core::logEvent(RelayEvents::configurationAdopted, "version=" + std::to_string(m_configuration->version()) + " before=" + std::to_string(current) + " store_version=" + std::to_string(object.version) + " routes=" + std::to_string(m_configuration->routes().size()) + " workspaces=" + std::to_string(m_configuration->workspaces().size()) + " idle_timeout_ms=" + std::to_string(m_configuration->callerLimits().idleTimeoutMs) + " request_timeout_ms=" + std::to_string(m_configuration->callerLimits().requestTimeoutMs));
 }
 
@@ -259,8 +275,30 @@
 
 void RelayDaemon::adoptEndpoint(const Platform::Object& object)
 {
-    if (std::optional<Relay::Endpoint> endpoint = readEndpoint(object))
-        m_endpoints.put(std::move(*endpoint));
+    std::optional<Relay::Endpoint> endpoint = readEndpoint(object);
+    if (!endpoint)
+        return;
+    m_endpoints.put(*endpoint);
+    observeColdTime(*endpoint, object.version);
+    logColdNotices();
+}
+
+void RelayDaemon::observeColdTime(const Relay::Endpoint& endpoint, uint64_t version)
+{
+    const Relay::Endpoint* adopted = m_endpoints.find(endpoint.id);
+    if (adopted && adopted->startedAtMs == endpoint.startedAtMs && adopted->address == endpoint.address)
+        m_selector.cold().observe(endpoint, version, Core::SteadyClock::now());
+}
+
+void RelayDaemon::logColdNotices()
+{
+    for (const Relay::ColdNotice& notice : m_selector.cold().takeNotices()) {
+        std::string subject = "endpoint=" + notice.endpoint + " service=" + notice.service;
+        if (notice.kind == Relay::ColdNotice::Kind::Cold)
+            Core::logEvent(RelayEvents::endpointCold, subject + " source=" + notice.detail);
+        else
+            Core::logEvent(RelayEvents::coldTimeUnreadable, subject + " reason=\"" + notice.detail + "\"");
+    }
 }
 
 Relay::HandlerHooks RelayDaemon::makeHandlerHooks()
@@ -272,7 +310,12 @@
     hooks.storeSilence = [this] { return std::chrono::milliseconds(configurationAgeMs()); };
     hooks.servesUntil = [this] { return m_servesUntil; };
     hooks.rejectEndpoint = [this](const std::string& endpoint) { m_endpoints.reject(endpoint); };
-    hooks.acquirePermit = [this](std::string endpoint, double perSecond) { return m_permits.acquire(std::move(endpoint), perSecond); };
+    hooks.acquirePermit = [this](std::string endpoint, double perSecond) {
+        const Relay::Endpoint* known = m_endpoints.find(endpoint);
+        bool isCold = known && m_selector.cold().limitOf(*known, Core::SteadyClock::now());
+        double ownSharesFraction = isCold ? Relay::ColdEndpoints::ownSharesFraction : Relay::PermitService::defaultOwnSharesFraction;
+        return m_permits.acquire(std::move(endpoint), perSecond, ownSharesFraction);
+    };
     hooks.endpointLeaves = [this](const Relay::Endpoint& endpoint, const std::string& request) {
         if (m_endpoints.markLeaving(endpoint, Core::SteadyClock::now()))
             Core::logEvent(RelayEvents::endpointLeaving, "endpoint=" + endpoint.id + " service=" + endpoint.service + " address=" + endpoint.address.text() + " source=answer request=" + request);
--- a/Services/jujuberelayd/src/RelayDaemon.h
+++ b/Services/jujuberelayd/src/RelayDaemon.h
@@ -57,6 +57,9 @@
     void adoptConfiguration(const Platform::Object&);
     void adoptEndpoint(const Platform::Object&);
     std::optional<Relay::Endpoint> readEndpoint(const Platform::Object&);
+    // Records the cold time in the entry if the endpoint directory has adopted it.
+    void observeColdTime(const Relay::Endpoint&, uint64_t version);
+    void logColdNotices();
     Core::Task<bool> refreshConfiguration();
     // Returns the refusal for all requests while this daemon cannot serve any.
     std::optional<Relay::Refusal> servingRefusal() const;
@@ -107,6 +110,8 @@
     Relay::LoadMonitor m_load;
     // Failure domains that have a metric of their evacuation, as printed.
     std::set<std::string> m_measuredEvacuations;
+    // Last logged fault in the cold limit of each service.
+    std::map<std::string, std::string> m_loggedColdFaults;
     // Last logged watch source of each object prefix.
     std::map<std::string, std::string> m_loggedWatchSources;
     bool m_isStopping { false };
