Tests of uncontrolled callers with a real relay and a standalone daemon

Callers that send large, unfinished, chunked or oversized requests, hold connections or don't read answers end a daemon by its memory or take all its descriptors. 100 callers (400 for connections) with bodies of 1 MiB; the bound is the lowered memory of 64 MB, and 224 of 256 descriptors.

--- a/Tests/Soak/fleet.py
+++ b/Tests/Soak/fleet.py
@@ -52,6 +52,8 @@
         self.stopping_since = None
         self.watcher = None
         self.more_settings = ""
+        # Runs in the new process before the daemon does, for example to lower its limits.
+        self.before_exec = None
 
     async def prepare(self):
         await self.caller_proxy.start()
@@ -63,7 +65,8 @@
 
     async def start(self):
         with open(os.path.join(self.folder, self.name + ".log"), "ab") as log:
-            self.process = await asyncio.create_subprocess_exec(self.binary, "--relay", "--settings=" + self.settings, stdout=log, stderr=log)
+            self.process = await asyncio.create_subprocess_exec(self.binary, "--relay", "--settings=" + self.settings, stdout=log, stderr=log,
+                                                                preexec_fn=self.before_exec)
         # Cleared only after the new process exists: until then watch_exits() sees the previous process, whose exit was expected.
         self.exit_expected = False
         self.stopping_since = None
