Bound what the clients of each address may take of memory and descriptors

100 callers with unfinished or chunked bodies took 78 to 266 MB of a relay with 64 MB and up to 856 MB of a standalone daemon, and 400 open connections took all descriptors: requests had limits each and no sum.

Each server now has a table of its clients with a share of the memory and the descriptors. Memory is charged as bytes arrive and until the response is sent. If it is short, the requests that are slowest for what they hold are refused with 503 and Retry-After, as not run; if connections are short, the one idle longest is closed. Requests that are being handled are not ended. Refused bodies are drained within 1 MiB and 1 s. The relay releases its charge for a response once it is handed to the caller: one unread response of 2 MB let the next ones fail.

Ruled out: one pool that lends to callers, quotas by client address, charging announced lengths, dropping the largest first; see docs/design/uncontrolled-callers.md.

--- a/Libraries/LibHTTP/include/LibHTTP/Server.h
+++ b/Libraries/LibHTTP/include/LibHTTP/Server.h
@@ -2,6 +2,7 @@
 
 #include "LibCore/Address.h"
 #include "LibCore/Async.h"
+#include "LibHTTP/ClientCapacity.h"
 #include "LibHTTP/Message.h"
 #include "LibHTTP/ResponseWriter.h"
 #include <functional>
@@ -38,6 +39,21 @@
     // Applies to requests that start after the call.
     void setLimits(ServerLimits);
 
+    // Bounds the memory and the number of connections. If memory is short, requests that are being read are refused with 503, and
+    // clients that don't read their responses are closed, the slowest for what they hold first. If connections are short, the one
+    // that has been idle longest is closed, then the one whose request has been read longest. A request that is being handled is
+    // not ended by it.
+    void setCapacity(ClientCapacity);
+
+    // Memory that clients hold, in bytes.
+    size_t clientBytes() const;
+    size_t connections() const;
+    // Requests that were refused since memory was short, responses that were ended since their client didn't read them, and
+    // connections that were closed to make room for others, since construction.
+    uint64_t memoryRefusals() const;
+    uint64_t unreadResponses() const;
+    uint64_t displacedConnections() const;
+
     // Closes each connection after its next response. New connections are still accepted.
     void closeAfterResponses();
 
--- a/Libraries/LibHTTP/src/Server.cpp
+++ b/Libraries/LibHTTP/src/Server.cpp
@@ -1,5 +1,6 @@
 #include "LibHTTP/Server.h"
 
+#include "LibCore/EventLog.h"
 #include "ReadTimeout.h"
 #include "StreamWriter.h"
 #include <boost/asio/as_tuple.hpp>
@@ -12,6 +13,7 @@
 #include <netinet/tcp.h>
 #include <set>
 #include <sys/socket.h>
+#include <vector>
 
 namespace HTTP {
 
@@ -26,6 +28,22 @@
 static constexpr std::chrono::milliseconds requestTransitTime(tcpUserTimeoutMs);
 // Time limit for sending the error response to a request that could not be parsed.
 static constexpr std::chrono::milliseconds errorResponseTimeout(1'000);
+// Bounds for what is discarded of a refused request, so that the client reads the refusal instead of a reset connection.
+static constexpr std::chrono::milliseconds drainTimeout(1'000);
+static constexpr size_t maxDrainedBytes = size_t { 1024 } * 1024;
+// Part of the connections that may be discarding a refused request at once.
+static constexpr size_t drainingDivisor = 16;
+// Bounds what the system keeps of a connection, which the process's memory does not show.
+// Receiving needs a window that takes 4 MB within a request timeout of 3 s on a route of 90 ms.
+static constexpr int receiveBufferBytes = 128 * 1024;
+static constexpr int sendBufferBytes = 64 * 1024;
+// An idle connection keeps a read buffer of at most this size.
+static constexpr size_t maxIdleBufferBytes = 4096;
+// Memory for a header field beside its text: an element of the parser and one of the request.
+static constexpr size_t fieldOverheadBytes = 200;
+static constexpr std::chrono::seconds shortageLogInterval(10);
+
+static constexpr Core::Event clientsDropped { 1751, Core::Severity::Warning, "clients_dropped" };
 
 struct Server::State {
     State(const asio::any_io_executor& executor, Handler handler, ServerLimits limits)
@@ -40,7 +58,13 @@
     tcp::acceptor acceptor;
     Handler handler;
     ServerLimits limits;
+    // Where the server listens.
+    Core::Address address;
+    ClientTable clients;
     std::set<ServerConnection*> connections;
+    // Connections whose refused request is being discarded.
+    size_t drainingConnections { 0 };
+    Core::SteadyClock::time_point shortageLoggedAt {};
     size_t activeRequests { 0 };
     uint64_t idleTimeouts { 0 };
     bool isStopping { false };
@@ -87,23 +111,72 @@
     return response;
 }
 
+static Response memoryShortResponse(const ClientCapacity& capacity)
+{
+    return { 503, { { "Content-Type", "application/json" }, { "Retry-After", capacity.retryAfter } },
+        R"({"error":{"code":"request_memory_short","ran":"not_run","step":"read request","peer":"client","message":"the memory for requests is short"}})" };
+}
+
+// Logs that clients were dropped, at most once in an interval.
+static void logShortage(Server::State& state)
+{
+    Core::SteadyClock::time_point now = Core::SteadyClock::now();
+    if (now - state.shortageLoggedAt < shortageLogInterval)
+        return;
+    state.shortageLoggedAt = now;
+    const ClientTable::Counters& counters = state.clients.counters();
+    Core::logEvent(clientsDropped, "listener=" + state.address.text() + " bytes=" + std::to_string(state.clients.usedBytes()) + " max_bytes=" + std::to_string(state.clients.capacity().maxBytes) + " connections=" + std::to_string(state.clients.connections()) + " max_connections=" + std::to_string(state.clients.capacity().maxConnections) + " memory_refusals=" + std::to_string(counters.memoryRefusals) + " unread_responses=" + std::to_string(counters.unreadResponses) + " closed_connections=" + std::to_string(counters.closedConnections));
+}
+
+// Sends a refusal and discards what the client still sends of its request, within bounds.
+static Core::Task<void> refuse(Server::State& state, ServerConnection& connection, Response response)
+{
+    static constexpr bool isClosing = true;
+    connection.buffer.clear();
+    connection.buffer.shrink_to_fit();
+    StreamWriter writer(connection, 11, false, isClosing);
+    Core::Reason ignored;
+    connection.stream.expires_after(errorResponseTimeout);
+    bool isSent = co_await writer.send(std::move(response), ignored);
+    if (!isSent || state.drainingConnections > state.clients.capacity().maxConnections / drainingDivisor)
+        co_return;
+    ++state.drainingConnections;
+    beast::error_code error;
+    connection.stream.socket().shutdown(tcp::socket::shutdown_send, error);
+    connection.stream.expires_after(drainTimeout);
+    std::vector<char> discarded(maxIdleBufferBytes);
+    for (size_t bytes = 0; !error && bytes < maxDrainedBytes && !state.isClosed;) {
+        auto [readError, size] = co_await connection.stream.async_read_some(asio::buffer(discarded), asTuple);
+        error = readError;
+        bytes += size;
+    }
+    --state.drainingConnections;
+}
+
 // The end of a time limit, 0 ms being unlimited.
 static Core::Deadline deadlineAfter(int64_t limitMs, std::chrono::milliseconds margin = {})
 {
     return limitMs > 0 ? Core::Deadline::after(std::chrono::milliseconds(limitMs) + margin) : Core::Deadline::never();
 }
 
+// The error of a read whose request was dropped.
+static constexpr asio::error::basic_errors memoryShort = asio::error::no_memory;
+
 // Reads the first bytes of a request. Returns false if the connection was closed or the idle timeout expired.
 static Core::Task<bool> waitForRequest(Server::State& state, ServerConnection& connection)
 {
     static constexpr size_t firstReadBytes = 4096;
     if (connection.buffer.size() > 0)
         co_return true;
+    if (connection.buffer.capacity() > maxIdleBufferBytes)
+        connection.buffer.shrink_to_fit();
     ReadTimeout timeout(connection.stream);
     timeout.setDeadline(deadlineAfter(state.limits.idleTimeoutMs, requestTransitTime).at());
     for (;;) {
         auto [error, size] = co_await connection.stream.async_read_some(connection.buffer.prepare(firstReadBytes), asTuple);
         connection.buffer.commit(size);
+        if (connection.client.isDropped())
+            co_return false;
         if (!error)
             co_return true;
         // If the process did not run for a while, the timeout has expired although a request has arrived in time.
@@ -116,6 +189,21 @@
     co_return false;
 }
 
+// Memory for the request that is being read. The memory that a body of known length reserves is in use only once it has arrived.
+static size_t requestBytes(const ServerConnection& connection, const http::request_parser<http::string_body>& parser, size_t fieldBytes)
+{
+    const std::string& body = parser.get().body();
+    return connection.buffer.capacity() + (parser.is_header_done() && parser.chunked() ? body.capacity() : body.size()) + fieldBytes;
+}
+
+static size_t fieldBytesOf(const http::request<http::string_body>& message)
+{
+    size_t bytes = 0;
+    for (const http::fields::value_type& field : message)
+        bytes += fieldOverheadBytes + 2 * (field.name_string().size() + field.value().size());
+    return bytes;
+}
+
 // Reads the request whose first bytes have been received. Data that has arrived by the deadline is read also after it.
 static Core::Task<beast::error_code> readRequest(ServerConnection& connection, http::request_parser<http::string_body>& parser, Core::Deadline deadline)
 {
@@ -123,10 +211,16 @@
     timeout.setDeadline(deadline.at());
     // What had arrived when the timeout expired and has not been read. It limits a client that sends without pause.
     std::optional<size_t> lateBytes;
+    size_t fieldBytes = 0;
     for (;;) {
         size_t bufferedBytes = connection.buffer.size();
         auto [error, parsedBytes] = co_await http::async_read_some(connection.stream, connection.buffer, parser, asTuple);
         bool isInterrupted = error == asio::error::operation_aborted && timeout.hasExpired();
+        if (parser.is_header_done() && fieldBytes == 0)
+            fieldBytes = fieldBytesOf(parser.get());
+        bool isHeld = connection.client.holdRequest(requestBytes(connection, parser, fieldBytes), Core::SteadyClock::now());
+        if (!isHeld)
+            co_return memoryShort;
         if (error && !isInterrupted)
             co_return error;
         if (parser.is_done())
@@ -141,18 +235,18 @@
     }
 }
 
-// Sends an error response to a request that could not be parsed. Connection errors and timeouts get no response.
-static Core::Task<void> sendParseError(ServerConnection& connection, const beast::error_code& error)
+// Refuses a request that was not read. Connection errors and timeouts get no response.
+static Core::Task<void> refuseUnread(Server::State& state, ServerConnection& connection, beast::error_code error)
 {
+    if (connection.client.isDropped()) {
+        logShortage(state);
+        co_await refuse(state, connection, memoryShortResponse(state.clients.capacity()));
+        co_return;
+    }
     bool isParseError = error.category() == beast::error_code(http::error::bad_method).category()
         && error != http::error::end_of_stream && error != http::error::partial_message;
-    if (!isParseError)
-        co_return;
-    static constexpr bool isClosing = true;
-    StreamWriter writer(connection, 11, false, isClosing);
-    Core::Reason ignored;
-    connection.stream.expires_after(errorResponseTimeout);
-    co_await writer.send(parseErrorResponse(error), ignored);
+    if (isParseError)
+        co_await refuse(state, connection, parseErrorResponse(error));
 }
 
 // Returns false for a transfer coding other than chunked. The parser treats such a request as one without a body, so its
@@ -168,25 +262,32 @@
 {
     ServerConnection& connection = *connectionPointer;
     connection.isBusy = false;
+    connection.client.holdRequest(0, {});
+    connection.client.setPhase(ClientTable::Phase::Idle, Core::SteadyClock::now());
     if (!co_await waitForRequest(state, connection))
         co_return false;
-    http::request_parser<http::string_body> parser;
-    parser.body_limit(state.limits.maxBodyBytes);
-    parser.header_limit(static_cast<std::uint32_t>(state.limits.maxHeaderBytes));
+    std::optional<http::request_parser<http::string_body>> parser(std::in_place);
+    parser->body_limit(state.limits.maxBodyBytes);
+    parser->header_limit(static_cast<std::uint32_t>(state.limits.maxHeaderBytes));
     connection.isBusy = true;
-    beast::error_code error = co_await readRequest(connection, parser, deadlineAfter(state.limits.requestTimeoutMs));
-    if (!error && !hasSupportedTransferCoding(parser.get()))
+    connection.client.setPhase(ClientTable::Phase::Reading, Core::SteadyClock::now());
+    beast::error_code error = co_await readRequest(connection, *parser, deadlineAfter(state.limits.requestTimeoutMs));
+    if (!error && !hasSupportedTransferCoding(parser->get()))
         error = http::error::bad_transfer_encoding;
     if (error) {
-        co_await sendParseError(connection, error);
+        parser.reset();
+        co_await refuseUnread(state, connection, error);
         co_return false;
     }
-    StreamWriter writer(connection, parser.get().version(), parser.get().keep_alive(), state.isClosing);
+    connection.client.setPhase(ClientTable::Phase::Handling, Core::SteadyClock::now());
+    StreamWriter writer(connection, parser->get().version(), parser->get().keep_alive(), state.isClosing);
+    Request request = toRequest(parser->get());
+    parser.reset();
     ++state.activeRequests;
     detectDisconnect(connectionPointer);
     bool hasThrown = false;
     try {
-        co_await state.handler(toRequest(parser.get()), writer);
+        co_await state.handler(std::move(request), writer);
     } catch (const std::exception&) {
         hasThrown = true;
     }
@@ -199,6 +300,8 @@
         co_await writer.send(std::move(response), ignored);
     }
     --state.activeRequests;
+    if (connection.client.isDropped())
+        logShortage(state);
     connection.isBusy = false;
     co_return writer.isConnectionReusable() && (!state.isClosing || connection.hasNextRequest());
 }
@@ -210,11 +313,23 @@
     beast::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &tcpUserTimeoutMs, sizeof(tcpUserTimeoutMs));
-    std::shared_ptr<ServerConnection> connection = std::make_shared<ServerConnection>(std::move(socket));
+    uint64_t closedBefore = state->clients.counters().closedConnections;
+    bool isAdmitted = state->clients.admit();
+    if (state->clients.counters().closedConnections != closedBefore)
+        logShortage(*state);
+    if (!isAdmitted)
+        co_return;
+    // Released before the state, to which it belongs.
+    std::shared_ptr<ServerConnection> connection(new ServerConnection(std::move(socket), state->clients), [state](ServerConnection* ended) { delete ended; });
     state->connections.insert(connection.get());
     bool keepsAlive = true;
-    while (keepsAlive)
-        keepsAlive = co_await serveRequest(*state, connection);
+    try {
+        while (keepsAlive)
+            keepsAlive = co_await serveRequest(*state, connection);
+    } catch (const std::exception&) {
+        // A request for which there is no memory ends its connection.
+        connection->close();
+    }
     state->connections.erase(connection.get());
     connection->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     connection->close();
@@ -269,14 +384,19 @@
         m_state->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
     if (!error)
         m_state->acceptor.bind(endpoint, error);
+    // Accepted connections inherit the sizes.
+    beast::error_code ignored;
+    m_state->acceptor.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes), ignored);
+    m_state->acceptor.set_option(asio::socket_base::send_buffer_size(sendBufferBytes), ignored);
     if (!error)
         m_state->acceptor.listen(asio::socket_base::max_listen_connections, error);
     if (error) {
         reason = { Core::FailureKind::Unavailable, "listen", address.text(), error.message() };
         return std::nullopt;
     }
+    m_state->address = { address.ip, m_state->acceptor.local_endpoint().port() };
     Core::spawn(m_state->executor, "accept", acceptConnections(m_state));
-    return Core::Address { address.ip, m_state->acceptor.local_endpoint().port() };
+    return m_state->address;
 }
 
 void Server::stopAccepting()
@@ -299,6 +419,36 @@
     m_state->limits = limits;
 }
 
+void Server::setCapacity(ClientCapacity capacity)
+{
+    m_state->clients.setCapacity(std::move(capacity));
+}
+
+size_t Server::clientBytes() const
+{
+    return m_state->clients.usedBytes();
+}
+
+size_t Server::connections() const
+{
+    return m_state->clients.connections();
+}
+
+uint64_t Server::memoryRefusals() const
+{
+    return m_state->clients.counters().memoryRefusals;
+}
+
+uint64_t Server::unreadResponses() const
+{
+    return m_state->clients.counters().unreadResponses;
+}
+
+uint64_t Server::displacedConnections() const
+{
+    return m_state->clients.counters().closedConnections;
+}
+
 void Server::closeAfterResponses()
 {
     m_state->isClosing = true;
--- a/Libraries/LibHTTP/src/ServerConnection.h
+++ b/Libraries/LibHTTP/src/ServerConnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ClientTable.h"
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <functional>
@@ -8,15 +9,17 @@
 namespace HTTP {
 
 // Bounds what is buffered of a chunk header or a trailer. Heads and bodies have limits of their own.
-inline constexpr size_t maxRequestBufferBytes = 1024 * 1024;
+inline constexpr size_t maxRequestBufferBytes = size_t { 128 } * 1024;
 
 // A client's connection to the server.
 struct ServerConnection {
-    explicit ServerConnection(boost::asio::ip::tcp::socket socket)
+    ServerConnection(boost::asio::ip::tcp::socket socket, ClientTable& clients)
         : stream(std::move(socket))
+        , client(clients, { [this](ClientTable::Drop how) { drop(how); }, [this] { return !hasNextRequest(); } }, Core::SteadyClock::now())
     {
     }
     boost::beast::tcp_stream stream;
+    ClientTable::Client client;
     boost::beast::flat_buffer buffer { maxRequestBufferBytes };
     bool isBusy { false };
     // Set while a request is handled; see ResponseWriter::onClientDisconnect.
@@ -24,6 +27,15 @@
     // Incremented for each wait, so that the wait of a previous request on the connection is ignored.
     uint64_t disconnectWaits { 0 };
 
+    // Ends the read or write in progress. The connection's task does the rest.
+    void drop(ClientTable::Drop how)
+    {
+        if (how == ClientTable::Drop::Close)
+            close();
+        else
+            stream.cancel();
+    }
+
     void close()
     {
         boost::beast::error_code ignored;
--- a/Libraries/LibHTTP/src/StreamWriter.h
+++ b/Libraries/LibHTTP/src/StreamWriter.h
@@ -2,6 +2,7 @@
 
 #include "LibHTTP/ResponseWriter.h"
 #include "ServerConnection.h"
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -21,6 +22,9 @@
 // Time limit for sending a response that starts after the time of abortAt.
 inline constexpr std::chrono::milliseconds lateResponseTimeout(1'000);
 
+// Smaller chunks of a response are not charged to the memory of the clients.
+inline constexpr size_t minHeldChunkBytes = 4096;
+
 // Writes the response to one request to its connection.
 class StreamWriter final : public ResponseWriter {
 public:
@@ -42,8 +46,18 @@
         message.keep_alive(m_keepAlive);
         message.body() = std::move(response.body);
         message.prepare_payload();
-        auto [error, size] = co_await http::async_write(m_connection.stream, message, asTuple);
+        http::response_serializer<http::string_body> serializer(message);
+        beast::error_code error;
+        if (!holdsResponse(message.body().capacity()))
+            error = asio::error::no_memory;
+        while (!error && !serializer.is_done()) {
+            auto [writeError, size] = co_await http::async_write_some(m_connection.stream, serializer, asTuple);
+            error = writeError;
+            if (!serializer.is_done())
+                m_connection.client.recordSent(size, Core::SteadyClock::now());
+        }
         m_isComplete = !error;
+        m_connection.client.holdResponse(0, Core::SteadyClock::now());
         co_return checkWrite(error, reason);
     }
 
@@ -62,8 +76,13 @@
 
     Core::Task<bool> writeChunk(std::string_view bytes, Core::Reason& reason) override
     {
+        bool isHeld = bytes.size() >= minHeldChunkBytes;
+        if (isHeld && !holdsResponse(bytes.size()))
+            co_return checkWrite(asio::error::no_memory, reason);
         auto [error, size] = co_await asio::async_write(
             m_connection.stream, http::make_chunk(asio::const_buffer(bytes.data(), bytes.size())), asTuple);
+        if (isHeld)
+            m_connection.client.holdResponse(0, Core::SteadyClock::now());
         co_return checkWrite(error, reason);
     }
 
@@ -107,6 +126,12 @@
             abortAt(Core::Deadline::after(lateResponseTimeout));
     }
 
+    // Charges the response to the memory of the clients. The refusal of a dropped request is small and is not charged.
+    bool holdsResponse(size_t bytes)
+    {
+        return m_connection.client.isDropped() || m_connection.client.holdResponse(bytes, Core::SteadyClock::now());
+    }
+
     template <typename Message>
     static void addHeaders(Message& message, const Headers& headers)
     {
--- a/Services/jujuberelayd/src/Daemon.cpp
+++ b/Services/jujuberelayd/src/Daemon.cpp
@@ -1,7 +1,9 @@
 #include "Daemon.h"
 
+#include "ClientMetrics.h"
 #include "LibCore/EventLog.h"
 #include "LibMembership/Registry.h"
+#include "ProcessLimits.h"
 
 using Core::SteadyClock;
 
@@ -85,6 +87,10 @@
     , m_callerServer(executor, [this](HTTP::Request request, HTTP::ResponseWriter& writer) { return m_callerApi.handle(std::move(request), writer); })
     , m_operatorServer(executor, [this](HTTP::Request request, HTTP::ResponseWriter& writer) { return handleOperator(std::move(request), writer); })
 {
+    m_callerServer.setCapacity(ProcessLimits::callerCapacity(m_settings.memoryMb, m_settings.descriptorLimit));
+    m_operatorServer.setCapacity(ProcessLimits::operatorCapacity(m_settings.memoryMb, m_settings.descriptorLimit));
+    registerClientMetrics(m_metrics.registry(), "callers", m_callerServer);
+    registerClientMetrics(m_metrics.registry(), "operators", m_operatorServer);
     registerMetrics();
 }
 
--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -1,5 +1,6 @@
 #include "RelayDaemon.h"
 
+#include "ClientMetrics.h"
 #include "PlatformAdapter/Adapter.h"
 #include "RelayEvents.h"
 
@@ -104,6 +105,12 @@
     , m_readinessServer(executor, [this](HTTP::Request request, HTTP::ResponseWriter& writer) { return handleReadiness(std::move(request), writer); })
     , m_metricsServer(executor, [this](HTTP::Request request, HTTP::ResponseWriter& writer) { return handleMetrics(std::move(request), writer); })
 {
+    m_callerServer.setCapacity(m_settings.callerCapacity());
+    m_readinessServer.setCapacity(m_settings.statusCapacity());
+    m_metricsServer.setCapacity(m_settings.statusCapacity());
+    registerClientMetrics(m_metrics, "callers", m_callerServer);
+    registerClientMetrics(m_metrics, "readiness", m_readinessServer);
+    registerClientMetrics(m_metrics, "metrics", m_metricsServer);
     m_metrics.observe("jujuberelay_relay_configuration_age_seconds", "Time since the store last confirmed the configuration.",
         [this] { return static_cast<double>(configurationAgeMs()) / 1'000; });
     m_metrics.observe("jujuberelay_relay_response_bytes", "Memory in use for what has been received of responses; see memory_mb.",
--- a/Services/jujuberelayd/src/RelaySettings.cpp
+++ b/Services/jujuberelayd/src/RelaySettings.cpp
@@ -1,30 +1,32 @@
 #include "RelaySettings.h"
 
 #include "LibCore/Try.h"
+#include "ProcessLimits.h"
 #include "SettingsReader.h"
-#include <algorithm>
-#include <unistd.h>
 
 using namespace SettingsReader;
 
-static constexpr size_t bytesPerMb = 1'000'000;
 // The part of the memory that responses may take up. The rest is for the configuration, connections, requests and what allocations
 // leave unused.
 static constexpr size_t responseMemoryDivisor = 5;
-// Without a setting, a host is taken to have no more than this for the daemon.
-static constexpr size_t maxDefaultMemoryBytes = 320 * bytesPerMb;
+// A retry reaches another daemon, so callers need not wait for long.
+static constexpr const char* callerRetryAfterSeconds = "0.25";
 
-static size_t hostMemoryBytes()
+size_t RelaySettings::responseBytes() const
 {
-    long pages = ::sysconf(_SC_PHYS_PAGES);
-    long pageBytes = ::sysconf(_SC_PAGESIZE);
-    return pages > 0 && pageBytes > 0 ? static_cast<size_t>(pages) * static_cast<size_t>(pageBytes) : maxDefaultMemoryBytes;
+    return ProcessLimits::memoryBytes(memoryMb) / responseMemoryDivisor;
 }
 
-size_t RelaySettings::responseBytes() const
+HTTP::ClientCapacity RelaySettings::callerCapacity() const
+{
+    HTTP::ClientCapacity capacity = ProcessLimits::callerCapacity(memoryMb, descriptorLimit);
+    capacity.retryAfter = callerRetryAfterSeconds;
+    return capacity;
+}
+
+HTTP::ClientCapacity RelaySettings::statusCapacity() const
 {
-    size_t memoryBytes = memoryMb > 0 ? static_cast<size_t>(memoryMb) * bytesPerMb : std::min(hostMemoryBytes(), maxDefaultMemoryBytes);
-    return memoryBytes / responseMemoryDivisor;
+    return ProcessLimits::statusCapacity(memoryMb, descriptorLimit);
 }
 
 static Fields fieldsOf(RelaySettings& settings)
@@ -34,7 +36,6 @@
     static constexpr double maxRetries = 1e12;
     static constexpr double maxCores = 1e12;
     static constexpr double maxLinkMbps = 1e12;
-    static constexpr int64_t maxMemoryMb = 1'000'000'000;
     Fields fields;
     fields["host"] = { Presence::Required, stringReader(settings.host) };
     fields["failure_domain"] = { Presence::Required, stringReader(settings.failureDomain) };
@@ -51,7 +52,8 @@
     fields["retry_extra"] = { Presence::Optional, doubleReader(settings.retryExtra, 0, maxRetries) };
     fields["processor_share"] = { Presence::Optional, doubleReader(settings.processorShare, 0, maxCores) };
     fields["link_mbps"] = { Presence::Optional, doubleReader(settings.linkMbps, 0, maxLinkMbps) };
-    fields["memory_mb"] = { Presence::Optional, integerReader(settings.memoryMb, 0, maxMemoryMb) };
+    fields["memory_mb"] = { Presence::Optional, limitReader(settings.memoryMb) };
+    fields["descriptor_limit"] = { Presence::Optional, limitReader(settings.descriptorLimit) };
     fields["log_level"] = { Presence::Optional, choiceReader(settings.logLevel, { "debug", "info", "warning", "error" }) };
     return fields;
 }
--- a/Services/jujuberelayd/src/RelaySettings.h
+++ b/Services/jujuberelayd/src/RelaySettings.h
@@ -2,6 +2,7 @@
 
 #include "LibCore/Address.h"
 #include "LibCore/Reason.h"
+#include "LibHTTP/ClientCapacity.h"
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -35,7 +36,9 @@
     double processorShare { 1 };
     double linkMbps { 1'000 };
     // Memory that the daemon may use in MB; 0: that of the host.
-    int64_t memoryMb { 0 };
+    double memoryMb { 0 };
+    // File descriptors that the daemon may use; 0: the limit of the process.
+    double descriptorLimit { 0 };
     // One of debug, info, warning, error.
     std::string logLevel { "info" };
 
@@ -43,6 +46,9 @@
 
     // Memory for what has been received of responses.
     size_t responseBytes() const;
+    // What the callers, and the clients of the balancer's address and of that of metrics, may take.
+    HTTP::ClientCapacity callerCapacity() const;
+    HTTP::ClientCapacity statusCapacity() const;
     std::chrono::milliseconds stopLimit() const { return std::chrono::milliseconds(static_cast<int64_t>(stopLimitSeconds * 1'000)); }
 };
 
--- a/Services/jujuberelayd/src/Settings.cpp
+++ b/Services/jujuberelayd/src/Settings.cpp
@@ -30,6 +30,8 @@
     fields["drain_limit_ms"] = { Presence::Optional, integerReader(settings.drainLimitMs, 0, dayMs) };
     fields["readiness_delay_ms"] = { Presence::Optional, integerReader(settings.readinessDelayMs, 0, dayMs) };
     fields["watchers_per_failure_domain"] = { Presence::Optional, integerReader(settings.watchersPerFailureDomain, 1, 1000) };
+    fields["memory_mb"] = { Presence::Optional, limitReader(settings.memoryMb) };
+    fields["descriptor_limit"] = { Presence::Optional, limitReader(settings.descriptorLimit) };
     fields["fault_switches"] = { Presence::Optional, boolReader(settings.faultSwitches) };
     fields["log_level"] = { Presence::Optional, choiceReader(settings.logLevel, { "debug", "info", "warning", "error" }) };
     fields["trace_file"] = { Presence::Optional, stringReader(settings.traceFile) };
--- a/Services/jujuberelayd/src/Settings.h
+++ b/Services/jujuberelayd/src/Settings.h
@@ -39,6 +39,11 @@
     // Number of daemons per failure domain that hold a watch on the platform.
     int64_t watchersPerFailureDomain { 2 };
 
+    // Memory that the daemon may use in MB; 0: that of the host.
+    double memoryMb { 0 };
+    // File descriptors that the daemon may use; 0: the limit of the process.
+    double descriptorLimit { 0 };
+
     // Allows operators to block links between daemons in partition tests.
     bool faultSwitches { false };
     // One of debug, info, warning, error.
--- a/Services/jujuberelayd/src/SettingsReader.cpp
+++ b/Services/jujuberelayd/src/SettingsReader.cpp
@@ -1,7 +1,9 @@
 #include "SettingsReader.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <fstream>
+#include <limits>
 #include <set>
 #include <sstream>
 #include <yaml-cpp/yaml.h>
@@ -79,6 +81,18 @@
     };
 }
 
+Reader limitReader(double& target)
+{
+    return [&target](const YAML::Node& node) -> std::optional<std::string> {
+        char* end = nullptr;
+        double value = node.IsScalar() ? std::strtod(node.Scalar().c_str(), &end) : 0;
+        if (!node.IsScalar() || node.Scalar().empty() || *end != '\0' || !(value >= 0))
+            return "a number of at least 0";
+        target = std::min(value, std::numeric_limits<double>::max());
+        return std::nullopt;
+    };
+}
+
 Reader boolReader(bool& target)
 {
     return [&target](const YAML::Node& node) -> std::optional<std::string> {
--- a/Services/jujuberelayd/src/SettingsReader.h
+++ b/Services/jujuberelayd/src/SettingsReader.h
@@ -37,6 +37,8 @@
 Reader integerReader(int64_t&, int64_t minimum, int64_t maximum);
 Reader integerReader(uint32_t&, int64_t minimum, int64_t maximum);
 Reader doubleReader(double&, double minimum, double maximum);
+// A limit of at least 0. A number that is larger than the type is read as its maximum.
+Reader limitReader(double&);
 Reader boolReader(bool&);
 Reader hexDigestReader(std::string&);
 Reader choiceReader(std::string&, std::vector<std::string> choices);
--- a/Services/jujuberelayd/src/main.cpp
+++ b/Services/jujuberelayd/src/main.cpp
@@ -2,6 +2,7 @@
 #include "ExitCode.h"
 #include "LibCore/EventLog.h"
 #include "LibTelemetry/Exporters.h"
+#include "ProcessLimits.h"
 #include "RelayMain.h"
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -66,6 +67,7 @@
     gflags::SetUsageMessage("Daemon of jujuberelay, one for each entry host.\n\nusage: jujuberelayd --settings=FILE [--check]\n\n"
                             "exit codes: 0 graceful shutdown, 1 shutdown interrupted work in progress, 2 invalid settings, 4 start failed");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
+    ProcessLimits::limitAllocator();
     if (FLAGS_relay)
         return runRelay(FLAGS_settings, FLAGS_check);
     Core::Reason reason;
--- a/Tests/LibDaemon/TestRelaySettings.cpp
+++ b/Tests/LibDaemon/TestRelaySettings.cpp
@@ -1,4 +1,5 @@
 #include "Mutation.h"
+#include "ProcessLimits.h"
 #include "RelaySettings.h"
 
 #include <criterion/criterion.h>
@@ -130,3 +131,30 @@
     cr_assert(settings, "%s", reason.text().c_str());
     cr_assert_eq(settings->stopLimit(), std::chrono::milliseconds(8'500));
 }
+
+// Guards against limits that clients within the documented ones reach on the smallest host: bodies of 4 MiB, 1,000 callers at once.
+Test(RelaySettings, capacityOfTheSmallestHost)
+{
+    Core::Reason reason;
+    std::optional<RelaySettings> settings = parseRelaySettings(std::string(valid) + "memory_mb: 160.5\ndescriptor_limit: 4100.0\n", "s.yaml", reason);
+    cr_assert(settings, "%s", reason.text().c_str());
+    HTTP::ClientCapacity callers = settings->callerCapacity();
+    cr_assert_geq(callers.maxBytes, 50'000'000);
+    size_t descriptors = ProcessLimits::descriptors(4'100);
+    cr_assert_geq(callers.maxConnections, descriptors / 2);
+    cr_assert_leq(callers.maxConnections + 2 * settings->statusCapacity().maxConnections, descriptors * 3 / 4);
+}
+
+// Guards against numbers of the platform that leave a daemon without room for a single request.
+Test(RelaySettings, anyNumberLeavesRoomForARequest)
+{
+    for (const char* number : { "", "0", "0.25", "1", "99999999999", "1e300", "1e999" }) {
+        Core::Reason reason;
+        std::string text = std::string(valid) + "memory_mb: " + number + "\ndescriptor_limit: " + number + "\n";
+        std::optional<RelaySettings> settings = parseRelaySettings(text, "s.yaml", reason);
+        cr_assert(settings, "%s", reason.text().c_str());
+        cr_assert_geq(settings->callerCapacity().maxBytes, size_t { 8 } << 20, "%s", number);
+        cr_assert_geq(settings->callerCapacity().maxConnections, 4, "%s", number);
+        cr_assert_geq(settings->statusCapacity().maxConnections, 4, "%s", number);
+    }
+}
--- a/Tests/Sessions/test_uncontrolled_callers.py
+++ b/Tests/Sessions/test_uncontrolled_callers.py
@@ -35,7 +35,7 @@
 READ_LIMIT_S = 15
 # Only a daemon that hangs reaches it.
 WATCHDOG_S = 60
-SETTINGS = {}
+SETTINGS = {"memory_mb": MEMORY_MB}
 
 
 class UncontrolledCallers(unittest.TestCase):
--- a/Tests/Soak/test_uncontrolled_callers.py
+++ b/Tests/Soak/test_uncontrolled_callers.py
@@ -46,10 +46,11 @@
 
 
 class LargeAnswers:
-    """A registered server that answers each request with a large body."""
+    """A registered server that answers each request with a large body, or never."""
 
-    def __init__(self, name, service, store):
+    def __init__(self, name, service, store, answers=True):
         self.name = name
+        self.answers = answers
         self.service = service
         self.store = store
         self.server = None
@@ -64,6 +65,9 @@
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                while not self.answers:
+                    if not await reader.read(65536):
+                        return
                 attempt = next((line.partition(":")[2].strip() for line in head.split("\r\n") if line.lower().startswith("x-attempt-id:")), "")
                 writer.write(("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s-%s\r\nContent-Length: %d\r\n\r\n" % (
                     wire.ATTEMPT_ID, attempt, wire.SEAL, attempt, LARGE_ANSWER_BYTES)).encode() + b"a" * LARGE_ANSWER_BYTES)
@@ -193,6 +197,13 @@
     async def test_whole_bodies(self):
         await self.play(lambda crowd: [b"".join(crowd.announced(BODY_BYTES, BODY_BYTES - 1))])
 
+    # The same for complete bodies, whose requests wait for their endpoint.
+    async def test_complete_bodies(self):
+        await self.start(LargeAnswers("desk", "desk", self.store, answers=False))
+        crowd = self.crowd()
+        await crowd.start([crowd.announced(BODY_BYTES, BODY_BYTES) for _ in range(CALLERS)])
+        await self.check()
+
     # The same for bodies that arrive piece by piece.
     async def test_bodies_in_pieces(self):
         await self.play(lambda crowd: crowd.announced(BODY_BYTES, BODY_BYTES - 1, 4096))
