--- a/Tests/Sessions/test_uncontrolled_callers.py
+++ b/Tests/Sessions/test_uncontrolled_callers.py
@@ -31,6 +31,7 @@
 HEAD_BYTES = 16_384
 # The limit of the daemon for a body.
 MAX_BODY_BYTES = 8 << 20
+WAVES = 3
 # Time for the daemon to read what was sent; not a bound.
 READ_LIMIT_S = 15
 # Only a daemon that hangs reaches it.
@@ -118,6 +119,14 @@
     def test_large_chunks(self):
         self.play(lambda crowd: crowd.chunked(BODY_BYTES, 65536))
 
+    # The same for chunks of one byte, whose framing is larger than the body.
+    def test_one_byte_chunks(self):
+        self.play(lambda crowd: crowd.chunked(BODY_BYTES, 1))
+
+    # The same for trailers after a body.
+    def test_trailers(self):
+        self.play(lambda crowd: crowd.trailer(BODY_BYTES, BODY_BYTES))
+
     # The same for buffers of chunk extensions, which the limit of the body does not cover.
     def test_chunk_extensions(self):
         self.play(lambda crowd: crowd.extension(BODY_BYTES - 10))
@@ -133,6 +142,16 @@
     def test_connections_to_the_operators_address(self):
         self.play(lambda crowd: crowd.unfinished_head(HEAD_BYTES), CONNECTIONS, self.fleet.operator(1))
 
+    # All kinds at once at both addresses, in waves whose connections stay open.
+    def test_mixed_waves(self):
+        for _ in range(WAVES):
+            for crowd in (self.crowd(), self.crowd(self.fleet.operator(1))):
+                asyncio.run(crowd.start([request for _ in range(CALLERS // 8) for request in (
+                    crowd.announced(100 * MAX_BODY_BYTES, MAX_BODY_BYTES), crowd.announced(BODY_BYTES, BODY_BYTES - 1), crowd.announced(BODY_BYTES, BODY_BYTES - 1, 4096),
+                    crowd.chunked(BODY_BYTES, 65536), crowd.chunked(BODY_BYTES // 4, 1), crowd.extension(BODY_BYTES - 10), crowd.unfinished_head(HEAD_BYTES),
+                    crowd.after_answer(BODY_BYTES))]))
+        self.check()
+
 
 if __name__ == "__main__":
     unittest.main()
