--- a/Services/jujuberelayd/src/RelaySettings.cpp
+++ b/Services/jujuberelayd/src/RelaySettings.cpp
@@ -54,6 +54,7 @@
     fields["link_mbps"] = { Presence::Optional, doubleReader(settings.linkMbps, 0, maxLinkMbps) };
     fields["memory_mb"] = { Presence::Optional, limitReader(settings.memoryMb) };
     fields["descriptor_limit"] = { Presence::Optional, limitReader(settings.descriptorLimit) };
+    fields["features"] = { Presence::Optional, stringListReader(settings.features) };
     fields["log_level"] = { Presence::Optional, choiceReader(settings.logLevel, { "debug", "info", "warning", "error" }) };
     return fields;
 }
--- a/Services/jujuberelayd/src/RelaySettings.h
+++ b/Services/jujuberelayd/src/RelaySettings.h
@@ -39,6 +39,8 @@
     double memoryMb { 0 };
     // File descriptors that the daemon may use; 0: the limit of the process.
     double descriptorLimit { 0 };
+    // Names of the platform's rules in force; they switch on optional behaviour.
+    std::vector<std::string> features;
     // One of debug, info, warning, error.
     std::string logLevel { "info" };
 
