HTTP: free memory only where it suffices, and never at the cost of responses that are read

A large request could drop others, small ones and responses of requests that had run, without finding room in the end. A chunk could end its own stream, and a 429 or 503 was not sent when responses filled the memory. A client counted as stalled after 1 s, though a lost packet may take longer; the system's send queue now shows what it has read. Requests that arrive while their idle connection is closed for another one are answered, and one that is being read gets a 503. A field of 64 KiB and more threw in the parser and out of the event loop. Heads may be as long as configured, and the sockets' buffers are 256 KiB for links of 200 Mbit/s with 10 ms delay.

--- a/Libraries/LibHTTP/src/ClientTable.h
+++ b/Libraries/LibHTTP/src/ClientTable.h
@@ -8,7 +8,7 @@
 
 namespace HTTP {
 
-// Bounds the memory and the number of a server's connections. If memory is short, the connections that are slowest for what they hold
+// Bounds the memory and the number of a server's connections. If memory is short, the connections that are slowest for what they reserve
 // are dropped; if connections are short, the one that has been idle longest. Requests that are being handled are never dropped.
 class ClientTable {
 public:
@@ -24,7 +24,9 @@
     // What is done with a dropped connection.
     enum class Drop {
         Refuse,
-        // The connection is needed for another client, so that nothing more is read from it.
+        // The connection is needed for another client. A request that has arrived meanwhile is refused.
+        Replace,
+        // The client does not read its response.
         Close,
     };
 
@@ -38,6 +40,8 @@
         std::function<void(Drop)> drop;
         // Whether an idle connection has received nothing yet of its next request.
         std::function<bool()> isIdle;
+        // Bytes of the response that the client's system has not acknowledged. Optional.
+        std::function<size_t()> unsentBytes {};
     };
 
     // One connection, until its destruction.
@@ -50,17 +54,24 @@
 
         void setPhase(Phase, TimePoint now);
         // Sets the memory for the request. Returns false if this connection has to be dropped, which is then not charged any more.
-        bool holdRequest(size_t bytes, TimePoint now);
-        // Sets the memory for a response. Returns false as holdRequest does.
-        bool holdResponse(size_t bytes, TimePoint now);
+        bool reserveRequest(size_t bytes, TimePoint now);
+        // Sets the memory for a whole response. Returns false as reserveRequest does.
+        bool reserveResponse(size_t bytes, TimePoint now);
+        // Sets the memory for a part of a streamed response. It may exceed the limit, since the stream is not dropped for it.
+        void reserveChunk(size_t bytes, TimePoint now);
         // Records that the client takes bytes of its response.
-        void recordSent(size_t bytes, TimePoint now) { moved(bytes, now); }
+        void recordSent(size_t bytes, TimePoint now);
         bool isDropped() const { return m_isDropped; }
 
     private:
         friend class ClientTable;
-        size_t heldBytes() const { return m_requestBytes + m_responseBytes; }
-        void moved(size_t bytes, TimePoint now);
+        size_t reservedBytes() const { return m_requestBytes + m_responseBytes; }
+        void recordTransfer(size_t bytes, TimePoint now);
+        void setResponseBytes(size_t bytes, TimePoint now);
+        // Whether the client has read nothing of its response for the stall time.
+        bool isResponseStalled(TimePoint now);
+        // Time in seconds in which the connection would transfer what it reserves.
+        double transferSeconds(TimePoint now) const;
 
         ClientTable& m_table;
         Hooks m_hooks;
@@ -70,9 +81,11 @@
         size_t m_responseBytes { 0 };
         bool m_isDropped { false };
         // Bytes received or sent since the start of the window in which the speed is measured.
-        size_t m_movedBytes { 0 };
+        size_t m_transferredBytes { 0 };
         TimePoint m_windowStart;
-        TimePoint m_movedAt;
+        TimePoint m_transferredAt;
+        // See Hooks::unsentBytes, at m_transferredAt.
+        size_t m_unsentBytes { 0 };
     };
 
     void setCapacity(ClientCapacity capacity) { m_capacity = std::move(capacity); }
@@ -85,15 +98,17 @@
     bool admit();
 
 private:
+    static constexpr size_t smallRequestBytes = size_t { 24 } * 1024;
     // Large requests leave room for small ones, and both leave room for responses.
-    size_t maxReadingBytes(size_t heldBytes) const
+    size_t maxReadingBytes(size_t reservedBytes) const
     {
-        static constexpr size_t smallRequestBytes = size_t { 24 } * 1024;
-        return heldBytes <= smallRequestBytes ? m_capacity.maxBytes / 8 * 7 : m_capacity.maxBytes / 4 * 3;
+        return reservedBytes <= smallRequestBytes ? m_capacity.maxBytes / 8 * 7 : m_capacity.maxBytes / 4 * 3;
     }
     std::list<Client*>& listOf(Phase);
-    // Drops connections until the memory in use is within the limit. Returns false if the client itself was dropped.
-    bool makeRoom(Client&, size_t limit, TimePoint now);
+    // Drops other connections until the memory in use is within the limit. Drops none and returns false if that is not possible, or if
+    // the request of the client is slower than those that would have to be dropped.
+    bool freeMemory(Client&, size_t limit, TimePoint now);
+    void dropForMemory(Client&);
     void drop(Client&, Drop);
 
     ClientCapacity m_capacity;
--- a/Libraries/LibHTTP/src/Server.cpp
+++ b/Libraries/LibHTTP/src/Server.cpp
@@ -12,6 +12,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <set>
+#include <stdexcept>
 #include <sys/socket.h>
 #include <vector>
 
@@ -34,9 +35,9 @@
 // Part of the connections that may be discarding a refused request at once.
 static constexpr size_t drainingDivisor = 16;
 // Bounds what the system keeps of a connection, which the process's memory does not show.
-// Receiving needs a window that takes 4 MB within a request timeout of 3 s on a route of 90 ms.
-static constexpr int receiveBufferBytes = 128 * 1024;
-static constexpr int sendBufferBytes = 64 * 1024;
+// A link of 200 Mbit/s with a delay of 10 ms carries 250 KB.
+static constexpr int receiveBufferBytes = 256 * 1024;
+static constexpr int sendBufferBytes = 256 * 1024;
 // An idle connection keeps a read buffer of at most this size.
 static constexpr size_t maxIdleBufferBytes = 4096;
 // Memory for a header field beside its text: an element of the parser and one of the request.
@@ -117,6 +118,17 @@
         R"({"error":{"code":"request_memory_short","ran":"not_run","step":"read request","peer":"client","message":"the memory for requests is short"}})" };
 }
 
+static Response connectionsShortResponse(const ClientCapacity& capacity)
+{
+    return { 503, { { "Content-Type", "application/json" }, { "Retry-After", capacity.retryAfter } },
+        R"({"error":{"code":"connections_short","ran":"not_run","step":"read request","peer":"client","message":"too many connections"}})" };
+}
+
+static bool isDrainingFull(const Server::State& state)
+{
+    return state.drainingConnections > state.clients.capacity().maxConnections / drainingDivisor;
+}
+
 // Logs that clients were dropped, at most once in an interval.
 static void logShortage(Server::State& state)
 {
@@ -138,7 +150,7 @@
     Core::Reason ignored;
     connection.stream.expires_after(errorResponseTimeout);
     bool isSent = co_await writer.send(std::move(response), ignored);
-    if (!isSent || state.drainingConnections > state.clients.capacity().maxConnections / drainingDivisor)
+    if (!isSent || isDrainingFull(state))
         co_return;
     ++state.drainingConnections;
     beast::error_code error;
@@ -175,8 +187,7 @@
     for (;;) {
         auto [error, size] = co_await connection.stream.async_read_some(connection.buffer.prepare(firstReadBytes), asTuple);
         connection.buffer.commit(size);
-        if (connection.client.isDropped())
-            co_return false;
+        // A dropped connection may have received a request before its read was cancelled; readRequest refuses it.
         if (!error)
             co_return true;
         // If the process did not run for a while, the timeout has expired although a request has arrived in time.
@@ -204,9 +215,54 @@
     return bytes;
 }
 
+struct ReadResult {
+    beast::error_code error;
+    size_t parsedBytes { 0 };
+};
+
+// Reads and parses as http::async_read_some does. The parser throws at fields of 64 KiB and more, which in an operation of the library
+// would end the process.
+static Core::Task<ReadResult> readSome(ServerConnection& connection, http::request_parser<http::string_body>& parser)
+{
+    static constexpr size_t maxReadBytes = 65'536;
+    ReadResult result;
+    for (bool needsMore = connection.buffer.size() == 0;; needsMore = true) {
+        if (needsMore) {
+            size_t readBytes = beast::read_size(connection.buffer, maxReadBytes);
+            if (readBytes == 0) {
+                result.error = http::error::buffer_overflow;
+                co_return result;
+            }
+            auto [error, size] = co_await connection.stream.async_read_some(connection.buffer.prepare(readBytes), asTuple);
+            connection.buffer.commit(size);
+            result.error = error;
+            if (error == asio::error::eof && parser.got_some()) {
+                result.error = {};
+                parser.put_eof(result.error);
+            } else if (error == asio::error::eof) {
+                result.error = http::error::end_of_stream;
+            }
+            if (error)
+                co_return result;
+        }
+        try {
+            size_t parsedBytes = parser.put(connection.buffer.data(), result.error);
+            connection.buffer.consume(parsedBytes);
+            result.parsedBytes += parsedBytes;
+        } catch (const std::length_error&) {
+            result.error = http::error::header_limit;
+        }
+        if (result.error != http::error::need_more)
+            co_return result;
+        result.error = {};
+    }
+}
+
 // Reads the request whose first bytes have been received. Data that has arrived by the deadline is read also after it.
 static Core::Task<beast::error_code> readRequest(ServerConnection& connection, http::request_parser<http::string_body>& parser, Core::Deadline deadline)
 {
+    if (connection.client.isDropped())
+        co_return memoryShort;
     ReadTimeout timeout(connection.stream);
     timeout.setDeadline(deadline.at());
     // What had arrived when the timeout expired and has not been read. It limits a client that sends without pause.
@@ -214,12 +270,12 @@
     size_t fieldBytes = 0;
     for (;;) {
         size_t bufferedBytes = connection.buffer.size();
-        auto [error, parsedBytes] = co_await http::async_read_some(connection.stream, connection.buffer, parser, asTuple);
+        auto [error, parsedBytes] = co_await readSome(connection, parser);
         bool isInterrupted = error == asio::error::operation_aborted && timeout.hasExpired();
         if (parser.is_header_done() && fieldBytes == 0)
             fieldBytes = fieldBytesOf(parser.get());
-        bool isHeld = connection.client.holdRequest(requestBytes(connection, parser, fieldBytes), Core::SteadyClock::now());
-        if (!isHeld)
+        bool isReserved = connection.client.reserveRequest(requestBytes(connection, parser, fieldBytes), Core::SteadyClock::now());
+        if (!isReserved)
             co_return memoryShort;
         if (error && !isInterrupted)
             co_return error;
@@ -240,7 +296,14 @@
 {
     if (connection.client.isDropped()) {
         logShortage(state);
-        co_await refuse(state, connection, memoryShortResponse(state.clients.capacity()));
+        bool isReplaced = connection.dropped == ClientTable::Drop::Replace;
+        // A replaced connection must not keep its descriptor beyond the part of those that are discarding.
+        if (isReplaced && isDrainingFull(state))
+            co_return;
+        if (isReplaced)
+            co_await refuse(state, connection, connectionsShortResponse(state.clients.capacity()));
+        else
+            co_await refuse(state, connection, memoryShortResponse(state.clients.capacity()));
         co_return;
     }
     bool isParseError = error.category() == beast::error_code(http::error::bad_method).category()
@@ -262,13 +325,14 @@
 {
     ServerConnection& connection = *connectionPointer;
     connection.isBusy = false;
-    connection.client.holdRequest(0, {});
+    connection.client.reserveRequest(0, {});
     connection.client.setPhase(ClientTable::Phase::Idle, Core::SteadyClock::now());
     if (!co_await waitForRequest(state, connection))
         co_return false;
     std::optional<http::request_parser<http::string_body>> parser(std::in_place);
     parser->body_limit(state.limits.maxBodyBytes);
     parser->header_limit(static_cast<std::uint32_t>(state.limits.maxHeaderBytes));
+    connection.buffer.max_size(std::max(maxRequestBufferBytes, state.limits.maxHeaderBytes + maxIdleBufferBytes));
     connection.isBusy = true;
     connection.client.setPhase(ClientTable::Phase::Reading, Core::SteadyClock::now());
     beast::error_code error = co_await readRequest(connection, *parser, deadlineAfter(state.limits.requestTimeoutMs));
--- a/Libraries/LibHTTP/src/ServerConnection.h
+++ b/Libraries/LibHTTP/src/ServerConnection.h
@@ -4,18 +4,21 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <functional>
+#include <linux/sockios.h>
+#include <optional>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace HTTP {
 
-// Bounds what is buffered of a chunk header or a trailer. Heads and bodies have limits of their own.
+// Bounds what is buffered of a chunk header or a trailer. The buffer is larger if heads may be.
 inline constexpr size_t maxRequestBufferBytes = size_t { 128 } * 1024;
 
 // A client's connection to the server.
 struct ServerConnection {
     ServerConnection(boost::asio::ip::tcp::socket socket, ClientTable& clients)
         : stream(std::move(socket))
-        , client(clients, { [this](ClientTable::Drop how) { drop(how); }, [this] { return !hasNextRequest(); } }, Core::SteadyClock::now())
+        , client(clients, { [this](ClientTable::Drop how) { drop(how); }, [this] { return !hasNextRequest(); }, [this] { return unsentBytes(); } }, Core::SteadyClock::now())
     {
     }
     boost::beast::tcp_stream stream;
@@ -26,10 +29,12 @@
     std::function<void()> onDisconnect {};
     // Incremented for each wait, so that the wait of a previous request on the connection is ignored.
     uint64_t disconnectWaits { 0 };
+    std::optional<ClientTable::Drop> dropped {};
 
     // Ends the read or write in progress. The connection's task does the rest.
     void drop(ClientTable::Drop how)
     {
+        dropped = how;
         if (how == ClientTable::Drop::Close)
             close();
         else
@@ -42,6 +47,13 @@
         stream.socket().close(ignored);
     }
 
+    // Bytes written that the client's system has not acknowledged.
+    size_t unsentBytes()
+    {
+        int bytes = 0;
+        return ::ioctl(stream.socket().native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0 ? static_cast<size_t>(bytes) : 0;
+    }
+
     // Whether data has arrived that has not been read into the buffer.
     bool hasUnreadData()
     {
--- a/Libraries/LibHTTP/src/StreamWriter.h
+++ b/Libraries/LibHTTP/src/StreamWriter.h
@@ -22,8 +22,11 @@
 // Time limit for sending a response that starts after the time of abortAt.
 inline constexpr std::chrono::milliseconds lateResponseTimeout(1'000);
 
-// Smaller chunks of a response are not charged to the memory of the clients.
-inline constexpr size_t minHeldChunkBytes = 4096;
+// Smaller responses and chunks are not charged to the memory of the clients, so that a refusal is always sent.
+inline constexpr size_t minChargedBytes = 4096;
+
+// Largest part of a chunk that is written at once.
+inline constexpr size_t maxWriteBytes = 65'536;
 
 // Writes the response to one request to its connection.
 class StreamWriter final : public ResponseWriter {
@@ -48,7 +51,7 @@
         message.prepare_payload();
         http::response_serializer<http::string_body> serializer(message);
         beast::error_code error;
-        if (!holdsResponse(message.body().capacity()))
+        if (!reservesResponse(message.body().capacity()))
             error = asio::error::no_memory;
         while (!error && !serializer.is_done()) {
             auto [writeError, size] = co_await http::async_write_some(m_connection.stream, serializer, asTuple);
@@ -57,7 +60,7 @@
                 m_connection.client.recordSent(size, Core::SteadyClock::now());
         }
         m_isComplete = !error;
-        m_connection.client.holdResponse(0, Core::SteadyClock::now());
+        m_connection.client.reserveResponse(0, Core::SteadyClock::now());
         co_return checkWrite(error, reason);
     }
 
@@ -76,13 +79,18 @@
 
     Core::Task<bool> writeChunk(std::string_view bytes, Core::Reason& reason) override
     {
-        bool isHeld = bytes.size() >= minHeldChunkBytes;
-        if (isHeld && !holdsResponse(bytes.size()))
-            co_return checkWrite(asio::error::no_memory, reason);
+        bool isCharged = bytes.size() >= minChargedBytes;
+        if (isCharged)
+            m_connection.client.reserveChunk(bytes.size(), Core::SteadyClock::now());
+        auto recordProgress = [this, recorded = size_t { 0 }](const beast::error_code& error, size_t sent) mutable -> size_t {
+            if (sent > recorded)
+                m_connection.client.recordSent(sent - std::exchange(recorded, sent), Core::SteadyClock::now());
+            return error ? 0 : maxWriteBytes;
+        };
         auto [error, size] = co_await asio::async_write(
-            m_connection.stream, http::make_chunk(asio::const_buffer(bytes.data(), bytes.size())), asTuple);
-        if (isHeld)
-            m_connection.client.holdResponse(0, Core::SteadyClock::now());
+            m_connection.stream, http::make_chunk(asio::const_buffer(bytes.data(), bytes.size())), std::move(recordProgress), asTuple);
+        if (isCharged)
+            m_connection.client.reserveChunk(0, Core::SteadyClock::now());
         co_return checkWrite(error, reason);
     }
 
@@ -126,10 +134,10 @@
             abortAt(Core::Deadline::after(lateResponseTimeout));
     }
 
-    // Charges the response to the memory of the clients. The refusal of a dropped request is small and is not charged.
-    bool holdsResponse(size_t bytes)
+    // Charges the response to the memory of the clients.
+    bool reservesResponse(size_t bytes)
     {
-        return m_connection.client.isDropped() || m_connection.client.holdResponse(bytes, Core::SteadyClock::now());
+        return bytes < minChargedBytes || m_connection.client.reserveResponse(bytes, Core::SteadyClock::now());
     }
 
     template <typename Message>
--- a/Tests/LibDaemon/TestRelaySettings.cpp
+++ b/Tests/LibDaemon/TestRelaySettings.cpp
@@ -170,3 +170,15 @@
         cr_assert_geq(settings->statusCapacity().maxConnections, 4, "%s", number);
     }
 }
+
+// Guards against a smaller budget for responses on deployments whose platform names the memory of its hosts.
+Test(RelaySettings, hostMemoryLeavesTheResponsesUnchanged)
+{
+    Core::Reason reason;
+    std::optional<RelaySettings> without = parseRelaySettings(valid, "s.yaml", reason);
+    std::optional<RelaySettings> with = parseRelaySettings(std::string(valid) + "host_memory_mb: 160\n", "s.yaml", reason);
+    cr_assert(without && with, "%s", reason.text().c_str());
+    cr_assert_eq(with->responseBytes(), without->responseBytes());
+    cr_assert_eq(with->callerCapacity().maxBytes, 50'000'000);
+    cr_assert_eq(with->statusCapacity().maxBytes, 5'000'000);
+}
--- a/Tests/LibHTTP/TestUncontrolledClients.cpp
+++ b/Tests/LibHTTP/TestUncontrolledClients.cpp
@@ -24,12 +24,17 @@
                              if (request.target == "/held")
                                  co_await release.wait(Core::Deadline::never());
                              Core::Reason ignored;
-                             co_await writer.send({ 200, {}, std::to_string(request.body.size()) }, ignored);
+                             if (request.target == "/rest")
+                                 co_await writer.send({ 200, {}, std::string(maxBytes - server.clientBytes(), 'r') }, ignored);
+                             else
+                                 co_await writer.send({ 200, {}, std::to_string(request.body.size()) }, ignored);
                          },
         HTTP::ServerLimits { maxBodyBytes, 4096 } };
     Core::Address address;
+    size_t maxBytes;
 
     explicit Fixture(HTTP::ClientCapacity capacity)
+        : maxBytes(capacity.maxBytes)
     {
         Core::Reason reason;
         server.setCapacity(std::move(capacity));
@@ -156,3 +161,79 @@
     cr_assert_eq(fixture.server.clientBytes(), 0);
     cr_assert_eq(fixture.server.memoryRefusals(), 0);
 }
+
+// Guards against an answer such as 429 that is not sent since responses fill the memory, so that the client can't know whether the
+// request has run.
+Test(UncontrolledClients, smallResponseIsSentWhenMemoryIsFull)
+{
+    Fixture fixture({ 16'000'000, 100, "1" });
+    tcp::socket waiting = fixture.connect();
+    fixture.send(waiting, post("/held", 10, 10));
+    TestSupport::runUntil(fixture.context, [&fixture] { return fixture.handled == 1; });
+    tcp::socket unread = fixture.connect();
+    unread.set_option(asio::socket_base::receive_buffer_size(4096));
+    fixture.send(unread, post("/rest", 10, 10));
+    TestSupport::runUntil(fixture.context, [&fixture] { return fixture.handled == 2; });
+    fixture.release.notifyAll();
+    std::string response = fixture.receive(waiting);
+    cr_assert(response.starts_with("HTTP/1.1 200"), "%s", response.c_str());
+}
+
+// Guards against losing a request that arrives while its idle connection is closed for another one.
+Test(UncontrolledClients, requestOnADisplacedIdleConnectionIsAnswered)
+{
+    for (int round = 0; round < 20; ++round) {
+        Fixture fixture({ 10'000'000, 4, "1" });
+        std::vector<tcp::socket> clients;
+        for (int i = 0; i < 4; ++i) {
+            clients.push_back(fixture.connect());
+            fixture.send(clients.back(), post("/", 10, 10));
+            cr_assert(fixture.receive(clients.back()).starts_with("HTTP/1.1 200"));
+        }
+        std::string request = post("/", 10, 10);
+        std::vector<tcp::socket> others;
+        for (tcp::socket& client : clients) {
+            client.send(asio::buffer(request));
+            others.push_back(fixture.connect());
+        }
+        for (tcp::socket& client : clients) {
+            std::string response = fixture.receive(client);
+            cr_assert(response.starts_with("HTTP/1.1 200") || response.starts_with("HTTP/1.1 503"), "round %d: '%s'", round, response.c_str());
+        }
+    }
+}
+
+// Guards against closing a connection for another one without telling its client that the request has not run.
+Test(UncontrolledClients, displacedRequestIsRefusedReadably)
+{
+    Fixture fixture({ 10'000'000, 4, "0.25" });
+    std::vector<tcp::socket> clients;
+    for (int i = 0; i < 5; ++i) {
+        clients.push_back(fixture.connect());
+        fixture.send(clients.back(), "GET / HT");
+        fixture.run();
+    }
+    std::string response = fixture.receive(clients[0]);
+    cr_assert(response.starts_with("HTTP/1.1 503"), "%s", response.c_str());
+    cr_assert(response.find("Retry-After: 0.25") != std::string::npos && response.find(R"("ran":"not_run")") != std::string::npos, "%s", response.c_str());
+}
+
+// Guards against a read buffer that is smaller than the configured limit of a head.
+Test(UncontrolledClients, headOfTheConfiguredLengthIsRead)
+{
+    Fixture fixture({ 10'000'000, 4, "1" });
+    fixture.server.setLimits({ maxBodyBytes, 400'000 });
+    tcp::socket client = fixture.connect();
+    std::string head = "GET / HTTP/1.1\r\nHost: a\r\n";
+    for (int i = 0; i < 6; ++i)
+        head += "X-Long: " + std::string(50'000, 'h') + "\r\n";
+    head += "\r\n";
+    fixture.send(client, head);
+    std::string response = fixture.receive(client);
+    cr_assert(response.starts_with("HTTP/1.1 200"), "%s", response.c_str());
+    // The parser throws at a field of this size, which must not end the process.
+    tcp::socket longField = fixture.connect();
+    fixture.send(longField, "GET / HTTP/1.1\r\nHost: a\r\nX-Long: " + std::string(100'000, 'h') + "\r\n\r\n");
+    response = fixture.receive(longField);
+    cr_assert(response.starts_with("HTTP/1.1 431"), "%s", response.c_str());
+}
