--- a/Services/jujuberelayd/src/RelaySettings.cpp
+++ b/Services/jujuberelayd/src/RelaySettings.cpp
@@ -19,14 +19,14 @@
 
 HTTP::ClientCapacity RelaySettings::callerCapacity() const
 {
-    HTTP::ClientCapacity capacity = ProcessLimits::callerCapacity(memoryMb, descriptorLimit);
+    HTTP::ClientCapacity capacity = ProcessLimits::callerCapacity(hostMemoryMb > 0 ? hostMemoryMb : memoryMb, descriptorLimit);
     capacity.retryAfter = callerRetryAfterSeconds;
     return capacity;
 }
 
 HTTP::ClientCapacity RelaySettings::statusCapacity() const
 {
-    return ProcessLimits::statusCapacity(memoryMb, descriptorLimit);
+    return ProcessLimits::statusCapacity(hostMemoryMb > 0 ? hostMemoryMb : memoryMb, descriptorLimit);
 }
 
 static Fields fieldsOf(RelaySettings& settings)
@@ -53,6 +53,7 @@
     fields["processor_share"] = { Presence::Optional, doubleReader(settings.processorShare, 0, maxCores) };
     fields["link_mbps"] = { Presence::Optional, doubleReader(settings.linkMbps, 0, maxLinkMbps) };
     fields["memory_mb"] = { Presence::Optional, limitReader(settings.memoryMb) };
+    fields["host_memory_mb"] = { Presence::Optional, limitReader(settings.hostMemoryMb) };
     fields["descriptor_limit"] = { Presence::Optional, limitReader(settings.descriptorLimit) };
     fields["features"] = { Presence::Optional, stringListReader(settings.features) };
     fields["log_level"] = { Presence::Optional, choiceReader(settings.logLevel, { "debug", "info", "warning", "error" }) };
--- a/Services/jujuberelayd/src/RelaySettings.h
+++ b/Services/jujuberelayd/src/RelaySettings.h
@@ -37,6 +37,8 @@
     double linkMbps { 1'000 };
     // Memory that the daemon may use in MB; 0: that of the host.
     double memoryMb { 0 };
+    // Memory of the host in MB, for the shares of clients; 0: memoryMb.
+    double hostMemoryMb { 0 };
     // File descriptors that the daemon may use; 0: the limit of the process.
     double descriptorLimit { 0 };
     // Names of the platform's rules in force; they switch on optional behaviour.
