--- a/Libraries/LibHTTP/include/LibHTTP/Server.h
+++ b/Libraries/LibHTTP/include/LibHTTP/Server.h
@@ -40,12 +40,12 @@
     void setLimits(ServerLimits);
 
     // Bounds the memory and the number of connections. If memory is short, requests that are being read are refused with 503, and
-    // clients that don't read their responses are closed, the slowest for what they hold first. If connections are short, the one
+    // clients that don't read their responses are closed, the slowest for what they reserve first. If connections are short, the one
     // that has been idle longest is closed, then the one whose request has been read longest. A request that is being handled is
     // not ended by it.
     void setCapacity(ClientCapacity);
 
-    // Memory that clients hold, in bytes.
+    // Memory reserved for clients, in bytes.
     size_t clientBytes() const;
     size_t connections() const;
     // Requests that were refused since memory was short, responses that were ended since their client didn't read them, and
--- a/Libraries/LibRelay/src/ResponseForwarding.cpp
+++ b/Libraries/LibRelay/src/ResponseForwarding.cpp
@@ -90,7 +90,7 @@
     }
     m_firstByteMs = elapsedMs();
     HTTP::Response response { stream.status(), m_handler.m_codec.callerHeaders(stream.headers()), std::move(*body) };
-    // From here on the memory is held for the caller. One that does not read must not take up the memory for responses.
+    // From here on the memory is charged to the caller. One that does not read must not take up the memory for responses.
     stream.reserve(0);
     bool isSent = co_await m_writer.send(std::move(response), reason);
     logCompletion(isSent ? "answered" : "caller_gone", "status=" + std::to_string(stream.status()) + " endpoint=" + endpoint.id);
