--- a/Libraries/LibHTTP/src/StreamWriter.h
+++ b/Libraries/LibHTTP/src/StreamWriter.h
@@ -2,6 +2,7 @@
 
 #include "LibHTTP/ResponseWriter.h"
 #include "ServerConnection.h"
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -21,6 +22,12 @@
 // Time limit for sending a response that starts after the time of abortAt.
 inline constexpr std::chrono::milliseconds lateResponseTimeout(1'000);
 
+// Smaller responses and chunks are not charged to the memory of the clients, so that a refusal is always sent.
+inline constexpr size_t minChargedBytes = 4096;
+
+// Largest part of a chunk that is written at once.
+inline constexpr size_t maxWriteBytes = 65'536;
+
 // Writes the response to one request to its connection.
 class StreamWriter final : public ResponseWriter {
 public:
@@ -42,8 +49,18 @@
         message.keep_alive(m_keepAlive);
         message.body() = std::move(response.body);
         message.prepare_payload();
-        auto [error, size] = co_await http::async_write(m_connection.stream, message, asTuple);
+        http::response_serializer<http::string_body> serializer(message);
+        beast::error_code error;
+        if (!reservesResponse(message.body().capacity()))
+            error = asio::error::no_memory;
+        while (!error && !serializer.is_done()) {
+            auto [writeError, size] = co_await http::async_write_some(m_connection.stream, serializer, asTuple);
+            error = writeError;
+            if (!serializer.is_done())
+                m_connection.client.recordSent(size, Core::SteadyClock::now());
+        }
         m_isComplete = !error;
+        m_connection.client.reserveResponse(0, Core::SteadyClock::now());
         co_return checkWrite(error, reason);
     }
 
@@ -62,8 +79,18 @@
 
     Core::Task<bool> writeChunk(std::string_view bytes, Core::Reason& reason) override
     {
+        bool isCharged = bytes.size() >= minChargedBytes;
+        if (isCharged)
+            m_connection.client.reserveChunk(bytes.size(), Core::SteadyClock::now());
+        auto recordProgress = [this, recorded = size_t { 0 }](const beast::error_code& error, size_t sent) mutable -> size_t {
+            if (sent > recorded)
+                m_connection.client.recordSent(sent - std::exchange(recorded, sent), Core::SteadyClock::now());
+            return error ? 0 : maxWriteBytes;
+        };
         auto [error, size] = co_await asio::async_write(
-            m_connection.stream, http::make_chunk(asio::const_buffer(bytes.data(), bytes.size())), asTuple);
+            m_connection.stream, http::make_chunk(asio::const_buffer(bytes.data(), bytes.size())), std::move(recordProgress), asTuple);
+        if (isCharged)
+            m_connection.client.reserveChunk(0, Core::SteadyClock::now());
         co_return checkWrite(error, reason);
     }
 
@@ -107,6 +134,12 @@
             abortAt(Core::Deadline::after(lateResponseTimeout));
     }
 
+    // Charges the response to the memory of the clients.
+    bool reservesResponse(size_t bytes)
+    {
+        return bytes < minChargedBytes || m_connection.client.reserveResponse(bytes, Core::SteadyClock::now());
+    }
+
     template <typename Message>
     static void addHeaders(Message& message, const Headers& headers)
     {
--- a/Services/jujuberelayd/src/RelaySettings.h
+++ b/Services/jujuberelayd/src/RelaySettings.h
@@ -2,6 +2,7 @@
 
 #include "LibCore/Address.h"
 #include "LibCore/Reason.h"
+#include "LibHTTP/ClientCapacity.h"
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -41,7 +42,11 @@
     double processorShare { 1 };
     double linkMbps { 1'000 };
     // Memory that the daemon may use in MB; 0: that of the host.
-    int64_t memoryMb { 0 };
+    double memoryMb { 0 };
+    // Memory of the host in MB, for the shares of clients; 0: memoryMb.
+    double hostMemoryMb { 0 };
+    // File descriptors that the daemon may use; 0: the limit of the process.
+    double descriptorLimit { 0 };
     // Names of the platform's rules in force; they switch on optional behaviour.
     std::vector<std::string> features;
     // One of debug, info, warning, error.
@@ -53,6 +58,9 @@
     size_t responseBytes() const;
     bool followsEvacuations() const { return evacuateLimitMs > 0; }
     std::chrono::milliseconds evacuateLimit() const { return std::chrono::milliseconds(static_cast<int64_t>(evacuateLimitMs)); }
+    // What the callers, and the clients of the balancer's address and of that of metrics, may take.
+    HTTP::ClientCapacity callerCapacity() const;
+    HTTP::ClientCapacity statusCapacity() const;
     std::chrono::milliseconds stopLimit() const { return std::chrono::milliseconds(static_cast<int64_t>(stopLimitSeconds * 1'000)); }
 };
 
--- a/Services/jujuberelayd/src/SettingsReader.cpp
+++ b/Services/jujuberelayd/src/SettingsReader.cpp
@@ -116,6 +116,11 @@
     };
 }
 
+Reader limitReader(double& target)
+{
+    return cappedDoubleReader(target, 0, std::numeric_limits<double>::max());
+}
+
 Reader boolReader(bool& target)
 {
     return [&target](const YAML::Node& node) -> std::optional<std::string> {
--- a/Services/jujuberelayd/src/SettingsReader.h
+++ b/Services/jujuberelayd/src/SettingsReader.h
@@ -40,6 +40,8 @@
 Reader doubleReader(double&, double minimum, double maximum);
 // Takes a larger number, also infinity, as the maximum.
 Reader cappedDoubleReader(double&, double minimum, double maximum);
+// A limit of at least 0. A number that is larger than the type is read as its maximum.
+Reader limitReader(double&);
 Reader boolReader(bool&);
 Reader hexDigestReader(std::string&);
 Reader choiceReader(std::string&, std::vector<std::string> choices);
