Relay: requests to engines carry an urgency where the deployment asks for it

The urgency is 2 x priority + 1 (the workspace's priority, else the route's), one less while under half of the time to the target is left or the caller has received events. Each priority has two levels, so the time left never outweighs the priority. A preempted stream is a broken promise: all new requests of a priority share a level, and only retries and resumed streams of the same priority can preempt them. Priority 2 maps to 5, the engines' default. Ruled out: steps of the time left within a priority, which lets equal requests preempt each other.

--- a/Libraries/LibRelay/include/LibRelay/RequestHandler.h
+++ b/Libraries/LibRelay/include/LibRelay/RequestHandler.h
@@ -63,6 +63,8 @@
     int64_t crashCheckTimeoutMs { 250 };
     // An engine that still runs this long after an answer has survived it.
     int64_t survivalTimeMs { 1'000 };
+    // Requests to engines are sent with an urgency.
+    bool sendsUrgency { false };
 };
 
 // Serves callers' requests: authorizes them, holds their tokens, sends them to endpoints and forwards the responses.
--- a/Libraries/LibRelay/src/RequestExecution.cpp
+++ b/Libraries/LibRelay/src/RequestExecution.cpp
@@ -3,6 +3,7 @@
 #include "Events.h"
 #include "LibCore/Hash.h"
 #include "LibCore/Random.h"
+#include "LibRelay/Urgency.h"
 #include <algorithm>
 #include <limits>
 #include <nlohmann/json.hpp>
@@ -221,6 +222,12 @@
     return Core::hash64(parts[parts.size() >= 2 ? parts.size() - 2 : 0].id) | 1;
 }
 
+int RequestExecution::urgency() const
+{
+    int priority = effectivePriority(m_route, m_workspace ? &*m_workspace : nullptr);
+    return urgencyOf({ priority, m_route.objectiveMs, elapsedMs(), m_lastEvent || m_request.lastEvent });
+}
+
 SelectionQuery RequestExecution::selectionQuery(const std::string& service) const
 {
     return { service, m_isEngine, affinity(), m_excluded, m_permitRequests >= maxPermitRequests };
@@ -356,6 +363,8 @@
     dispatch.workspace = m_workspace ? m_workspace->name : "";
     dispatch.deadline = m_deadline;
     dispatch.lastEvent = m_lastEvent;
+    if (m_isEngine && m_handler.m_settings.sendsUrgency)
+        dispatch.urgency = urgency();
     bool wasSent = false;
     Core::SteadyClock::time_point sentAt = now;
     HTTP::CallOptions options;
@@ -392,7 +401,7 @@
         return isExpected;
     };
     selector.recordStart(endpoint.id, now);
-    Core::logEvent(Events::requestSent, "request=" + m_request.id + " endpoint=" + endpoint.id + " service=" + endpoint.service + " in_flight=" + std::to_string(selector.inFlight(endpoint.id)) + " left_ms=" + std::to_string(m_deadline.remaining().count()) + " configuration=" + std::to_string(m_configuration->version()) + " after_event=" + std::to_string(m_lastEvent.value_or(0)) + (m_permitSource.empty() ? "" : " permit=" + m_permitSource) + describeTokens(m_request));
+    Core::logEvent(Events::requestSent, "request=" + m_request.id + " endpoint=" + endpoint.id + " service=" + endpoint.service + " in_flight=" + std::to_string(selector.inFlight(endpoint.id)) + " left_ms=" + std::to_string(m_deadline.remaining().count()) + " configuration=" + std::to_string(m_configuration->version()) + " after_event=" + std::to_string(m_lastEvent.value_or(0)) + (m_permitSource.empty() ? "" : " permit=" + m_permitSource) + (dispatch.urgency ? " urgency=" + std::to_string(*dispatch.urgency) : "") + describeTokens(m_request));
     startWatch(endpoint);
     Reason reason;
     std::optional<std::unique_ptr<HTTP::ResponseStream>> stream = co_await m_handler.m_client->call(
--- a/Libraries/LibRelay/src/RequestExecution.h
+++ b/Libraries/LibRelay/src/RequestExecution.h
@@ -34,6 +34,8 @@
     Core::Task<void> dispatch();
     std::string selectService() const;
     uint64_t affinity() const;
+    // The urgency with which the request is sent to an engine now.
+    int urgency() const;
     SelectionQuery selectionQuery(const std::string& service) const;
     // Whether the request may be sent to the endpoint now, if that has named a limit.
     Core::Task<bool> acquirePermit(const Endpoint&);
--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -37,6 +37,7 @@
     Relay::HandlerSettings result;
     result.retryPercent = static_cast<int>(settings.retryShare * 100 * retryAllowanceFraction);
     result.retryExtra = static_cast<int64_t>(settings.retryExtra * retryAllowanceFraction);
+    result.sendsUrgency = PlatformAdapter::featuresOf(settings.features).predictsEngineLoad;
     return result;
 }
 
--- a/Tests/LibRelay/RelayFixture.h
+++ b/Tests/LibRelay/RelayFixture.h
@@ -39,6 +39,8 @@
         HTTP::Request message { request.message.method, request.message.target, { { "Id", request.id }, { "Expect-Endpoint", dispatch.endpointId } }, request.message.body };
         if (dispatch.lastEvent)
             message.headers.push_back({ "Last-Event", std::to_string(*dispatch.lastEvent) });
+        if (dispatch.urgency)
+            message.headers.push_back({ "Urgency", std::to_string(*dispatch.urgency) });
         return message;
     };
     codec.decodeResponseMetadata = [](unsigned status, const HTTP::Headers& headers) {
