Relay: engines are chosen by the predicted time to the first event

All daemons sent one prompt part's requests to one engine: each of them has 0 or 1 requests at an engine, so the bound on its own requests in flight never applied. Where the deployment asks for it, a daemon predicts the first event from its own observations (tokens to read and waiting, lateness, pace of its streams) and spreads a part over as many engines of its rendezvous order as its requests in the fleet need. Prompts with a part that has crashed an engine keep to the choice as before.

--- a/Libraries/LibRelay/include/LibRelay/EndpointSelector.h
+++ b/Libraries/LibRelay/include/LibRelay/EndpointSelector.h
@@ -4,6 +4,7 @@
 #include "LibRelay/CallerRequest.h"
 #include "LibRelay/EndpointDirectory.h"
 #include "LibRelay/EndpointLimits.h"
+#include "LibRelay/EngineChooser.h"
 #include <map>
 #include <memory>
 #include <optional>
@@ -22,6 +23,8 @@
     std::set<std::string> excluded;
     // Only endpoints without a limit on requests a second.
     bool isUnlimitedOnly { false };
+    // Empty: the endpoint is not chosen by the predicted time to the first event.
+    std::optional<EnginePrompt> prompt {};
 };
 
 // Selects endpoints by the load and failures that this daemon has observed.
@@ -44,6 +47,12 @@
     // When the first endpoint that the query may find takes requests, or a permit for it can be asked for. Empty if there is none.
     std::optional<Core::SteadyClock::time_point> nextPermitAt(const SelectionQuery&, Core::SteadyClock::time_point now) const;
 
+    // From here on, engines are chosen by the predicted time to the first event.
+    void predictEngineLoad();
+    // Null unless engines are chosen by prediction.
+    EngineLoadModel* engineLoad() { return m_engineLoad.get(); }
+    const EngineChooser* engineChooser() const { return m_engineChooser.get(); }
+
     void recordStart(const std::string& endpoint, Core::SteadyClock::time_point now);
     // Records that data arrived from the endpoint.
     void recordBytes(const std::string& endpoint, Core::SteadyClock::time_point now);
@@ -96,6 +105,8 @@
     bool isCandidate(const Endpoint& endpoint, const SelectionQuery& query, Core::SteadyClock::time_point now) const { return isEligible(endpoint, query, now) && noPermitUntil(endpoint) <= now; }
     // When a permit for the endpoint can be asked for after a refusal.
     Core::SteadyClock::time_point noPermitUntil(const Endpoint&) const;
+    // The engine that is predicted to be soonest, or null if none of those that were looked at is a healthy candidate.
+    const Endpoint* chooseEngine(const SelectionQuery&, Core::SteadyClock::time_point now) const;
     const Endpoint* chooseByAffinity(const std::vector<const Endpoint*>& candidates, uint64_t affinity) const;
     const Endpoint* chooseByCost(const std::vector<const Endpoint*>& candidates, Core::SteadyClock::time_point now) const;
     // Lower is better.
@@ -110,6 +121,8 @@
     // By endpoint id; hashed, since each choice looks up all candidates.
     std::unordered_map<std::string, Pause> m_pauses;
     EndpointLimits m_limits;
+    std::unique_ptr<EngineLoadModel> m_engineLoad;
+    std::unique_ptr<EngineChooser> m_engineChooser;
 };
 
 }
--- a/Libraries/LibRelay/include/LibRelay/PromptQuarantine.h
+++ b/Libraries/LibRelay/include/LibRelay/PromptQuarantine.h
@@ -68,6 +68,9 @@
 
     // Whether a crash would be evidence against one of the parts.
     bool hasUnprovenParts(const std::vector<PromptPart>&, Core::SteadyClock::time_point now) const;
+    // Whether an engine has ended while it answered a prompt with one of the parts, and no engine has survived an answer with it
+    // lately.
+    bool isSuspected(const std::vector<PromptPart>&, Core::SteadyClock::time_point now) const;
     // The quarantined part with the most crashes; empty if the prompt may be sent. Where another part may have caused all crashes of
     // a part, only prompts with both are held back: the next answer or crash tells them apart.
     std::optional<QuarantinedPart> findQuarantined(const std::vector<PromptPart>&, Core::SteadyClock::time_point now) const;
--- a/Libraries/LibRelay/src/EndpointSelector.cpp
+++ b/Libraries/LibRelay/src/EndpointSelector.cpp
@@ -121,6 +121,10 @@
 
 const Endpoint* EndpointSelector::choose(const SelectionQuery& query, TimePoint now) const
 {
+    if (m_engineChooser && query.isEngine && query.prompt) {
+        if (const Endpoint* engine = chooseEngine(query, now))
+            return engine;
+    }
     std::vector<const Endpoint*> candidates;
     std::vector<const Endpoint*> unhealthy;
     for (const auto& [id, endpoint] : m_directory.endpoints()) {
@@ -137,6 +141,25 @@
     return chooseByCost(candidates, now);
 }
 
+void EndpointSelector::predictEngineLoad()
+{
+    m_engineLoad = std::make_unique<EngineLoadModel>();
+    m_engineChooser = std::make_unique<EngineChooser>(*m_engineLoad);
+}
+
+// Checks only the few engines that the chooser looks at, since the checks look up each engine's state.
+const Endpoint* EndpointSelector::chooseEngine(const SelectionQuery& query, TimePoint now) const
+{
+    std::vector<const Endpoint*> engines;
+    engines.reserve(m_directory.endpoints().size());
+    for (const auto& [id, endpoint] : m_directory.endpoints()) {
+        if (endpoint.service == query.service && !endpoint.isLeaving)
+            engines.push_back(&endpoint);
+    }
+    return m_engineChooser->choose(
+        engines, *query.prompt, [&](const Endpoint& engine) { return isCandidate(engine, query, now) && isHealthy(engine, now); }, now);
+}
+
 // The first endpoint in rendezvous order of the prompt that does not carry more than its bound.
 const Endpoint* EndpointSelector::chooseByAffinity(const std::vector<const Endpoint*>& candidates, uint64_t affinity) const
 {
@@ -226,6 +249,8 @@
 void EndpointSelector::recordOverload(const std::string& endpoint, TimePoint now)
 {
     m_states[endpoint].overloadedUntil = now + overloadBackoff;
+    if (m_engineLoad)
+        m_engineLoad->recordRefusal(endpoint, now);
 }
 
 bool EndpointSelector::recordPause(const Endpoint& endpoint, TimePoint until, TimePoint now)
@@ -248,6 +273,8 @@
 {
     m_states.erase(endpoint);
     m_limits.forget(endpoint);
+    if (m_engineLoad)
+        m_engineLoad->forget(endpoint);
     // Without a start time, the next registration under this id is a new process.
     auto pause = m_pauses.find(endpoint);
     if (pause != m_pauses.end() && pause->second.processStartMs == 0)
--- a/Libraries/LibRelay/src/Events.h
+++ b/Libraries/LibRelay/src/Events.h
@@ -17,6 +17,7 @@
 inline constexpr Core::Event suspectNotWritten { 1730, Core::Severity::Warning, "suspect_not_written" };
 inline constexpr Core::Event engineChecked { 1734, Core::Severity::Info, "engine_checked" };
 inline constexpr Core::Event endpointLimited { 1735, Core::Severity::Info, "endpoint_limited" };
+inline constexpr Core::Event engineLate { 1741, Core::Severity::Info, "engine_late" };
 inline constexpr Core::Event grantChanged { 1731, Core::Severity::Info, "grant_changed" };
 inline constexpr Core::Event tokensTransferred { 1733, Core::Severity::Info, "tokens_transferred" };
 inline constexpr Core::Event ledgerRebuilt { 1736, Core::Severity::Warning, "ledger_rebuilt" };
--- a/Libraries/LibRelay/src/PromptQuarantine.cpp
+++ b/Libraries/LibRelay/src/PromptQuarantine.cpp
@@ -154,6 +154,17 @@
     return std::any_of(shareable.begin(), shareable.end(), [this, now](const PromptPart& part) { return !isProven(suspectKeyOf(part.id), now); });
 }
 
+bool PromptQuarantine::isSuspected(const std::vector<PromptPart>& parts, TimePoint now) const
+{
+    if (m_suspects.empty())
+        return false;
+    std::span<const PromptPart> shareable = shareableParts(parts);
+    return std::any_of(shareable.begin(), shareable.end(), [this, now](const PromptPart& part) {
+        auto suspect = m_suspects.find(suspectKeyOf(part.id));
+        return suspect != m_suspects.end() && now < suspect->second.expiresAt && !m_sound.contains(suspect->first, now);
+    });
+}
+
 bool PromptQuarantine::isExplainedByOthers(const Suspect& suspect, const std::set<uint64_t>& keys, TimePoint now) const
 {
     size_t maxUnexplained = m_settings.crashesForQuarantine - 1;
--- a/Libraries/LibRelay/src/RequestExecution.cpp
+++ b/Libraries/LibRelay/src/RequestExecution.cpp
@@ -3,7 +3,6 @@
 #include "Events.h"
 #include "LibCore/Hash.h"
 #include "LibCore/Random.h"
-#include "LibRelay/Urgency.h"
 #include <algorithm>
 #include <limits>
 #include <nlohmann/json.hpp>
@@ -39,6 +38,7 @@
 {
     m_writer.onClientDisconnect({});
     endWatch();
+    endEngineRun();
     settleTokens();
 }
 
@@ -222,15 +222,9 @@
     return Core::hash64(parts[parts.size() >= 2 ? parts.size() - 2 : 0].id) | 1;
 }
 
-int RequestExecution::urgency() const
-{
-    int priority = effectivePriority(m_route, m_workspace ? &*m_workspace : nullptr);
-    return urgencyOf({ priority, m_route.objectiveMs, elapsedMs(), m_lastEvent || m_request.lastEvent });
-}
-
 SelectionQuery RequestExecution::selectionQuery(const std::string& service) const
 {
-    return { service, m_isEngine, affinity(), m_excluded, m_permitRequests >= maxPermitRequests };
+    return { service, m_isEngine, affinity(), m_excluded, m_permitRequests >= maxPermitRequests, predictedPrompt() };
 }
 
 bool RequestExecution::canRetry(Outcome outcome) const
@@ -403,17 +397,20 @@
     selector.recordStart(endpoint.id, now);
     Core::logEvent(Events::requestSent, "request=" + m_request.id + " endpoint=" + endpoint.id + " service=" + endpoint.service + " in_flight=" + std::to_string(selector.inFlight(endpoint.id)) + " left_ms=" + std::to_string(m_deadline.remaining().count()) + " configuration=" + std::to_string(m_configuration->version()) + " after_event=" + std::to_string(m_lastEvent.value_or(0)) + (m_permitSource.empty() ? "" : " permit=" + m_permitSource) + (dispatch.urgency ? " urgency=" + std::to_string(*dispatch.urgency) : "") + describeTokens(m_request));
     startWatch(endpoint);
+    startEngineRun(endpoint);
     Reason reason;
     std::optional<std::unique_ptr<HTTP::ResponseStream>> stream = co_await m_handler.m_client->call(
         endpoint.address, m_handler.m_codec.encodeDispatch(m_request, dispatch), m_deadline, std::move(options), reason);
     if (stream) {
         Outcome outcome = co_await handleResponse(endpoint, std::move(*stream));
         endWatch();
+        endEngineRun();
         if (outcome != Outcome::Finished)
             co_await examineBreak(endpoint);
         co_return outcome;
     }
     endWatch();
+    endEngineRun();
     bool isAborted = *m_isCallerGone || m_wasWithheld || m_deadline.hasPassed();
     selector.recordEnd(endpoint.id, isAborted ? EndpointSelector::End::Neutral : EndpointSelector::End::Failure, Core::SteadyClock::now());
     m_lastFailure = m_wasWithheld ? "endpoint " + endpoint.id + " began to refuse all requests before this one was sent" : lossReason().value_or(reason.text());
--- a/Libraries/LibRelay/src/RequestExecution.h
+++ b/Libraries/LibRelay/src/RequestExecution.h
@@ -47,6 +47,13 @@
     // Watches the attempt if the stream could be moved to another endpoint.
     void startWatch(const Endpoint&);
     void endWatch();
+    // Record the attempt in the prediction of the engines' load, if they are chosen by it; see EngineRequests.cpp.
+    EnginePrompt enginePrompt() const;
+    // The prompt if the engine is chosen by the predicted time to the first event.
+    std::optional<EnginePrompt> predictedPrompt() const;
+    void startEngineRun(const Endpoint&);
+    void recordEngineEvents(const Endpoint&, size_t events);
+    void endEngineRun();
     // Why the watch ended the last attempt, if it did.
     std::optional<std::string> lossReason() const;
     Core::Task<Outcome> handleResponse(const Endpoint&, std::unique_ptr<HTTP::ResponseStream>);
@@ -121,6 +128,9 @@
     std::string m_lastFailure;
     bool m_wasOverloaded { false };
     bool m_isLogged { false };
+    // The current attempt in the prediction of the engines' load.
+    std::optional<EngineLoadModel::RunId> m_engineRun;
+    bool m_isFirstEventMeasured { false };
 };
 
 }
--- a/Libraries/LibRelay/src/ResponseForwarding.cpp
+++ b/Libraries/LibRelay/src/ResponseForwarding.cpp
@@ -129,7 +129,9 @@
         m_handler.m_selector.recordBytes(endpoint.id, Core::SteadyClock::now());
         if (chunk->empty())
             break;
-        for (const StreamEvent& event : parser.feed(*chunk)) {
+        std::vector<StreamEvent> events = parser.feed(*chunk);
+        recordEngineEvents(endpoint, events.size());
+        for (const StreamEvent& event : events) {
             std::optional<uint64_t> previousEvent = m_lastEvent ? m_lastEvent : m_request.lastEvent;
             if (!event.id || (previousEvent && *event.id != *previousEvent + 1)) {
                 m_lastFailure = "endpoint " + endpoint.id + " sent event " + (event.id ? std::to_string(*event.id) : "without an id") + " after " + std::to_string(previousEvent.value_or(0));
--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -119,6 +119,8 @@
         [this] { return static_cast<double>(m_quarantine.quarantinedParts(Core::SteadyClock::now())); });
     m_metrics.observe("jujuberelay_relay_limited_endpoints", "Endpoints that have named a limit on requests a second.",
         [this] { return static_cast<double>(m_selector.limits().size()); });
+    if (PlatformAdapter::featuresOf(m_settings.features).predictsEngineLoad)
+        predictEngineLoad();
     m_metrics.observe("jujuberelay_relay_active_requests", "Requests in progress.", [this] { return static_cast<double>(m_callerServer.activeRequests()); });
     m_metrics.observeCounter("jujuberelay_relay_connections_opened_total", "Connections opened to endpoints and the store.",
         [this] { return m_client->connectionsOpened(); });
@@ -127,6 +129,16 @@
     m_metrics.observeCounter("jujuberelay_relay_ledger_writes_total", "Writes of budget ledgers.", [this] { return m_grants.writes(); });
 }
 
+void RelayDaemon::predictEngineLoad()
+{
+    m_selector.predictEngineLoad();
+    for (size_t i = 0; i < Relay::engineChoiceReasons; ++i) {
+        auto reason = static_cast<Relay::EngineChoiceReason>(i);
+        m_metrics.observeCounter("jujuberelay_relay_engine_choices_total", "Choices of an engine, by reason.",
+            [this, reason] { return m_selector.engineChooser()->choices(reason); }, { { "reason", Relay::nameOf(reason) } });
+    }
+}
+
 bool RelayDaemon::start(Reason& reason)
 {
     m_peerStore.setPeers(otherSeeds());
--- a/Services/jujuberelayd/src/RelayDaemon.h
+++ b/Services/jujuberelayd/src/RelayDaemon.h
@@ -62,6 +62,7 @@
     Relay::PeerInfo selfInfo() const { return { m_settings.peerAddress, m_settings.failureDomain, m_settings.processorShare * m_settings.linkMbps }; }
     // Seed peers other than this daemon, through which the store is reached until announcements of peers are known.
     std::vector<Core::Address> otherSeeds() const;
+    void predictEngineLoad();
     void logStoreAvailability(const char* what, bool isLost, const std::string& detail);
     void logStoreRestored(const char* what);
 
--- a/Tests/LibRelay/TestEngineRequests.cpp
+++ b/Tests/LibRelay/TestEngineRequests.cpp
@@ -66,3 +66,59 @@
 {
     cr_assert_eq(urgencyOfARequest(false, 0, std::nullopt), std::nullopt);
 }
+
+// Guards against observations of engines that do not reach the prediction, against requests that remain counted after their end, and
+// against first-event times that operators don't see by priority.
+Test(EngineRequests, firstEventsAndEndsAreObserved)
+{
+    Relay::HandlerSettings settings = Fixture::makeHandlerSettings();
+    // The slow stream is not moved to the other engine.
+    settings.firstEventTimeoutMs = 5'000;
+    EngineFixture fixture(settings);
+    fixture.configuration = makeEngineConfiguration(2, std::nullopt);
+    fixture.selector.predictEngineLoad();
+    bool isSlow = true;
+    size_t runsDuringTheAnswer = 0;
+    fixture.answer = [&](const HTTP::Request& request, HTTP::ResponseWriter& writer) -> Core::Task<void> {
+        runsDuringTheAnswer = fixture.selector.engineLoad()->runs("service");
+        if (isSlow)
+            co_await Core::sleepUntil(Core::Deadline::after(std::chrono::milliseconds(400)));
+        Core::Reason ignored;
+        co_await writer.send({ 200, sealed(request), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n" }, ignored);
+    };
+    std::optional<HTTP::Response> response = fixture.call(fixture.makeRequest("/stream/a"));
+    cr_assert(response && response->status == 200);
+    cr_assert_eq(runsDuringTheAnswer, 1);
+    cr_assert_eq(fixture.selector.engineLoad()->runs("service"), 0);
+    std::string slow = HTTP::findHeader(fixture.arrivals.front().headers, "Expect-Endpoint").value_or("");
+    isSlow = false;
+    for (int i = 0; i < 4; ++i) {
+        cr_assert(fixture.call(fixture.makeRequest("/stream/a")));
+        cr_assert_neq(HTTP::findHeader(fixture.arrivals.back().headers, "Expect-Endpoint"), slow);
+    }
+    cr_assert(fixture.metrics.text().find("jujuberelay_relay_first_event_seconds_count{priority=\"2\"} 5") != std::string::npos, "%s", fixture.metrics.text().c_str());
+    cr_assert_eq(fixture.selector.engineLoad()->runs("service"), 0);
+}
+
+// Guards against requests that remain counted when their engine refuses them or breaks off.
+Test(EngineRequests, failedRequestsAreNoLongerCounted)
+{
+    EngineFixture fixture(Fixture::makeHandlerSettings());
+    fixture.configuration = makeEngineConfiguration(0, std::nullopt);
+    fixture.selector.predictEngineLoad();
+    fixture.answer = [](const HTTP::Request& request, HTTP::ResponseWriter& writer) -> Core::Task<void> {
+        HTTP::Headers headers = sealed(request);
+        headers.push_back({ "Not-Run", "1" });
+        Core::Reason ignored;
+        co_await writer.send({ 429, headers, "" }, ignored);
+    };
+    cr_assert(fixture.call(fixture.makeRequest("/stream/a")));
+    cr_assert_eq(fixture.arrivals.size(), 2);
+    cr_assert_eq(fixture.selector.engineLoad()->runs("service"), 0);
+    fixture.answer = [](const HTTP::Request&, HTTP::ResponseWriter& writer) -> Core::Task<void> {
+        writer.abort();
+        co_return;
+    };
+    cr_assert(fixture.call(fixture.makeRequest("/stream/a")));
+    cr_assert_eq(fixture.selector.engineLoad()->runs("service"), 0);
+}
--- a/Tests/LibRelay/TestPromptQuarantine.cpp
+++ b/Tests/LibRelay/TestPromptQuarantine.cpp
@@ -44,6 +44,20 @@
     cr_assert_eq(quarantine.suspects(), 1);
 }
 
+// Guards against sending prompts that may crash engines to many of them, and against treating sound prompts like them.
+Test(PromptQuarantine, partsAreSuspectedFromTheFirstCrashUntilASurvivedAnswer)
+{
+    PromptQuarantine quarantine({}, {}, start);
+    cr_assert_not(quarantine.isSuspected(prompt({ "shared", "part", "x" }), start));
+    quarantine.recordSurvival(prompt({ "shared", "sound", "s" }), start);
+    quarantine.recordCrash(prompt({ "shared", "part", "x" }), crashOf(1), start);
+    cr_assert(quarantine.isSuspected(prompt({ "shared", "part", "y" }), start + seconds(1)));
+    cr_assert_not(quarantine.isSuspected(prompt({ "shared", "sound", "y" }), start + seconds(1)));
+    cr_assert_not(quarantine.isSuspected(prompt({ "other", "part" }), start + seconds(1)));
+    quarantine.recordSurvival(prompt({ "shared", "part", "y" }), start + seconds(2));
+    cr_assert_not(quarantine.isSuspected(prompt({ "shared", "part", "z" }), start + seconds(2)));
+}
+
 // Guards against refusing sound requests for ten minutes because they share a rare part with all deadly requests so far: no daemon
 // has an answer with it, and none could come while it is refused.
 Test(PromptQuarantine, partsThatCrashedTheSameEnginesAreOnlyRefusedTogether)
