Relay: parts of long prompts are spread by the time to read them

An engine that has slots left for a part's requests may still read their prompts all the time. A part now gets so many engines that none reads its prompts for more than a quarter of the time.

Two new tests assumed answers that end with their first event, a load that only reads; they failed with this change, and now have answers of 1,400 ms.

--- a/Libraries/LibRelay/include/LibRelay/EngineLoadModel.h
+++ b/Libraries/LibRelay/include/LibRelay/EngineLoadModel.h
@@ -54,6 +54,8 @@
     double readingMs(const std::string& service, Tokens) const;
     // Own requests with the shared part that are in progress on average.
     double concurrencyOf(uint64_t sharedKey) const;
+    // Own requests with the prompt's shared part that an engine reads on average, if it keeps that part.
+    double readingConcurrencyOf(const std::string& service, const EnginePrompt&) const;
     // Own requests to the service's engines that are in progress.
     size_t runs(const std::string& service) const;
     size_t daemons() const { return m_daemons; }
@@ -116,6 +118,8 @@
     struct PartState {
         size_t inProgress { 0 };
         double meanInProgress { assumedConcurrency };
+        // Mean time from a request to its end; 0: not observed.
+        double meanDurationMs { 0 };
     };
 
     const Engine* find(const std::string& endpoint) const;
--- a/Libraries/LibRelay/src/EngineChooser.cpp
+++ b/Libraries/LibRelay/src/EngineChooser.cpp
@@ -22,6 +22,8 @@
 // Share of an engine's slots that the requests with one part may take, if the service as a whole uses less.
 static constexpr double minUtilisation = 0.25;
 static constexpr double maxUtilisation = 0.6;
+// Share of the time in which an engine may read prompts with one part.
+static constexpr double maxReadingShare = 0.25;
 
 const char* nameOf(EngineChoiceReason reason)
 {
@@ -48,7 +50,9 @@
     auto daemons = static_cast<double>(m_model.daemons());
     double usedSlots = static_cast<double>(m_model.runs(engines.front()->service)) * daemons;
     double utilisation = std::clamp(usedSlots / (slots * static_cast<double>(engines.size())), minUtilisation, maxUtilisation);
-    double needed = std::ceil(m_model.concurrencyOf(prompt.sharedKey) * daemons / (slots * utilisation));
+    double neededToRun = m_model.concurrencyOf(prompt.sharedKey) * daemons / (slots * utilisation);
+    double neededToRead = m_model.readingConcurrencyOf(engines.front()->service, prompt) * daemons / maxReadingShare;
+    double needed = std::ceil(std::max(neededToRun, neededToRead));
     return static_cast<size_t>(std::clamp(needed, 1.0, static_cast<double>(engines.size())));
 }
 
--- a/Libraries/LibRelay/src/EngineLoadModel.cpp
+++ b/Libraries/LibRelay/src/EngineLoadModel.cpp
@@ -132,6 +132,14 @@
     return it == m_parts.end() ? assumedConcurrency : it->second.meanInProgress;
 }
 
+double EngineLoadModel::readingConcurrencyOf(const std::string& service, const EnginePrompt& prompt) const
+{
+    auto it = m_parts.find(prompt.sharedKey);
+    if (it == m_parts.end() || it->second.meanDurationMs <= 0)
+        return 0;
+    return it->second.meanInProgress * std::min(1.0, readingMs(service, prompt.tokens - prompt.sharedTokens) / it->second.meanDurationMs);
+}
+
 size_t EngineLoadModel::runs(const std::string& service) const
 {
     auto it = m_services.find(service);
@@ -234,8 +242,12 @@
     const Run& run = it->second;
     ServiceState& service = m_services[run.service];
     service.runs -= std::min<size_t>(service.runs, 1);
-    if (auto part = m_parts.find(run.sharedKey); part != m_parts.end() && part->second.inProgress > 0)
+    if (auto part = m_parts.find(run.sharedKey); part != m_parts.end() && part->second.inProgress > 0) {
         --part->second.inProgress;
+        double durationMs = millisecondsBetween(run.sentAt, now);
+        double& mean = part->second.meanDurationMs;
+        mean = mean == 0 ? durationMs : mean + concurrencyWeight * (durationMs - mean);
+    }
     if (auto engine = m_engines.find(run.endpoint); engine != m_engines.end()) {
         double overdueMs = millisecondsBetween(run.sentAt, now) - run.expectedMs;
         if (run.isStream && !run.hasEvents && overdueMs > 0)
--- a/Tests/LibRelay/TestEngineChooser.cpp
+++ b/Tests/LibRelay/TestEngineChooser.cpp
@@ -13,6 +13,9 @@
 static constexpr EnginePrompt commentary { sharedKey, 11'992, 5'382 };
 static constexpr EnginePrompt longCommentary { sharedKey, 54'600, 5'382 };
 
+// An answer of 385 tokens.
+static constexpr milliseconds answerTime(1'400);
+
 static Endpoint makeEngine(size_t number)
 {
     Endpoint endpoint;
@@ -40,13 +43,13 @@
     EngineLoadModel& load() { return *selector.engineLoad(); }
     const Endpoint& choose(const EnginePrompt& prompt) { return *selector.choose({ "engines", true, prompt.sharedKey, {}, false, prompt }, now); }
 
-    // Sends a request, whose first event arrives after this time.
-    void serve(const Endpoint& engine, const EnginePrompt& prompt, double firstEventMs)
+    // Sends a request, whose first event arrives after this time, and its last one after another.
+    void serve(const Endpoint& engine, const EnginePrompt& prompt, double firstEventMs, milliseconds answer = answerTime)
     {
         EngineLoadModel::RunId run = load().recordSent(engine, prompt, true, now);
         now += std::chrono::microseconds(static_cast<int64_t>(firstEventMs * 1'000));
         load().recordEvents(run, 1, now);
-        load().recordEnd(run, now);
+        load().recordEnd(run, now += answer);
     }
 
     // Engines that were chosen in many choices.
@@ -111,12 +114,12 @@
     for (int i = 0; i < 50; ++i)
         engines.serve(engines.choose(commentary), commentary, 90);
     Endpoint first = engines.choose(commentary);
-    engines.serve(first, commentary, 500);
+    engines.serve(first, commentary, 500, milliseconds(0));
     const Endpoint& next = engines.choose(commentary);
     cr_assert_neq(next.id, first.id);
     engines.now += milliseconds(2'000);
     cr_assert_lt(engines.load().latenessMs(first.id, engines.now), 100);
-    engines.serve(first, commentary, 90);
+    engines.serve(first, commentary, 90, milliseconds(0));
     engines.now += milliseconds(500);
     cr_assert_eq(engines.choose(commentary).id, first.id);
 }
@@ -167,6 +170,7 @@
     for (int i = 0; i < 100; ++i) {
         EngineLoadModel::RunId run = engines.load().recordSent(engines.choose(commentary), commentary, true, engines.now);
         engines.load().recordEvents(run, 1, engines.now += milliseconds(90));
+        engines.now += answerTime;
         runs.push_back(run);
         if (runs.size() > 1) {
             engines.load().recordEnd(runs.front(), engines.now);
@@ -177,6 +181,31 @@
     cr_assert(homes >= 70 / 12 && homes <= 40, "%zu engines", homes);
 }
 
+// Guards against long prompts that leave slots free at an engine, but keep it reading all the time.
+Test(EngineChooser, partOfLongPromptsIsSpreadByTheirReadingTime)
+{
+    Engines engines(112);
+    engines.load().setDaemons(70);
+    EnginePrompt longPrompt { sharedKey, 54'600, 5'382 };
+    // Each daemon sends one after the other: 70 are read at any time, which take 280 engines at a quarter of their time.
+    for (int i = 0; i < 100; ++i)
+        engines.serve(engines.choose(longPrompt), longPrompt, 340);
+    std::vector<const Endpoint*> all;
+    for (const auto& [id, endpoint] : engines.directory.endpoints())
+        all.push_back(&endpoint);
+    size_t brief = engines.selector.engineChooser()->homesOf(all, longPrompt);
+    EngineLoadModel::RunId last = engines.load().recordSent(makeEngine(0), longPrompt, true, engines.now);
+    for (int i = 0; i < 100; ++i) {
+        EngineLoadModel::RunId next = engines.load().recordSent(engines.choose(longPrompt), longPrompt, true, engines.now);
+        engines.now += milliseconds(340);
+        engines.load().recordEvents(last, 1, engines.now);
+        engines.load().recordEnd(last, engines.now);
+        last = next;
+    }
+    cr_assert_leq(brief, 2);
+    cr_assert_eq(engines.selector.engineChooser()->homesOf(all, longPrompt), all.size());
+}
+
 // Guards against a prompt part moving between engines when others end: only the parts of those engines may move.
 Test(EngineChooser, lossOfAQuarterMovesOnlyItsParts)
 {
