--- a/Tests/LibRelay/SimulatedEngines.h
+++ b/Tests/LibRelay/SimulatedEngines.h
@@ -5,9 +5,11 @@
 #include "LibRelay/EndpointSelector.h"
 #include "LibRelay/Urgency.h"
 #include <algorithm>
+#include <cmath>
 #include <deque>
 #include <memory>
 #include <random>
+#include <set>
 
 // Daemons that choose engines, and engines that batch: they read prompts in the order of urgency while they generate tokens for all
 // running requests. Time advances in fixed steps; nothing depends on the machine's speed.
@@ -25,8 +27,12 @@
     Relay::Tokens outputTokens { 0 };
     double targetMs { 0 };
     int priority { 0 };
-    // Prompt parts among which the requests are spread evenly.
+    // Last shared prompt parts.
     size_t parts { 10 };
+    // Requests for the n-th part are proportional to n to the power of minus this.
+    double skew { 0 };
+    // First shared levels, each of which begins many parts and holds half of the shared tokens; 0: parts have one level.
+    size_t firstLevels { 0 };
 };
 
 struct Setting {
@@ -44,6 +50,8 @@
     // Engines that end at half of the time.
     size_t lostEngines { 0 };
     double seconds { 12 };
+    // Shared tokens that an engine keeps. The parts that were least recently used are evicted.
+    Relay::Tokens keptTokens { 100'000 };
 };
 
 struct Outcome {
@@ -70,7 +78,13 @@
             endpoint.service = "engines";
             endpoint.slots = static_cast<int64_t>(m_setting.slots);
             m_directory.put(endpoint);
-            m_engines.push_back({ endpoint, {}, {}, {}, {}, true });
+            m_engines.push_back({ endpoint, {}, {}, {}, 0, {}, true });
+        }
+        for (const Kind& kind : m_kinds) {
+            std::vector<double> weights;
+            for (size_t i = 0; i < kind.parts; ++i)
+                weights.push_back(std::pow(static_cast<double>(i + 1), -kind.skew));
+            m_popularity.emplace_back(weights.begin(), weights.end());
         }
         for (size_t i = 0; i < m_setting.daemons; ++i) {
             m_selectors.push_back(std::make_unique<Relay::EndpointSelector>(m_directory, "zone-a"));
@@ -100,12 +114,13 @@
     }
 
     const Outcome& outcome(size_t kind) const { return m_outcomes[kind]; }
+    // Shared tokens that were read although an engine had read them before.
+    Relay::Tokens tokensReadAgain() const { return m_tokensReadAgain; }
     // Requests that were sent to engines after their end had been announced.
     size_t sentToLost() const { return m_sentToLost; }
 
 private:
     static constexpr double stepLengthMs = 1;
-    static constexpr size_t partsKept = 24;
 
     struct Request {
         size_t kind { 0 };
@@ -124,13 +139,32 @@
         Relay::Endpoint endpoint;
         std::vector<Request> running;
         std::deque<Request> queued;
-        std::deque<uint64_t> parts;
+        // The least recently used first.
+        std::deque<std::pair<uint64_t, Relay::Tokens>> parts;
+        Relay::Tokens keptTokens { 0 };
         TimePoint spellUntil;
         bool isRunning { true };
     };
 
     double uniform() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
 
+    // Tokens of a shared level that the engine reads, since it doesn't keep them.
+    Relay::Tokens readShared(Engine& engine, uint64_t key, Relay::Tokens tokens)
+    {
+        bool isKept = std::erase_if(engine.parts, [key](const auto& part) { return part.first == key; }) > 0;
+        engine.parts.emplace_back(key, tokens);
+        if (isKept)
+            return 0;
+        engine.keptTokens += tokens;
+        while (engine.keptTokens > m_setting.keptTokens) {
+            engine.keptTokens -= engine.parts.front().second;
+            engine.parts.pop_front();
+        }
+        if (!m_readBefore.insert(key).second)
+            m_tokensReadAgain += tokens;
+        return tokens;
+    }
+
     void send(size_t kindIndex)
     {
         const Kind& kind = m_kinds[kindIndex];
@@ -141,7 +175,8 @@
         request.isLongest = kind.longestTokens > 0 && m_random() % 100 == 0;
         request.urgency = Relay::urgencyOf({ kind.priority, static_cast<int64_t>(kind.targetMs), 0, false });
         request.sentAt = m_now;
-        uint64_t part = Core::hash64(kind.name + std::to_string(m_random() % kind.parts)) | 1;
+        size_t partIndex = kind.skew == 0 ? m_random() % kind.parts : m_popularity[kindIndex](m_random);
+        uint64_t part = Core::hash64(kind.name + std::to_string(partIndex)) | 1;
         Relay::Tokens own = request.isLongest ? kind.longestTokens : kind.ownTokens;
         Relay::EnginePrompt prompt { part, kind.sharedTokens + own, kind.sharedTokens, kind.targetMs };
         Relay::SelectionQuery query { "engines", true, part, {}, false, prompt };
@@ -152,11 +187,12 @@
         selector.recordStart(endpoint->id, m_now);
         if (Relay::EngineLoadModel* load = selector.engineLoad())
             request.run = load->recordSent(*endpoint, prompt, true, m_now);
-        bool isKept = std::erase(engine.parts, part) > 0;
-        engine.parts.push_back(part);
-        if (engine.parts.size() > partsKept)
-            engine.parts.pop_front();
-        request.toRead = static_cast<double>(own + (isKept ? 0 : kind.sharedTokens));
+        Relay::Tokens firstTokens = kind.firstLevels > 0 ? kind.sharedTokens / 2 : 0;
+        Relay::Tokens sharedToRead = 0;
+        if (firstTokens > 0)
+            sharedToRead += readShared(engine, Core::hash64(kind.name + " first " + std::to_string(partIndex % kind.firstLevels)), firstTokens);
+        sharedToRead += readShared(engine, part, kind.sharedTokens - firstTokens);
+        request.toRead = static_cast<double>(own + sharedToRead);
         request.toGenerate = static_cast<double>(kind.outputTokens);
         if (m_isCounting) {
             ++m_outcomes[kindIndex].sent;
@@ -239,6 +275,9 @@
     Setting m_setting;
     std::vector<Kind> m_kinds;
     std::vector<Outcome> m_outcomes;
+    std::vector<std::discrete_distribution<size_t>> m_popularity;
+    std::set<uint64_t> m_readBefore;
+    Relay::Tokens m_tokensReadAgain { 0 };
     Relay::EndpointDirectory m_directory { {} };
     std::vector<Engine> m_engines;
     std::vector<std::unique_ptr<Relay::EndpointSelector>> m_selectors;
