--- a/Libraries/LibRelay/src/RequestExecution.cpp
+++ b/Libraries/LibRelay/src/RequestExecution.cpp
@@ -38,6 +38,7 @@
 {
     m_writer.onClientDisconnect({});
     endWatch();
+    endEngineRun();
     settleTokens();
 }
 
@@ -227,7 +228,7 @@
 
 SelectionQuery RequestExecution::selectionQuery(const std::string& service) const
 {
-    return { service, m_isEngine, affinity(), m_excluded, m_hasPermitTimedOut || m_permitRequests >= maxPermitRequests };
+    return { service, m_isEngine, affinity(), m_excluded, m_hasPermitTimedOut || m_permitRequests >= maxPermitRequests, predictedPrompt() };
 }
 
 bool RequestExecution::canRetry(Outcome outcome) const
@@ -360,6 +361,8 @@
     dispatch.workspace = m_workspace ? m_workspace->name : "";
     dispatch.deadline = m_deadline;
     dispatch.lastEvent = m_lastEvent;
+    if (m_isEngine && m_handler.m_settings.sendsUrgency)
+        dispatch.urgency = urgency();
     bool wasSent = false;
     Core::SteadyClock::time_point sentAt = now;
     HTTP::CallOptions options;
@@ -396,19 +399,22 @@
         return isExpected;
     };
     selector.recordStart(endpoint.id, now);
-    Core::logEvent(Events::requestSent, "request=" + m_request.id + " endpoint=" + endpoint.id + " service=" + endpoint.service + " in_flight=" + std::to_string(selector.inFlight(endpoint.id)) + " left_ms=" + std::to_string(m_deadline.remaining().count()) + " configuration=" + std::to_string(m_configuration->version()) + " after_event=" + std::to_string(m_lastEvent.value_or(0)) + (m_permitSource.empty() ? "" : " permit=" + m_permitSource) + describeTokens(m_request));
+    Core::logEvent(Events::requestSent, "request=" + m_request.id + " endpoint=" + endpoint.id + " service=" + endpoint.service + " in_flight=" + std::to_string(selector.inFlight(endpoint.id)) + " left_ms=" + std::to_string(m_deadline.remaining().count()) + " configuration=" + std::to_string(m_configuration->version()) + " after_event=" + std::to_string(m_lastEvent.value_or(0)) + (m_permitSource.empty() ? "" : " permit=" + m_permitSource) + (dispatch.urgency ? " urgency=" + std::to_string(*dispatch.urgency) : "") + describeTokens(m_request));
     startWatch(endpoint);
+    startEngineRun(endpoint);
     Reason reason;
     std::optional<std::unique_ptr<HTTP::ResponseStream>> stream = co_await m_handler.m_client->call(
         endpoint.address, m_handler.m_codec.encodeDispatch(m_request, dispatch), m_deadline, std::move(options), reason);
     if (stream) {
         Outcome outcome = co_await handleResponse(endpoint, std::move(*stream));
         endWatch();
+        endEngineRun();
         if (outcome != Outcome::Finished)
             co_await examineBreak(endpoint);
         co_return outcome;
     }
     endWatch();
+    endEngineRun();
     bool isAborted = *m_isCallerGone || m_wasWithheld || m_deadline.hasPassed();
     selector.recordEnd(endpoint.id, isAborted ? EndpointSelector::End::Neutral : EndpointSelector::End::Failure, Core::SteadyClock::now());
     m_lastFailure = m_wasWithheld ? "endpoint " + endpoint.id + (selector.isEvacuated(endpoint) ? " was evacuated" : " began to refuse all requests, or became cold,") + " before this one was sent" : lossReason().value_or(reason.text());
--- a/Libraries/LibRelay/src/RequestExecution.h
+++ b/Libraries/LibRelay/src/RequestExecution.h
@@ -34,6 +34,8 @@
     Core::Task<void> dispatch();
     std::string selectService() const;
     uint64_t affinity() const;
+    // The urgency with which the request is sent to an engine now.
+    int urgency() const;
     SelectionQuery selectionQuery(const std::string& service) const;
     // Whether the request may be sent to the endpoint now, if that has named a limit or is cold.
     Core::Task<bool> acquirePermit(const Endpoint&);
@@ -48,6 +50,13 @@
     // Watches the attempt if the stream could be moved to another endpoint.
     void startWatch(const Endpoint&);
     void endWatch();
+    // Record the attempt in the prediction of the engines' load, if they are chosen by it; see EngineRequests.cpp.
+    EnginePrompt enginePrompt() const;
+    // The prompt if the engine is chosen by the predicted time to the first event.
+    std::optional<EnginePrompt> predictedPrompt() const;
+    void startEngineRun(const Endpoint&);
+    void recordEngineEvents(const Endpoint&, size_t events);
+    void endEngineRun();
     // Why the watch ended the last attempt, if it did.
     std::optional<std::string> lossReason() const;
     Core::Task<Outcome> handleResponse(const Endpoint&, std::unique_ptr<HTTP::ResponseStream>);
@@ -125,6 +134,9 @@
     std::string m_lastFailure;
     bool m_wasOverloaded { false };
     bool m_isLogged { false };
+    // The current attempt in the prediction of the engines' load.
+    std::optional<EngineLoadModel::RunId> m_engineRun;
+    bool m_isFirstEventMeasured { false };
 };
 
 }
--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -40,6 +40,7 @@
     Relay::HandlerSettings result;
     result.retryPercent = static_cast<int>(settings.retryShare * 100 * retryAllowanceFraction);
     result.retryExtra = static_cast<int64_t>(settings.retryExtra * retryAllowanceFraction);
+    result.sendsUrgency = PlatformAdapter::featuresOf(settings.features).predictsEngineLoad;
     return result;
 }
 
@@ -141,6 +142,8 @@
         [this] { return static_cast<double>(m_selector.limits().size()); });
     m_metrics.observe("jujuberelay_relay_cold_endpoints", "Endpoints that are cold and get requests only with a permit.",
         [this] { return static_cast<double>(m_selector.cold().countCold(Core::SteadyClock::now())); });
+    if (PlatformAdapter::featuresOf(m_settings.features).predictsEngineLoad)
+        predictEngineLoad();
     m_metrics.observe("jujuberelay_relay_active_requests", "Requests in progress.", [this] { return static_cast<double>(m_callerServer.activeRequests()); });
     m_metrics.observeCounter("jujuberelay_relay_connections_opened_total", "Connections opened to endpoints and the store.",
         [this] { return m_client->connectionsOpened(); });
@@ -149,6 +152,16 @@
     m_metrics.observeCounter("jujuberelay_relay_ledger_writes_total", "Writes of budget ledgers.", [this] { return m_grants.writes(); });
 }
 
+void RelayDaemon::predictEngineLoad()
+{
+    m_selector.predictEngineLoad();
+    for (size_t i = 0; i < Relay::engineChoiceReasons; ++i) {
+        auto reason = static_cast<Relay::EngineChoiceReason>(i);
+        m_metrics.observeCounter("jujuberelay_relay_engine_choices_total", "Choices of an engine, by reason.",
+            [this, reason] { return m_selector.engineChooser()->choices(reason); }, { { "reason", Relay::nameOf(reason) } });
+    }
+}
+
 bool RelayDaemon::start(Reason& reason)
 {
     m_peerStore.setPeers(otherSeeds());
