--- a/Libraries/LibRelay/include/LibRelay/LedgerWriter.h
+++ b/Libraries/LibRelay/include/LibRelay/LedgerWriter.h
@@ -12,7 +12,7 @@
 
 struct LedgerWriterSettings {
     // How long non-urgent changes are collected into one write.
-    int64_t batchWindowMs { 1'000 };
+    int64_t batchWindowMs { 500 };
     // Timeout of one call to the store.
     int64_t storeTimeoutMs { 1'000 };
     // A copy of the shard that is older than this is read again before a change is rejected.
