Relay: bound what a host serves by its link, processor and descriptors

A host with a full link retried timed-out connects on the same link and counted them against the endpoints. HostLoad estimates the utilisation and decides which requests are served; active with the feature limitsHostLoad only.

--- a/Libraries/LibHTTP/include/LibHTTP/Client.h
+++ b/Libraries/LibHTTP/include/LibHTTP/Client.h
@@ -5,6 +5,7 @@
 #include "LibCore/Reason.h"
 #include "LibHTTP/BufferBudget.h"
 #include "LibHTTP/Message.h"
+#include "LibHTTP/Traffic.h"
 #include <functional>
 #include <memory>
 #include <optional>
@@ -73,6 +74,8 @@
     // Called if a reused connection failed before any byte of the response was received, as happens when the peer closes an
     // idle connection at the moment at which it is reused. Whether the request is sent again is the caller's decision.
     std::function<void()> reusedConnectionFailed {};
+    // Called if the connection was not established by the connect deadline; nothing was sent.
+    std::function<void()> connectTimedOut {};
     // Called if the peer's host refused the connection, as it does when no process listens at the address.
     std::function<void()> connectionRefused {};
 };
@@ -106,6 +109,11 @@
     // Number of connection attempts since construction.
     uint64_t connectionsOpened() const;
 
+    // Number of connections that are idle, in use or being established.
+    size_t openConnections() const;
+
+    const Traffic& traffic() const;
+
 private:
     struct Pool;
     boost::asio::any_io_executor m_executor;
--- a/Libraries/LibHTTP/include/LibHTTP/ResponseWriter.h
+++ b/Libraries/LibHTTP/include/LibHTTP/ResponseWriter.h
@@ -30,6 +30,10 @@
     // False if the client has closed the connection already, which onClientDisconnect() may report only later.
     virtual bool isClientConnected() const { return true; }
 
+    // Announces with the response that the connection closes after it, and closes it then. Has no effect once the response has
+    // started, or if the next request on the connection has arrived by then.
+    virtual void closeAfterResponse() { }
+
     // Closes the connection without completing the response.
     virtual void abort() = 0;
 
--- a/Libraries/LibHTTP/include/LibHTTP/Server.h
+++ b/Libraries/LibHTTP/include/LibHTTP/Server.h
@@ -4,6 +4,7 @@
 #include "LibCore/Async.h"
 #include "LibHTTP/Message.h"
 #include "LibHTTP/ResponseWriter.h"
+#include "LibHTTP/Traffic.h"
 #include <functional>
 #include <memory>
 
@@ -47,6 +48,10 @@
     // Number of requests in progress.
     size_t activeRequests() const;
 
+    size_t openConnections() const;
+
+    const Traffic& traffic() const;
+
     // Number of connections that were closed by the idle timeout since construction.
     uint64_t idleTimeouts() const;
 
--- a/Libraries/LibHTTP/src/Client.cpp
+++ b/Libraries/LibHTTP/src/Client.cpp
@@ -72,6 +72,9 @@
         reason = makeReason(error, Core::FailureKind::Unavailable, "connect", address);
         if (error == asio::error::connection_refused && options.connectionRefused)
             options.connectionRefused();
+        // A call that ends before the connect deadline says nothing about the peer.
+        if (error == beast::error::timeout && options.connectTimedOut && options.connectDeadline <= deadline)
+            options.connectTimedOut();
         co_return false;
     }
     connection.setEstablished();
@@ -148,6 +151,16 @@
     return m_pool->connectionsOpened;
 }
 
+size_t Client::openConnections() const
+{
+    return m_pool->table->openConnections;
+}
+
+const Traffic& Client::traffic() const
+{
+    return m_pool->traffic;
+}
+
 Core::Task<std::optional<std::unique_ptr<ResponseStream>>> Client::call(
     Core::Address address, Request request, Core::Deadline deadline, CallOptions options, Core::Reason& reason)
 {
@@ -172,6 +185,7 @@
     }
     connection->stream.expires_at(deadline.at());
     auto [error, size] = co_await http::async_write(connection->stream, message, asTuple);
+    m_pool->traffic.sentBytes += size;
     bool hasReceivedBytes = false;
     if (error) {
         reason = makeReason(error, Core::FailureKind::OutcomeUnknown, "send request", address);
--- a/Libraries/LibHTTP/src/ConnectionPool.h
+++ b/Libraries/LibHTTP/src/ConnectionPool.h
@@ -24,6 +24,8 @@
 // The established connections of a client by address, idle or in use.
 struct ConnectionTable {
     std::map<Core::Address, std::set<Connection*>> connections;
+    // Includes connections that are being established.
+    size_t openConnections { 0 };
 };
 
 struct Connection {
@@ -33,11 +35,13 @@
         , m_table(std::move(table))
         , m_address(std::move(address))
     {
+        ++m_table->openConnections;
     }
     Connection(const Connection&) = delete;
     Connection& operator=(const Connection&) = delete;
     ~Connection()
     {
+        --m_table->openConnections;
         auto it = m_table->connections.find(m_address);
         if (it != m_table->connections.end() && it->second.erase(this) > 0 && it->second.empty())
             m_table->connections.erase(it);
@@ -120,6 +124,7 @@
     }
 
     uint64_t connectionsOpened { 0 };
+    Traffic traffic {};
 
     void release(const Core::Address& address, std::unique_ptr<Connection> connection)
     {
--- a/Libraries/LibHTTP/src/PooledStream.h
+++ b/Libraries/LibHTTP/src/PooledStream.h
@@ -5,6 +5,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
+#include <tuple>
 
 // A response that is read from a pooled connection.
 namespace HTTP {
@@ -82,6 +83,7 @@
                 m_parser->skip(true);
             m_connection->stream.expires_at(deadline.at());
             auto [error, size] = co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_parser, asTuple);
+            m_pool->traffic.receivedBytes += size;
             hasReceivedBytes = hasReceivedBytes || m_parser->got_some();
             if (!error && !m_connection->reserveBuffer())
                 error = overBudget;
@@ -129,8 +131,10 @@
             m_connection->stream.expires_never();
             m_timeout.setDeadline(deadline.at());
             beast::error_code error = beast::error::timeout;
+            size_t size = 0;
             if (!m_timeout.hasExpired())
-                error = std::get<0>(co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser, asTuple));
+                std::tie(error, size) = co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser, asTuple);
+            m_pool->traffic.receivedBytes += size;
             if ((!error || error == http::error::need_buffer) && !m_connection->reserveBuffer())
                 error = overBudget;
             if (error && error != http::error::need_buffer) {
--- a/Libraries/LibHTTP/src/Server.cpp
+++ b/Libraries/LibHTTP/src/Server.cpp
@@ -43,6 +43,7 @@
     std::set<ServerConnection*> connections;
     size_t activeRequests { 0 };
     uint64_t idleTimeouts { 0 };
+    Traffic traffic {};
     bool isStopping { false };
     bool isClosing { false };
     // Set by closeAll. The handler isn't called any more, since its owner may have been destroyed.
@@ -104,6 +105,7 @@
     for (;;) {
         auto [error, size] = co_await connection.stream.async_read_some(connection.buffer.prepare(firstReadBytes), asTuple);
         connection.buffer.commit(size);
+        state.traffic.receivedBytes += size;
         if (!error)
             co_return true;
         // If the process did not run for a while, the timeout has expired although a request has arrived in time.
@@ -117,7 +119,7 @@
 }
 
 // Reads the request whose first bytes have been received. Data that has arrived by the deadline is read also after it.
-static Core::Task<beast::error_code> readRequest(ServerConnection& connection, http::request_parser<http::string_body>& parser, Core::Deadline deadline)
+static Core::Task<beast::error_code> readRequest(Server::State& state, ServerConnection& connection, http::request_parser<http::string_body>& parser, Core::Deadline deadline)
 {
     ReadTimeout timeout(connection.stream);
     timeout.setDeadline(deadline.at());
@@ -126,6 +128,7 @@
     for (;;) {
         size_t bufferedBytes = connection.buffer.size();
         auto [error, parsedBytes] = co_await http::async_read_some(connection.stream, connection.buffer, parser, asTuple);
+        state.traffic.receivedBytes += parsedBytes + connection.buffer.size() - bufferedBytes;
         bool isInterrupted = error == asio::error::operation_aborted && timeout.hasExpired();
         if (error && !isInterrupted)
             co_return error;
@@ -149,7 +152,8 @@
     if (!isParseError)
         co_return;
     static constexpr bool isClosing = true;
-    StreamWriter writer(connection, 11, false, isClosing);
+    Traffic uncounted;
+    StreamWriter writer(connection, 11, false, isClosing, uncounted);
     Core::Reason ignored;
     connection.stream.expires_after(errorResponseTimeout);
     co_await writer.send(parseErrorResponse(error), ignored);
@@ -174,14 +178,14 @@
     parser.body_limit(state.limits.maxBodyBytes);
     parser.header_limit(static_cast<std::uint32_t>(state.limits.maxHeaderBytes));
     connection.isBusy = true;
-    beast::error_code error = co_await readRequest(connection, parser, deadlineAfter(state.limits.requestTimeoutMs));
+    beast::error_code error = co_await readRequest(state, connection, parser, deadlineAfter(state.limits.requestTimeoutMs));
     if (!error && !hasSupportedTransferCoding(parser.get()))
         error = http::error::bad_transfer_encoding;
     if (error) {
         co_await sendParseError(connection, error);
         co_return false;
     }
-    StreamWriter writer(connection, parser.get().version(), parser.get().keep_alive(), state.isClosing);
+    StreamWriter writer(connection, parser.get().version(), parser.get().keep_alive(), state.isClosing, state.traffic);
     ++state.activeRequests;
     detectDisconnect(connectionPointer);
     bool hasThrown = false;
@@ -318,6 +322,16 @@
     return m_state->activeRequests;
 }
 
+size_t Server::openConnections() const
+{
+    return m_state->connections.size();
+}
+
+const Traffic& Server::traffic() const
+{
+    return m_state->traffic;
+}
+
 uint64_t Server::idleTimeouts() const
 {
     return m_state->idleTimeouts;
--- a/Libraries/LibHTTP/src/StreamWriter.h
+++ b/Libraries/LibHTTP/src/StreamWriter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibHTTP/ResponseWriter.h"
+#include "LibHTTP/Traffic.h"
 #include "ServerConnection.h"
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -25,11 +26,12 @@
 class StreamWriter final : public ResponseWriter {
 public:
     // The connection is kept alive if the client requested it and isClosing is false when the response starts.
-    StreamWriter(ServerConnection& connection, unsigned version, bool keepAlive, const bool& isClosing)
+    StreamWriter(ServerConnection& connection, unsigned version, bool keepAlive, const bool& isClosing, Traffic& traffic)
         : m_connection(connection)
         , m_version(version)
         , m_keepAlive(keepAlive)
         , m_isClosing(isClosing)
+        , m_traffic(traffic)
     {
     }
 
@@ -43,6 +45,7 @@
         message.body() = std::move(response.body);
         message.prepare_payload();
         auto [error, size] = co_await http::async_write(m_connection.stream, message, asTuple);
+        m_traffic.sentBytes += size;
         m_isComplete = !error;
         co_return checkWrite(error, reason);
     }
@@ -57,6 +60,7 @@
         message.chunked(true);
         http::response_serializer<http::empty_body> serializer(message);
         auto [error, size] = co_await http::async_write_header(m_connection.stream, serializer, asTuple);
+        m_traffic.sentBytes += size;
         co_return checkWrite(error, reason);
     }
 
@@ -64,18 +68,21 @@
     {
         auto [error, size] = co_await asio::async_write(
             m_connection.stream, http::make_chunk(asio::const_buffer(bytes.data(), bytes.size())), asTuple);
+        m_traffic.sentBytes += size;
         co_return checkWrite(error, reason);
     }
 
     Core::Task<bool> finishStream(Core::Reason& reason) override
     {
         auto [error, size] = co_await asio::async_write(m_connection.stream, http::make_chunk_last(), asTuple);
+        m_traffic.sentBytes += size;
         m_isComplete = !error;
         co_return checkWrite(error, reason);
     }
 
     void onClientDisconnect(std::function<void()> handler) override { m_connection.onDisconnect = std::move(handler); }
 
+    void closeAfterResponse() override { m_closesAfterResponse = true; }
     bool isClientConnected() const override { return !m_connection.isDisconnected(); }
     void abort() override { m_connection.close(); }
 
@@ -103,6 +110,9 @@
     {
         m_hasStarted = true;
         m_keepAlive = m_keepAlive && !m_isClosing;
+        // A next request that has arrived already is served, and its response may close the connection.
+        if (m_closesAfterResponse && m_keepAlive)
+            m_keepAlive = m_connection.hasNextRequest();
         if (std::exchange(m_isLate, false))
             abortAt(Core::Deadline::after(lateResponseTimeout));
     }
@@ -126,6 +136,9 @@
     unsigned m_version;
     bool m_keepAlive;
     const bool& m_isClosing;
+    Traffic& m_traffic;
+    // See closeAfterResponse.
+    bool m_closesAfterResponse { false };
     bool m_hasStarted { false };
     bool m_isComplete { false };
     // See abortAt.
--- a/Libraries/LibRelay/include/LibRelay/RequestHandler.h
+++ b/Libraries/LibRelay/include/LibRelay/RequestHandler.h
@@ -7,6 +7,7 @@
 #include "LibRelay/CallerRequest.h"
 #include "LibRelay/CrashCheck.h"
 #include "LibRelay/EndpointSelector.h"
+#include "LibRelay/HostLoad.h"
 #include "LibRelay/PermitService.h"
 #include "LibRelay/PromptQuarantine.h"
 #include "LibRouting/RetryBudget.h"
@@ -44,6 +45,8 @@
     std::function<void(const Endpoint&, const std::string& request)> endpointLeaves {};
     // Asks for a permit to send one request to an endpoint with this limit on requests a second.
     std::function<Core::Task<PermitService::Permit>(std::string endpoint, double perSecond)> acquirePermit;
+    // Decides which requests this host carries. Null: all.
+    HostLoad* hostLoad { nullptr };
 };
 
 struct HandlerSettings {
--- a/Libraries/LibRelay/src/RequestExecution.cpp
+++ b/Libraries/LibRelay/src/RequestExecution.cpp
@@ -25,6 +25,8 @@
 // An outage of the store that has lasted for some time is expected to last as long again, between these bounds.
 static constexpr int64_t minRetryAfterStoreOutageMs = 700;
 static constexpr int64_t maxRetryAfterStoreOutageMs = 5'000;
+// Bytes of a request's head on the wire, with the headers that were not kept.
+static constexpr size_t requestHeadBytes = 300;
 // A retry reaches another daemon.
 static constexpr int64_t retryAfterStopMs = 50;
 
@@ -118,7 +120,20 @@
     std::optional<Deadline> servesUntil = m_handler.m_hooks.servesUntil ? m_handler.m_hooks.servesUntil() : std::nullopt;
     if (servesUntil && m_deadline > *servesUntil)
         co_return Refusal { 503, "stopping", "this daemon stops in " + std::to_string(servesUntil->remaining().count()) + " ms and may not finish the request", retryAfterStopMs };
-    co_return std::nullopt;
+    co_return hostLoadRefusal();
+}
+
+std::optional<Refusal> RequestExecution::hostLoadRefusal()
+{
+    HostLoad* load = m_handler.m_hooks.hostLoad;
+    if (!load)
+        return std::nullopt;
+    if (load->shedsConnection())
+        m_writer.closeAfterResponse();
+    int priority = m_workspace && m_workspace->priority ? *m_workspace->priority : m_route.priority;
+    if (load->admit(priority, m_request.message.body.size() + requestHeadBytes))
+        return std::nullopt;
+    return Refusal { 503, "host_overloaded", "this host serves only a part of its requests, limited by " + std::string(nameOf(load->cause())), load->retryAfterMs() };
 }
 
 Core::Task<std::optional<Refusal>> RequestExecution::holdTokens()
@@ -228,7 +243,7 @@
 
 bool RequestExecution::canRetry(Outcome outcome) const
 {
-    if (*m_isCallerGone || m_isBeyondBudget || m_deadline.hasPassed() || m_sends >= m_route.attempts)
+    if (*m_isCallerGone || m_isBeyondBudget || m_isOwnLinkSlow || m_deadline.hasPassed() || m_sends >= m_route.attempts)
         return false;
     return outcome == Outcome::NotRun || m_route.mayRunAgain();
 }
@@ -367,6 +382,10 @@
     m_wasConnectionStale = false;
     m_wasWithheld = false;
     m_hasConnectionBroken = false;
+    options.connectTimedOut = [this, &endpoint] {
+        HostLoad* load = m_handler.m_hooks.hostLoad;
+        m_isOwnLinkSlow = load && load->recordConnectTimeout(endpoint.id, Core::SteadyClock::now());
+    };
     options.reusedConnectionFailed = [this] { m_wasConnectionStale = true; };
     options.guard = [this, &wasSent, &sentAt, &selector, &endpoint] {
         *m_isCallerGone = *m_isCallerGone || !m_writer.isClientConnected();
@@ -405,7 +424,7 @@
         co_return outcome;
     }
     endWatch();
-    bool isAborted = *m_isCallerGone || m_wasWithheld || m_deadline.hasPassed();
+    bool isAborted = *m_isCallerGone || m_wasWithheld || m_isOwnLinkSlow || m_deadline.hasPassed();
     selector.recordEnd(endpoint.id, isAborted ? EndpointSelector::End::Neutral : EndpointSelector::End::Failure, Core::SteadyClock::now());
     m_lastFailure = m_wasWithheld ? "endpoint " + endpoint.id + " began to refuse all requests before this one was sent" : lossReason().value_or(reason.text());
     Core::logEvent(Events::attemptFailed, "request=" + m_request.id + " endpoint=" + endpoint.id + " sent=" + std::to_string(wasSent) + " reused_connection=" + std::to_string(m_wasConnectionStale) + " reason=\"" + m_lastFailure + "\"");
@@ -430,6 +449,10 @@
         co_await refuse({ isDeadlineExceeded ? 504u : 502u, isDeadlineExceeded ? "deadline" : "endpoint_failed", m_lastFailure, std::nullopt });
         co_return;
     }
+    if (m_isOwnLinkSlow) {
+        co_await refuse({ 503, "host_overloaded", "connects to most endpoints time out, last " + m_lastFailure, m_handler.m_hooks.hostLoad->retryAfterMs() });
+        co_return;
+    }
     co_await refuse(refusalWithoutEndpoint(m_lastFailure));
 }
 
--- a/Libraries/LibRelay/src/RequestExecution.h
+++ b/Libraries/LibRelay/src/RequestExecution.h
@@ -28,6 +28,8 @@
     };
 
     Core::Task<std::optional<Refusal>> authorize();
+    // The refusal of a request that exceeds what this host can carry.
+    std::optional<Refusal> hostLoadRefusal();
     // Chooses the service. Refuses the request if none of its endpoints takes requests.
     std::optional<Refusal> findService();
     Core::Task<std::optional<Refusal>> holdTokens();
@@ -110,6 +112,8 @@
     bool m_wasConnectionStale { false };
     // The last attempt was not sent, because its endpoint had begun to refuse all requests while it was connected.
     bool m_wasWithheld { false };
+    // The last attempt was not sent, because connects to most endpoints time out: further ones would too.
+    bool m_isOwnLinkSlow { false };
     // The connection of the current attempt broke after the request had been sent on it.
     bool m_hasConnectionBroken { false };
     // An engine has ended while it worked on this request.
--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -1,7 +1,10 @@
 #include "RelayDaemon.h"
 
+#include "LibCore/Random.h"
 #include "PlatformAdapter/Adapter.h"
 #include "RelayEvents.h"
+#include <cmath>
+#include <ctime>
 
 using Core::Deadline;
 using Core::Reason;
@@ -77,6 +80,7 @@
 RelayDaemon::RelayDaemon(const boost::asio::any_io_executor& executor, RelaySettings settings)
     : m_executor(executor)
     , m_settings(std::move(settings))
+    , m_features(PlatformAdapter::featuresOf(m_settings.features))
     , m_responseBudget(std::make_shared<HTTP::BufferBudget>(m_settings.responseBytes()))
     , m_client(std::make_shared<HTTP::Client>(executor, m_responseBudget))
     , m_network(executor, { { m_settings.host, 0, m_settings.failureDomain }, m_settings.peerAddress, m_settings.peerKey, {}, {}, {} })
@@ -99,6 +103,7 @@
     , m_endpointFollower(executor, m_store, PlatformAdapter::endpointPrefix, sharedFollowerSettings(), withSharedWatches(makeEndpointHooks()))
     , m_announcementFollower(executor, m_store, Relay::PeerDirectory::prefix, announcementSettings(), withSharedWatches(makeAnnouncementHooks()))
     , m_suspectFollower(executor, m_store, Relay::SuspectPart::prefix, sharedFollowerSettings(), withSharedWatches(makeSuspectHooks()))
+    , m_hostLoad(m_settings.hostCapacity(), Core::randomGenerator()())
     , m_handler(executor, PlatformAdapter::makeCodec(), makeHandlerHooks(), handlerSettingsOf(m_settings), m_client, m_selector, m_budgets, m_quarantine, m_metrics)
     , m_callerServer(executor, [this](HTTP::Request request, HTTP::ResponseWriter& writer) { return m_handler.handle(std::move(request), writer); })
     , m_readinessServer(executor, [this](HTTP::Request request, HTTP::ResponseWriter& writer) { return handleReadiness(std::move(request), writer); })
@@ -124,6 +129,30 @@
     m_metrics.observeCounter("jujuberelay_relay_idle_timeouts_total", "Connections of callers that were closed by the idle timeout.",
         [this] { return m_callerServer.idleTimeouts(); });
     m_metrics.observeCounter("jujuberelay_relay_ledger_writes_total", "Writes of budget ledgers.", [this] { return m_grants.writes(); });
+    if (m_features.limitsHostLoad)
+        observeHostLoad();
+}
+
+void RelayDaemon::observeHostLoad()
+{
+    m_metrics.observe("jujuberelay_relay_host_admitted_fraction", "The part of arriving requests, by bytes, that the host's load allows to serve.",
+        [this] { return m_hostLoad.admittedFraction(); });
+    m_metrics.observe("jujuberelay_relay_host_link_out_utilisation", "Bytes sent in the last second as a part of the link's speed.",
+        [this] { return m_hostLoad.linkUtilisationOut(); });
+    m_metrics.observe("jujuberelay_relay_host_link_in_utilisation", "Bytes received in the last second as a part of the link's speed.",
+        [this] { return m_hostLoad.linkUtilisationIn(); });
+    m_metrics.observe("jujuberelay_relay_host_link_queue_seconds", "How long the bytes sent so far are estimated to occupy the link.",
+        [this] { return static_cast<double>(m_hostLoad.queueDelay().count()) / 1'000; });
+    m_metrics.observe("jujuberelay_relay_host_processor_utilisation", "Processor time of the last second as a part of the host's share.",
+        [this] { return m_hostLoad.processorUtilisation(); });
+    m_metrics.observe("jujuberelay_relay_host_descriptor_utilisation", "Descriptors, or those of requests in progress, as a part of what they may be.",
+        [this] { return m_hostLoad.descriptorUtilisation(); });
+    m_metrics.observe("jujuberelay_relay_host_ready", "0 while the host reports not ready because of its load.",
+        [this] { return m_hostLoad.isReady() ? 1.0 : 0.0; });
+    m_metrics.observeCounter("jujuberelay_relay_host_connections_shed_total", "Connections of callers that were closed after a response because of the host's load.",
+        [this] { return m_hostLoad.shedConnections(); });
+    m_metrics.observeCounter("jujuberelay_relay_host_connect_timeouts_total", "Connect timeouts that were put down to the host's own link.",
+        [this] { return m_hostLoad.ownConnectTimeouts(); });
 }
 
 bool RelayDaemon::start(Reason& reason)
@@ -256,6 +285,7 @@
     hooks.storeSilence = [this] { return std::chrono::milliseconds(configurationAgeMs()); };
     hooks.servesUntil = [this] { return m_servesUntil; };
     hooks.rejectEndpoint = [this](const std::string& endpoint) { m_endpoints.reject(endpoint); };
+    hooks.hostLoad = m_features.limitsHostLoad ? &m_hostLoad : nullptr;
     hooks.acquirePermit = [this](std::string endpoint, double perSecond) { return m_permits.acquire(std::move(endpoint), perSecond); };
     hooks.endpointLeaves = [this](const Relay::Endpoint& endpoint, const std::string& request) {
         if (m_endpoints.markLeaving(endpoint, Core::SteadyClock::now()))
@@ -277,12 +307,19 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(Core::SteadyClock::now() - m_configurationFollower.confirmedAt()).count();
 }
 
-std::optional<Relay::Refusal> RelayDaemon::servingRefusal() const
+std::optional<Relay::Refusal> RelayDaemon::viewRefusal() const
 {
     if (!m_configuration || !m_endpointFollower.hasListed())
         return Relay::Refusal { 503, "not_started", "the configuration or the list of endpoints has not been read yet", retryAfterMs };
     if (configurationAgeMs() > m_settings.outageLimitMs)
         return Relay::Refusal { 503, "stale_configuration", "the store last confirmed the configuration " + std::to_string(configurationAgeMs()) + " ms ago", retryAfterMs };
+    return std::nullopt;
+}
+
+std::optional<Relay::Refusal> RelayDaemon::servingRefusal() const
+{
+    if (std::optional<Relay::Refusal> refusal = viewRefusal())
+        return refusal;
     if (m_load.isOverloaded())
         return Relay::Refusal { 503, "host_overloaded", "this host is short of processor time; its timers fire " + std::to_string(m_load.lag().count()) + " ms late", retryAfterOverloadMs };
     return std::nullopt;
@@ -290,6 +327,9 @@
 
 bool RelayDaemon::isReady() const
 {
+    // Hosts of a failure domain are often short of processor time together; only HostLoad bounds for how long they leave.
+    if (m_features.limitsHostLoad)
+        return !m_isStopping && !viewRefusal() && m_hostLoad.isReady();
     return !m_isStopping && !servingRefusal();
 }
 
@@ -313,6 +353,39 @@
     }
 }
 
+static std::chrono::nanoseconds processorTime()
+{
+    ::timespec time {};
+    ::clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+}
+
+void RelayDaemon::recordHostLoad()
+{
+    Relay::HostSample sample;
+    sample.callerBytesReceived = m_callerServer.traffic().receivedBytes;
+    sample.callerBytesSent = m_callerServer.traffic().sentBytes;
+    sample.endpointBytesReceived = m_client->traffic().receivedBytes;
+    sample.endpointBytesSent = m_client->traffic().sentBytes;
+    sample.processorTime = processorTime();
+    sample.timerLag = m_load.lag();
+    sample.activeRequests = m_callerServer.activeRequests();
+    sample.connections = m_callerServer.openConnections() + m_client->openConnections();
+    bool wasLimiting = m_hostLoad.isLimiting();
+    bool wasReady = m_hostLoad.isReady();
+    m_hostLoad.record(sample, Core::SteadyClock::now());
+    if (m_hostLoad.isLimiting() == wasLimiting && m_hostLoad.isReady() == wasReady)
+        return;
+    std::string detail = "admitted_percent=" + std::to_string(std::lround(m_hostLoad.admittedFraction() * 100)) + " cause=" + std::string(nameOf(m_hostLoad.cause()))
+        + " link_out_percent=" + std::to_string(std::lround(m_hostLoad.linkUtilisationOut() * 100)) + " link_in_percent=" + std::to_string(std::lround(m_hostLoad.linkUtilisationIn() * 100))
+        + " queue_ms=" + std::to_string(m_hostLoad.queueDelay().count()) + " processor_percent=" + std::to_string(std::lround(m_hostLoad.processorUtilisation() * 100))
+        + " timer_lag_ms=" + std::to_string(sample.timerLag.count()) + " active_requests=" + std::to_string(sample.activeRequests) + " connections=" + std::to_string(sample.connections);
+    if (m_hostLoad.isLimiting() != wasLimiting)
+        Core::logEvent(wasLimiting ? RelayEvents::hostLimitEnded : RelayEvents::hostLimited, detail);
+    if (m_hostLoad.isReady() != wasReady)
+        Core::logEvent(wasReady ? RelayEvents::rotationLeft : RelayEvents::rotationJoined, detail);
+}
+
 Core::Task<void> RelayDaemon::monitorLoad()
 {
     while (!m_isStopping) {
@@ -320,6 +393,8 @@
         co_await Core::sleepUntil(due);
         bool wasOverloaded = m_load.isOverloaded();
         m_load.record(due.at(), Core::SteadyClock::now());
+        if (m_features.limitsHostLoad)
+            recordHostLoad();
         if (m_load.isOverloaded() != wasOverloaded)
             Core::logEvent(wasOverloaded ? RelayEvents::overloadEnded : RelayEvents::overloaded, "timer_lag_ms=" + std::to_string(m_load.lag().count()) + " active_requests=" + std::to_string(m_callerServer.activeRequests()));
     }
--- a/Services/jujuberelayd/src/RelayDaemon.h
+++ b/Services/jujuberelayd/src/RelayDaemon.h
@@ -2,7 +2,9 @@
 
 #include "LibHTTP/Server.h"
 #include "LibPeer/Network.h"
+#include "LibRelay/Features.h"
 #include "LibRelay/GrantRouter.h"
+#include "LibRelay/HostLoad.h"
 #include "LibRelay/LoadMonitor.h"
 #include "LibRelay/PeerDirectory.h"
 #include "LibRelay/PeerStore.h"
@@ -51,6 +53,8 @@
     void adoptEndpoint(const Platform::Object&);
     std::optional<Relay::Endpoint> readEndpoint(const Platform::Object&);
     Core::Task<bool> refreshConfiguration();
+    // Returns the refusal for all requests while the daemon has no current view of the store.
+    std::optional<Relay::Refusal> viewRefusal() const;
     // Returns the refusal for all requests while this daemon cannot serve any.
     std::optional<Relay::Refusal> servingRefusal() const;
     bool isReady() const;
@@ -58,7 +62,10 @@
     Core::Task<void> handleReadiness(HTTP::Request, HTTP::ResponseWriter&);
     Core::Task<void> handleMetrics(HTTP::Request, HTTP::ResponseWriter&);
     Core::Task<void> expireEndpoints();
+    void observeHostLoad();
     Core::Task<void> monitorLoad();
+    // Records a sample of the host's load and logs what follows from it.
+    void recordHostLoad();
     Relay::PeerInfo selfInfo() const { return { m_settings.peerAddress, m_settings.failureDomain, m_settings.processorShare * m_settings.linkMbps }; }
     // Seed peers other than this daemon, through which the store is reached until announcements of peers are known.
     std::vector<Core::Address> otherSeeds() const;
@@ -67,6 +74,7 @@
 
     boost::asio::any_io_executor m_executor;
     RelaySettings m_settings;
+    Relay::Features m_features;
     Telemetry::Metrics m_metrics;
     std::shared_ptr<HTTP::BufferBudget> m_responseBudget;
     std::shared_ptr<HTTP::Client> m_client;
@@ -90,6 +98,7 @@
     Relay::StoreFollower m_endpointFollower;
     Relay::StoreFollower m_announcementFollower;
     Relay::StoreFollower m_suspectFollower;
+    Relay::HostLoad m_hostLoad;
     Relay::RequestHandler m_handler;
     HTTP::Server m_callerServer;
     HTTP::Server m_readinessServer;
--- a/Services/jujuberelayd/src/RelayEvents.h
+++ b/Services/jujuberelayd/src/RelayEvents.h
@@ -16,6 +16,10 @@
 inline constexpr Core::Event watchSource { 1714, Core::Severity::Info, "watch_source" };
 inline constexpr Core::Event overloaded { 1715, Core::Severity::Warning, "host_overloaded" };
 inline constexpr Core::Event overloadEnded { 1716, Core::Severity::Info, "host_overload_ended" };
+inline constexpr Core::Event hostLimited { 1719, Core::Severity::Warning, "host_limited" };
+inline constexpr Core::Event hostLimitEnded { 1720, Core::Severity::Info, "host_limit_ended" };
+inline constexpr Core::Event rotationLeft { 1741, Core::Severity::Warning, "rotation_left" };
+inline constexpr Core::Event rotationJoined { 1742, Core::Severity::Info, "rotation_joined" };
 inline constexpr Core::Event announced { 1713, Core::Severity::Info, "relay_announced" };
 inline constexpr Core::Event endpointAdded { 1709, Core::Severity::Info, "endpoint_added" };
 inline constexpr Core::Event endpointLeaving { 1710, Core::Severity::Info, "endpoint_leaving" };
--- a/Services/jujuberelayd/src/RelaySettings.cpp
+++ b/Services/jujuberelayd/src/RelaySettings.cpp
@@ -3,6 +3,7 @@
 #include "LibCore/Try.h"
 #include "SettingsReader.h"
 #include <algorithm>
+#include <sys/resource.h>
 #include <unistd.h>
 
 using namespace SettingsReader;
@@ -27,6 +28,21 @@
     return memoryBytes / responseMemoryDivisor;
 }
 
+Relay::HostCapacity RelaySettings::hostCapacity() const
+{
+    static constexpr double bytesPerSecondPerMbps = 1e6 / 8;
+    Relay::HostCapacity capacity;
+    capacity.linkBytesPerSecond = linkMbps * bytesPerSecondPerMbps;
+    capacity.processorShare = processorShare;
+    capacity.descriptors = static_cast<size_t>(descriptorLimit);
+    ::rlimit limit {};
+    if (::getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY) {
+        size_t ownLimit = static_cast<size_t>(limit.rlim_cur);
+        capacity.descriptors = capacity.descriptors > 0 ? std::min(capacity.descriptors, ownLimit) : ownLimit;
+    }
+    return capacity;
+}
+
 static Fields fieldsOf(RelaySettings& settings)
 {
     static constexpr int64_t hourMs = 3'600'000;
@@ -34,6 +50,7 @@
     static constexpr double maxRetries = 1e12;
     static constexpr double maxCores = 1e12;
     static constexpr double maxLinkMbps = 1e12;
+    static constexpr double maxDescriptors = 1e12;
     static constexpr int64_t maxMemoryMb = 1'000'000'000;
     Fields fields;
     fields["host"] = { Presence::Required, stringReader(settings.host) };
@@ -52,6 +69,7 @@
     fields["processor_share"] = { Presence::Optional, doubleReader(settings.processorShare, 0, maxCores) };
     fields["link_mbps"] = { Presence::Optional, doubleReader(settings.linkMbps, 0, maxLinkMbps) };
     fields["memory_mb"] = { Presence::Optional, integerReader(settings.memoryMb, 0, maxMemoryMb) };
+    fields["descriptor_limit"] = { Presence::Optional, doubleReader(settings.descriptorLimit, 0, maxDescriptors) };
     fields["features"] = { Presence::Optional, stringListReader(settings.features) };
     fields["log_level"] = { Presence::Optional, choiceReader(settings.logLevel, { "debug", "info", "warning", "error" }) };
     return fields;
--- a/Services/jujuberelayd/src/RelaySettings.h
+++ b/Services/jujuberelayd/src/RelaySettings.h
@@ -2,6 +2,7 @@
 
 #include "LibCore/Address.h"
 #include "LibCore/Reason.h"
+#include "LibRelay/HostLoad.h"
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -36,6 +37,8 @@
     double linkMbps { 1'000 };
     // Memory that the daemon may use in MB; 0: that of the host.
     int64_t memoryMb { 0 };
+    // Descriptors that the daemon may have open; 0: the process's own limit.
+    double descriptorLimit { 0 };
     // Names of the platform's rules in force; they switch on optional behaviour.
     std::vector<std::string> features;
     // One of debug, info, warning, error.
@@ -45,6 +48,8 @@
 
     // Memory for what has been received of responses.
     size_t responseBytes() const;
+    // What the host can carry, with the process's own limit on descriptors.
+    Relay::HostCapacity hostCapacity() const;
     std::chrono::milliseconds stopLimit() const { return std::chrono::milliseconds(static_cast<int64_t>(stopLimitSeconds * 1'000)); }
 };
 
