--- a/Tests/LibDaemon/TestRelaySettings.cpp
+++ b/Tests/LibDaemon/TestRelaySettings.cpp
@@ -49,6 +49,21 @@
     cr_assert_not(parseRelaySettings(std::string(valid) + "features: pressure\n", "s.yaml", reason));
 }
 
+// The platform gives the descriptors as any number or not at all; the process's own limit must hold in either case.
+Test(RelaySettings, descriptorLimit)
+{
+    Core::Reason reason;
+    size_t ownLimit = parseRelaySettings(valid, "s.yaml", reason)->hostCapacity().descriptors;
+    for (const char* text : { "", "0", "1e12", "99999999999.5" }) {
+        std::optional<RelaySettings> settings = parseRelaySettings(std::string(valid) + "descriptor_limit: " + text + "\n", "s.yaml", reason);
+        cr_assert(settings, "%s", reason.text().c_str());
+        cr_assert(ownLimit == 0 || settings->hostCapacity().descriptors == ownLimit, "%zu", settings->hostCapacity().descriptors);
+    }
+    std::optional<RelaySettings> settings = parseRelaySettings(std::string(valid) + "descriptor_limit: 100.7\nlink_mbps: 10\n", "s.yaml", reason);
+    cr_assert_eq(settings->hostCapacity().descriptors, 100);
+    cr_assert_eq(settings->hostCapacity().linkBytesPerSecond, 1.25e6);
+}
+
 // An invalid value must be reported with its location instead of being replaced by the default.
 Test(RelaySettings, errorsGiveLocationAndReason)
 {
--- a/Tests/LibHTTP/TestIdleConnections.cpp
+++ b/Tests/LibHTTP/TestIdleConnections.cpp
@@ -1,9 +1,11 @@
 #include "LibHTTP/Server.h"
 #include "RunTask.h"
 
+#include <array>
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
+#include <functional>
 #include <sys/socket.h>
 #include <thread>
 
@@ -225,3 +227,41 @@
         cr_expect(fixture.receive().starts_with("HTTP/1.1 200"), "the second connection was closed after %zu steps", steps);
     }
 }
+
+// Guards against a request that is lost because the response before it closes the connection: requests that have arrived are served, and
+// only the last response announces the end.
+Test(IdleConnections, closeAfterResponseLosesNoRequest)
+{
+    asio::io_context context;
+    int requests = 0;
+    HTTP::Server server(context.get_executor(), [&requests](HTTP::Request, HTTP::ResponseWriter& writer) -> Core::Task<void> {
+        ++requests;
+        writer.closeAfterResponse();
+        Core::Reason ignored;
+        co_await writer.send({ 200, {}, "ok" }, ignored);
+    });
+    Core::Reason reason;
+    Core::Address address = server.listen({ "127.0.0.1", 0 }, reason).value();
+    tcp::socket caller(context);
+    caller.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), address.port));
+    asio::write(caller, asio::buffer(std::string(request) + request + request));
+    std::string received;
+    bool isClosed = false;
+    std::array<char, 4096> bytes {};
+    std::function<void()> read = [&] {
+        caller.async_read_some(asio::buffer(bytes), [&](const boost::system::error_code& error, size_t size) {
+            received.append(bytes.data(), size);
+            isClosed = error == asio::error::eof;
+            if (!error)
+                read();
+        });
+    };
+    read();
+    TestSupport::runUntil(context, [&isClosed] { return isClosed; });
+    cr_assert_eq(requests, 3);
+    static const std::string announcement = "Connection: close";
+    size_t first = received.find(announcement);
+    cr_assert_neq(first, std::string::npos, "%s", received.c_str());
+    cr_assert_eq(received.find(announcement, first + 1), std::string::npos, "%s", received.c_str());
+    cr_assert_eq(received.find("HTTP/1.1 200", first), std::string::npos, "%s", received.c_str());
+}
