HostLoad: foresee the answers of what is admitted

With streams of 34 KB after 2 s the admitted fraction swung from 0.2 to 1 every 9 s: sums over 3 s were too short, and requests that were lost in connects lowered the expected answers. Ruled out: longer sums alone (6, 10 and 20 s swung as well). connectionsAreShedOnlyOutOfRotation no longer equates closed connections and moved callers: a caller with several requests in the link's queue is told twice in the model.

--- a/Libraries/LibRelay/include/LibRelay/HostLoad.h
+++ b/Libraries/LibRelay/include/LibRelay/HostLoad.h
@@ -129,6 +129,8 @@
     double inboundDemand() const;
     double answersReceivedPerAdmittedByte() const;
     bool knowsRatios() const;
+    // Bytes of admitted requests that were sent to endpoints, as a decaying sum.
+    double forwardedSum() const;
     double descriptorFraction() const;
     void updateStrain(const HostSample&, double processorSeconds, double seconds, TimePoint now);
     // Distributes the admitted bytes over the priorities, most urgent first.
--- a/Libraries/LibRelay/src/HostLoad.cpp
+++ b/Libraries/LibRelay/src/HostLoad.cpp
@@ -9,7 +9,7 @@
 
 // Time constants of rates, and of the ratios between them: answers follow their requests by up to some seconds.
 static constexpr double rateSeconds = 1.0;
-static constexpr double ratioSeconds = 3.0;
+static constexpr double ratioSeconds = 10.0;
 // Decaying number of admitted requests below which the ratios say too little.
 static constexpr double minRatioRequests = 10;
 // Part of a link's direction that is used. The rest drains its queue, and covers packet headers.
@@ -168,8 +168,8 @@
 {
     if (m_capacity.linkBytesPerSecond <= 0 || m_offered.perSecond <= 0 || m_admitted.sum <= 0)
         return 1;
-    double forwarding = knowsRatios() ? m_endpointSent.sum / m_admitted.sum : 1;
-    double answers = knowsRatios() ? std::max(0.0, m_callerSent.sum - refusalBytes * m_refusals.sum) / m_admitted.sum : 0;
+    double forwarding = knowsRatios() ? std::max(1.0, m_endpointSent.sum / m_admitted.sum) : 1;
+    double answers = knowsRatios() ? std::max(0.0, m_callerSent.sum - refusalBytes * m_refusals.sum) / forwardedSum() : 0;
     double refusals = m_offered.sum > 0 ? refusalBytes * m_arrivals.sum / m_offered.sum : 0;
     double excessQueue = std::max(0.0, utilisation(m_queuedBytes) - toleratedQueueSeconds);
     double target = m_capacity.linkBytesPerSecond * std::max(minDrainUtilisation, targetUtilisation - excessQueue / drainSeconds);
@@ -181,17 +181,23 @@
         : target / (m_offered.perSecond * perAdmittedByte);
     // Answers in progress go first: they may take more than the ratios say, since they follow their requests.
     double left = m_capacity.linkBytesPerSecond - m_callerSent.perSecond;
-    return std::min(fraction, left / (m_offered.perSecond * std::max(forwarding, 1.0)));
+    return std::min(fraction, left / (m_offered.perSecond * forwarding));
 }
 
 bool HostLoad::knowsRatios() const
 {
-    return m_admitted.sum > 0 && m_arrivals.sum - m_refusals.sum >= minRatioRequests;
+    return m_admitted.sum > 0 && m_endpointSent.sum > 0 && m_arrivals.sum - m_refusals.sum >= minRatioRequests;
+}
+
+// Admitted requests that could not be sent have no answers; bytes for the store are none of requests.
+double HostLoad::forwardedSum() const
+{
+    return std::min(m_admitted.sum, m_endpointSent.sum);
 }
 
 double HostLoad::answersReceivedPerAdmittedByte() const
 {
-    return knowsRatios() ? m_endpointReceived.sum / m_admitted.sum : 0;
+    return knowsRatios() ? m_endpointReceived.sum / forwardedSum() : 0;
 }
 
 double HostLoad::inboundDemand() const
--- a/Tests/LibRelay/TestHostLoad.cpp
+++ b/Tests/LibRelay/TestHostLoad.cpp
@@ -58,6 +58,9 @@
     }
 
     HostLoad load;
+    double answerSize { answerBytes };
+    milliseconds answerDelay { answerTime };
+    milliseconds patience { callerPatience };
     bool isLimited;
     HostSample sample;
     Direction in;
@@ -111,13 +114,13 @@
             return;
         }
         sample.endpointBytesSent += requestBytes;
-        double begins = out.send(static_cast<double>(requestBytes), nowMs) + static_cast<double>(answerTime.count());
+        double begins = out.send(static_cast<double>(requestBytes), nowMs) + static_cast<double>(answerDelay.count());
         events.emplace(begins, [this, &tally, sentMs, id] {
-            events.emplace(in.send(answerBytes, nowMs), [this, &tally, sentMs, id] {
+            events.emplace(in.send(answerSize, nowMs), [this, &tally, sentMs, id] {
                 load.recordReached(id, at());
-                sample.endpointBytesReceived += static_cast<uint64_t>(answerBytes);
-                sample.callerBytesSent += static_cast<uint64_t>(answerBytes);
-                if (out.send(answerBytes, nowMs) - sentMs < static_cast<double>(callerPatience.count()))
+                sample.endpointBytesReceived += static_cast<uint64_t>(answerSize);
+                sample.callerBytesSent += static_cast<uint64_t>(answerSize);
+                if (out.send(answerSize, nowMs) - sentMs < static_cast<double>(patience.count()))
                     ++tally.served;
             });
         });
@@ -239,6 +242,31 @@
         cr_assert(std::abs(share - mean) < 0.15, "%f, mean %f", share, mean);
 }
 
+// Load: 1.4 times what the link carries, of long streams: answers are ten times as large as requests and come two seconds later. Guards
+// against an admission that swings, since the answers of what it admits show only later.
+Test(HostLoad, longAnswersAreForeseen)
+{
+    Host host;
+    host.sample.callerConnections = 0;
+    host.answerSize = 400 * 85;
+    host.answerDelay = milliseconds(2'000);
+    host.patience = milliseconds(4'000);
+    double possible = linkBytesPerSecond / (static_cast<double>(requestBytes) + host.answerSize);
+    host.run(milliseconds(20'000), 1.4 * possible, { 0, 1, 2 });
+    Tally before = host.total();
+    double least = 1;
+    double most = 0;
+    for (int i = 0; i < 200; ++i) {
+        host.run(milliseconds(100), 1.4 * possible, { 0, 1, 2 });
+        least = std::min(least, host.load.admittedFraction());
+        most = std::max(most, host.load.admittedFraction());
+    }
+    Tally after = host.total();
+    cr_assert_gt(after.served - before.served, 0.75 * possible * 20, "%d of %.0f", after.served - before.served, possible * 20);
+    cr_assert_lt(after.connectTimeouts - before.connectTimeouts, (after.offered - before.offered) / 50, "%d", after.connectTimeouts - before.connectTimeouts);
+    cr_assert_lt(most - least, 0.3, "%f to %f", least, most);
+}
+
 // Load: a spike of 300 ms to 1.5 times the link on top of a calm load, every 3 s. Guards against refusing what the calm time carries, and
 // against readiness that changes with each spike.
 Test(HostLoad, shortSpikesAreCarried)
@@ -445,7 +473,8 @@
         cr_assert(host.load.isReady() == (host.notReadyMs == 0));
     }
     cr_assert_gt(host.load.shedConnections(), 10);
-    cr_assert_eq(host.load.shedConnections(), host.movedCallers.size());
+    cr_assert_gt(host.movedCallers.size(), 10);
+    cr_assert_geq(host.load.shedConnections(), host.movedCallers.size());
 }
 
 // Guards against callers that come back at the same moment, or too late for their deadlines.
