HTTP client: examining a connection no longer takes its reset

Callers saw a stream end as complete before its last event, and a response without a length end early as a success.

Cause: Client::hasOpenConnection examined the connections to an engine, also those from which a response was being read, by recv with MSG_PEEK. On Linux a receive takes the pending error of a socket, also if it only peeks: after a reset it reports ECONNRESET once, and the next receive returns 0. The reader of a response without a length then saw an orderly end of the connection. AnswerConfirmation asks this about a second after an answer. If the engine had reset its connections and the daemon had not yet read from them, since it had not run, was busy, or waited for a slow caller, those streams were passed on as complete. Class of fault: an observer with a side effect on a shared resource.

Change: isOpen polls for POLLRDHUP, POLLHUP and POLLERR, which takes nothing from the socket. A peek remains for idle connections, which are dropped on an error, and for the connections of callers, where an error and an end mean the same.

FaultyPeers/examinedConnectionKeepsItsReset failed before, "a response that was reset is complete after """, and passes now.

--- a/Libraries/LibHTTP/src/ConnectionPool.h
+++ b/Libraries/LibHTTP/src/ConnectionPool.h
@@ -5,6 +5,7 @@
 #include <boost/beast/core.hpp>
 #include <map>
 #include <memory>
+#include <poll.h>
 #include <set>
 #include <sys/socket.h>
 
@@ -65,32 +66,25 @@
         reserveBuffer();
     }
 
-    // False if the peer has closed the connection and all data that it sent has been read.
-    bool isOpen() { return peek() != Peek::Closed; }
-
-    // False if the peer has closed the connection or sent unsolicited data.
-    bool isReusable()
+    // False if the peer has closed or reset the connection. Unlike a read, which takes the pending error of a socket even if it only
+    // peeks, this leaves the reset to the reader of the response; without it, the next read reports an orderly end.
+    bool isOpen()
     {
-        return peek() == Peek::Nothing && buffer.size() == 0;
+        if (!stream.socket().is_open())
+            return false;
+        pollfd descriptor { stream.socket().native_handle(), POLLRDHUP, 0 };
+        return ::poll(&descriptor, 1, 0) == 0;
     }
 
-private:
-    enum class Peek {
-        Nothing,
-        Data,
-        Closed,
-    };
-
-    // What a read would find.
-    Peek peek()
+    // False if the peer has closed the connection or sent unsolicited data. Only for idle connections: takes the socket's error.
+    bool isReusable()
     {
         char byte = 0;
         ssize_t received = ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        if (received > 0)
-            return Peek::Data;
-        return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) ? Peek::Nothing : Peek::Closed;
+        return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) && buffer.size() == 0;
     }
 
+private:
     BufferBudget::Reservation m_reservation;
     std::shared_ptr<ConnectionTable> m_table;
     Core::Address m_address;
--- a/Tests/LibHTTP/TestFaultyPeers.cpp
+++ b/Tests/LibHTTP/TestFaultyPeers.cpp
@@ -270,3 +270,40 @@
     response.resize(caller.receive(asio::buffer(response), 0, ignored));
     cr_assert(response.starts_with("HTTP/1.1 503"), "the connection was closed without an answer");
 }
+
+// Guards against a response without a length whose connection is reset appearing complete because the connection was examined before the
+// response was read on: a read that examines a socket takes its error, and the next read sees the end of the connection.
+Test(FaultyPeers, examinedConnectionKeepsItsReset)
+{
+    enum class Moment { Idle,
+        Reading };
+    for (Moment moment : { Moment::Idle, Moment::Reading }) {
+        Fixture fixture;
+        std::optional<tcp::socket> accepted;
+        RawServer server(fixture.context, [&accepted](tcp::socket& socket) -> Core::Task<void> {
+            if (co_await readRequest(socket))
+                co_await write(socket, "HTTP/1.1 200 OK\r\n\r\nfirst part");
+            accepted = std::move(socket);
+        });
+        Core::Deadline deadline = Core::Deadline::after(std::chrono::seconds(10));
+        std::optional<std::unique_ptr<HTTP::ResponseStream>> stream
+            = TestSupport::runTask(fixture.context, fixture.client.open(server.address(), { "GET", "/", {}, {} }, deadline, fixture.reason));
+        cr_assert(stream);
+        std::optional<std::string> part = TestSupport::runTask(fixture.context, (*stream)->readSome(deadline, fixture.reason));
+        cr_assert_eq(part.value_or(""), "first part");
+        TestSupport::runUntil(fixture.context, [&accepted] { return accepted.has_value(); });
+        cr_assert(fixture.client.hasOpenConnection(server.address(), Core::SteadyClock::now()));
+        std::optional<std::optional<std::string>> rest;
+        if (moment == Moment::Reading) {
+            TestSupport::startTask(fixture.context, (*stream)->readSome(deadline, fixture.reason), rest);
+            fixture.context.restart();
+            fixture.context.poll();
+        }
+        TestSupport::resetConnection(*accepted);
+        cr_assert_not(fixture.client.hasOpenConnection(server.address(), Core::SteadyClock::now()));
+        if (moment == Moment::Idle)
+            TestSupport::startTask(fixture.context, (*stream)->readSome(deadline, fixture.reason), rest);
+        TestSupport::runUntil(fixture.context, [&rest] { return rest.has_value(); });
+        cr_assert_not(rest->has_value(), "a response that was reset is complete after \"%s\"", rest->value_or("").c_str());
+    }
+}
