Event streams: a line ends with CR LF, LF or CR

Callers received an event twice, and a number went back: 1, 2, 2, 3.

Cause: the parser found the end of an event only at LF LF or CR LF CR LF. An event whose blank line ended differently from the line before was taken together with the next one under the number of the first. Both were forwarded, the number after them looked like a gap, and the stream was resumed after the first, so that the second came again. An event with two ids had the same effect: the relay checked the first, a caller uses the last. Class of fault: two readers of the same bytes disagree on them.

Change: an event ends at a blank line as the format defines it.

--- a/Tests/LibRelay/TestEventStream.cpp
+++ b/Tests/LibRelay/TestEventStream.cpp
@@ -76,3 +76,46 @@
     // What follows is neither kept nor taken for events.
     cr_assert(reader.feed("\n\nid: 1\ndata: a\n\n").empty());
 }
+
+// Guards against two events being taken for one because the blank line between them ends differently from the line before: the stream was
+// resumed after the first of them, and its caller received the second one twice.
+Test(EventStream, lineEndsMayDiffer)
+{
+    const std::vector<std::string> ends { "\n", "\r\n", "\r" };
+    for (const std::string& lineEnd : ends) {
+        for (const std::string& blankLine : ends) {
+            std::string stream;
+            for (int i = 1; i <= 3; ++i)
+                stream += "id: " + std::to_string(i) + lineEnd + "event: error" + lineEnd + "data: a" + lineEnd + blankLine;
+            // "\r" and "\n" are one line end.
+            bool isJoined = lineEnd == "\r" && blankLine == "\n";
+            for (size_t chunk = 1; chunk <= stream.size(); ++chunk) {
+                EventStreamParser reader;
+                std::vector<StreamEvent> events;
+                for (size_t at = 0; at < stream.size(); at += chunk) {
+                    for (StreamEvent& event : reader.feed(std::string_view(stream).substr(at, chunk)))
+                        events.push_back(std::move(event));
+                }
+                // A last "\r" may be the first half of a line end.
+                size_t expected = isJoined ? 0 : blankLine == "\r" ? 2
+                                                                   : 3;
+                cr_assert_eq(events.size(), expected, "%zu events, chunks of %zu bytes", events.size(), chunk);
+                for (size_t i = 0; i < events.size(); ++i) {
+                    cr_assert_eq(events[i].id.value_or(0), i + 1);
+                    cr_assert(events[i].isError);
+                }
+            }
+        }
+    }
+}
+
+// Guards against an event having two numbers, of which the daemon checks another one than its caller.
+Test(EventStream, eventWithTwoIdsHasNone)
+{
+    EventStreamParser reader;
+    std::vector<StreamEvent> events = reader.feed("id: 1\nid: 7\ndata: a\n\nid: 2\ndata: a\nid: 2\n\n\nid: 3\ndata: id: 4\n\n");
+    cr_assert_eq(events.size(), 3);
+    cr_assert_not(events[0].id.has_value());
+    cr_assert_not(events[1].id.has_value());
+    cr_assert_eq(events[2].id.value_or(0), 3);
+}
--- a/Tests/LibRelay/TestFaultyEndpoints.cpp
+++ b/Tests/LibRelay/TestFaultyEndpoints.cpp
@@ -537,3 +537,28 @@
         cr_assert_lt(Core::SteadyClock::now() - startedAt, std::chrono::seconds(3));
     }
 }
+
+// Guards against a caller receiving an event twice after its stream was resumed, because the blank line before the event ended differently
+// from other lines.
+Test(FaultyEndpoints, resumedStreamWithMixedLineEndsRepeatsNothing)
+{
+    std::string head = streamHead + "Transfer-Encoding: chunked\r\n\r\n";
+    RawFixture fixture;
+    int arrivals = 0;
+    RawServer::Script script = [&](tcp::socket& socket) -> Core::Task<void> {
+        std::optional<std::string> request = co_await readRawRequest(socket);
+        ++arrivals;
+        size_t lastEvent = request->find("\r\nLast-Event: ");
+        int first = lastEvent == std::string::npos ? 1 : std::stoi(request->substr(lastEvent + 14)) + 1;
+        std::string body;
+        for (int i = first; i <= 2; ++i)
+            body += "id: " + std::to_string(i) + "\ndata: a\n" + (i % 2 == 1 ? "\r\n" : "\n");
+        // The first answer breaks off.
+        co_await writeRaw(socket, head + (arrivals == 1 ? makeChunk(body + "id: 3\nda") : makeChunk(body + "id: 3\ndata: a\n\n") + "0\r\n\r\n"));
+    };
+    fixture.addEndpoint(script);
+    fixture.addEndpoint(script);
+    std::optional<HTTP::Response> response = fixture.callAs("r1", "/stream/a");
+    cr_assert(response, "the stream broke off");
+    cr_assert_eq(response->body, "id: 1\ndata: a\n\r\nid: 2\ndata: a\n\nid: 3\ndata: a\n\n", "%s", response->body.c_str());
+}
