Relay: a stream begins with event 1 or after the caller's last event

Callers could receive a stream that lacked its first events, with status 200 and a proper end.

Cause: the number of an event was compared with the one before it, but the first event of a request without a last event id had no bound, and the number after the largest one wrapped to 0. Class of fault: the base case of a sequence check is missing.

Change: without a last event the stream begins with event 1. Another endpoint is asked where the route allows it.

Evidence: FaultyEndpoints/streamThatLacksItsFirstEventsIsNoSuccess failed before, with status 200 and event 2 first, and passes now.

--- a/Libraries/LibRelay/src/ResponseForwarding.cpp
+++ b/Libraries/LibRelay/src/ResponseForwarding.cpp
@@ -134,9 +134,10 @@
         std::vector<StreamEvent> events = parser.feed(*chunk);
         recordEngineEvents(endpoint, events.size());
         for (const StreamEvent& event : events) {
-            std::optional<uint64_t> previousEvent = m_lastEvent ? m_lastEvent : m_request.lastEvent;
-            if (!event.id || (previousEvent && *event.id != *previousEvent + 1)) {
-                m_lastFailure = "endpoint " + endpoint.id + " sent event " + (event.id ? std::to_string(*event.id) : "without an id") + " after " + std::to_string(previousEvent.value_or(0));
+            // Events are counted from 1.
+            uint64_t previousEvent = m_lastEvent.value_or(m_request.lastEvent.value_or(0));
+            if (!event.id || *event.id == 0 || *event.id - 1 != previousEvent) {
+                m_lastFailure = "endpoint " + endpoint.id + " sent event " + (event.id ? std::to_string(*event.id) : "without an id") + " after " + std::to_string(previousEvent);
                 co_return Outcome::Unknown;
             }
             if (isResumption && event.isError) {
--- a/Tests/LibRelay/TestFaultyEndpoints.cpp
+++ b/Tests/LibRelay/TestFaultyEndpoints.cpp
@@ -562,3 +562,22 @@
     cr_assert(response, "the stream broke off");
     cr_assert_eq(response->body, "id: 1\ndata: a\n\r\nid: 2\ndata: a\n\nid: 3\ndata: a\n\n", "%s", response->body.c_str());
 }
+
+// Guards against a stream that lacks its first events reaching the caller as if it were whole, and against another endpoint not being
+// asked for it.
+Test(FaultyEndpoints, streamThatLacksItsFirstEventsIsNoSuccess)
+{
+    std::string whole = makeResponse(streamHead, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    for (const std::string& begin : { std::string("id: 2\ndata: b\n\n"), std::string("id: 0\ndata: b\n\n"), std::string("id: 18446744073709551615\ndata: b\n\n") }) {
+        for (const std::string& target : { std::string("/single/a"), std::string("/stream/a") }) {
+            RawFixture fixture;
+            AnswerSequence sequence { { makeResponse(streamHead, begin), whole } };
+            sequence.addEndpoints(fixture, 2);
+            std::optional<HTTP::Response> response = fixture.callAs("r1", target);
+            cr_assert(response, "the stream broke off");
+            cr_assert_eq(response->status, target == "/single/a" ? 502 : 200, "status %u, %s", response->status, response->body.c_str());
+            if (target == "/stream/a")
+                cr_assert_eq(response->body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "%s", response->body.c_str());
+        }
+    }
+}
