Soak: streams stay in order while engines and daemons are killed

Engines as real processes, which frame their streams in chunks, with a length or with the end of their connection, and start late, lack their first event, repeat or leave out events, mix in events or whole answers sent before, stop within an event or reset. They are killed, and three daemons are killed or do not run for up to 1.2 s. Callers check each event and take broken streams up at other daemons.

--- a/Tests/Soak/test_stream_order.py
+++ b/Tests/Soak/test_stream_order.py
@@ -14,8 +14,9 @@
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 
 import fleet
+import stream_engine
 import wire
-from endpoints import HEARTBEAT_INTERVAL_S, Endpoint, format_event
+from endpoints import HEARTBEAT_INTERVAL_S, Endpoint, expected_event_count, format_event
 from invariants import InvariantChecker
 from operator_api import SERVICES, Operator
 from store import Store
@@ -27,6 +28,12 @@
 FREEZE_AFTER_S = 0.9
 FREEZE_S = 0.6
 REST_LIMIT_S = 5
+SEEDS = (1, 2)
+ENGINES = 4
+DAEMONS = 3
+CALLERS = 24
+MIX_S = 6
+TRIES = 6
 
 
 class RawEngine(Endpoint):
@@ -92,6 +99,111 @@
         return error.partial
 
 
+class EngineProcess:
+    """A model engine as a process, with its entry in the store."""
+
+    def __init__(self, number, store, random):
+        self.number = number
+        self.store = store
+        self.random = random
+        self.starts = 0
+
+    async def start(self):
+        self.starts += 1
+        self.id = "engine-%d-%d" % (self.number, self.starts)
+        self.port, = fleet.free_ports(1)
+        self.born = int(time.time() * 1000)
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, stream_engine.__file__, str(self.port), self.id, str(self.random.getrandbits(32)), stdout=asyncio.subprocess.PIPE)
+        await self.process.stdout.readline()
+        self.heartbeat = asyncio.get_running_loop().create_task(self.run_heartbeat())
+
+    async def run_heartbeat(self):
+        sequence = 0
+        while True:
+            sequence += 1
+            await self.store.put("servers", self.id, {"service": "engines", "address": "127.0.0.1:%d" % self.port, "zone": fleet.ZONES[self.number % 2],
+                                                      "version": 1, "slots": 64, "state": "ready", "cold-left-ms": 0, "seq": sequence, "born": self.born})
+            await asyncio.sleep(HEARTBEAT_INTERVAL_S)
+
+    async def kill(self):
+        self.heartbeat.cancel()
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.wait()
+        await self.store.delete("servers", self.id)
+
+
+class StreamCaller:
+    """Asks for streams, takes broken ones up at other daemons and checks each event."""
+
+    def __init__(self, number, daemons, random):
+        self.number = number
+        self.daemons = daemons
+        self.random = random
+        self.stopping = False
+        self.kills = []  # Times at which an engine was killed; shared by all callers.
+        self.broken = []
+        self.complete = 0
+        self.taken_up = 0
+        self.cut = 0  # Streams without a length whose engine was killed, which ends the connection in order.
+
+    async def run(self):
+        while not self.stopping:
+            await self.call()
+
+    async def call(self):
+        stream_id = "%016x" % self.random.getrandbits(64)
+        last = 0
+        began_at = None  # The attempt that brought the first event.
+        for _ in range(TRIES):
+            attempt_id = "%016x" % self.random.getrandbits(64)
+            headers = {"Host": wire.HOST, wire.ATTEMPT_ID: attempt_id, wire.DEADLINE: "5000", wire.TOKEN_COUNTS: "50,200", wire.MODEL: "m",
+                       wire.PROMPT_PREFIX: "abc:10,%s:5" % stream_id, "Authorization": "Bearer key-w-0", "X-Stream-Id": stream_id, "Content-Length": "0"}
+            if last:
+                headers[wire.LAST_EVENT] = str(last)
+                headers["Resumes"] = began_at
+                self.taken_up += 1
+            started = time.monotonic()
+            try:
+                reader, writer = await asyncio.open_connection("127.0.0.1", self.random.choice(self.daemons).caller_port)
+            except OSError:
+                await asyncio.sleep(0.1)
+                continue
+            try:
+                writer.write(("POST %sx HTTP/1.1\r\n%s\r\n" % (wire.STREAM_PATH, "".join("%s: %s\r\n" % header for header in headers.items()))).encode())
+                head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 6)
+                if head[9:12] != b"200":
+                    await asyncio.sleep(0.1)
+                    continue
+                pending = b""
+                while True:
+                    size = int(await asyncio.wait_for(reader.readuntil(b"\r\n"), 6), 16)
+                    data = (await asyncio.wait_for(reader.readexactly(size + 2), 6))[:-2]
+                    if size == 0:
+                        break
+                    pending += data
+                    while b"\n\n" in pending:
+                        event, pending = pending.split(b"\n\n", 1)
+                        if event + b"\n\n" != format_event(stream_id, last + 1).encode():
+                            self.broken.append("%s, attempt %s (%s): got %s after event %d" % (stream_id, attempt_id, stream_engine.framing_of(attempt_id), event, last))
+                            return
+                        last += 1
+                        began_at = began_at or attempt_id
+                if last == expected_event_count(stream_id):
+                    self.complete += 1
+                elif stream_engine.framing_of(attempt_id) == "connection" and any(kill > started for kill in self.kills):
+                    self.cut += 1
+                else:
+                    self.broken.append("%s, attempt %s (%s): complete after %d of %d events" % (
+                        stream_id, attempt_id, stream_engine.framing_of(attempt_id), last, expected_event_count(stream_id)))
+                return
+            except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
+                pass
+            finally:
+                writer.close()
+
+
 class StreamOrder(unittest.IsolatedAsyncioTestCase):
     # Guards against streams that end as complete before their last event when an engine resets its connections while the daemon does not
     # run: the check whether the engine had survived an earlier answer took the resets, and the streams appeared to end.
@@ -128,6 +240,61 @@
                 await engine.stop()
                 await store.stop()
 
+    # Guards against streams that reach their callers with an event missing, twice or out of order, or complete before their last event,
+    # while engines break the protocol, engines and daemons are killed, and daemons do not run for a while.
+    async def test_streams_stay_in_order_under_faults(self):
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                await self.run_mix(seed)
+
+    async def run_mix(self, seed):
+        source = random.Random(seed)
+        checker = InvariantChecker(True)
+        store = Store(random.Random(seed))
+        await store.start()
+        await Operator(store, checker, {"w": 100_000_000}).write()
+        engines = [EngineProcess(number, store, random.Random(source.getrandbits(32))) for number in range(ENGINES)]
+        for engine in engines:
+            await engine.start()
+        with tempfile.TemporaryDirectory() as folder:
+            daemons = fleet.Fleet(DAEMONS, os.environ["JUJUBERELAYD"], folder, store.port, checker)
+            try:
+                await daemons.start()
+                callers = [StreamCaller(number, daemons.daemons, random.Random(source.getrandbits(32))) for number in range(CALLERS)]
+                kills = []
+                for caller in callers:
+                    caller.kills = kills
+                tasks = [asyncio.create_task(caller.run()) for caller in callers]
+                end = time.monotonic() + MIX_S
+                while time.monotonic() < end:
+                    await asyncio.sleep(source.uniform(0.2, 0.6))
+                    fault = source.choice(("engine", "engine", "daemon", "freeze"))
+                    if fault == "engine":
+                        engine = source.choice(engines)
+                        kills.append(time.monotonic() + 0.2)
+                        await engine.kill()
+                        await engine.start()
+                    elif fault == "daemon":
+                        await daemons.kill(source.choice(daemons.daemons), 0.1)
+                    else:
+                        daemon = source.choice(daemons.daemons)
+                        daemon.signal(signal.SIGSTOP)
+                        await asyncio.sleep(source.uniform(0.2, 1.2))
+                        daemon.signal(signal.SIGCONT)
+                for caller in callers:
+                    caller.stopping = True
+                await asyncio.gather(*tasks)
+                counts = [sum(getattr(caller, name) for caller in callers) for name in ("complete", "taken_up", "cut")]
+                print("seed %d: %d streams complete, %d take-ups, %d streams without a length cut by a kill" % (seed, *counts), flush=True)
+                self.assertEqual([text for caller in callers for text in caller.broken], [])
+                self.assertGreater(counts[0], 50)
+                self.assertGreater(counts[1], 10)
+            finally:
+                await daemons.stop()
+                for engine in engines:
+                    await engine.kill()
+                await store.stop()
+
 
 if __name__ == "__main__":
     unittest.main()
