Relay: a stream keeps to the software version that began it within an answer

Callers received streams whose first events came from one software version of a service and the rest from another, within one answer and without any sign of it.

Cause: the entries of endpoints were read without their software version, and the choice of the endpoint that resumes a broken or silent stream knew only load and health. Class of fault: a property on which continuing depends is not part of what is continued.

Change: an endpoint has a software version. The first event that is passed on binds the stream to the version of its endpoint (StreamOrigin); from then on only endpoints of that version are chosen, and the stream breaks off if there is none. An endpoint that was registered with another version or start time between the choice and its first event is not passed on.

--- a/Libraries/LibRelay/include/LibRelay/Endpoint.h
+++ b/Libraries/LibRelay/include/LibRelay/Endpoint.h
@@ -14,6 +14,8 @@
     std::string service;
     Core::Address address;
     std::string failureDomain;
+    // Version of the endpoint's software. Streams do not continue at another one. Empty: not named.
+    std::string softwareVersion {};
     // Requests that run concurrently; 0: unknown.
     int64_t slots { 0 };
     // The endpoint is draining and accepts no new requests.
@@ -32,8 +34,8 @@
     // Whether both entries describe one registration. The rest of the cold time counts down without any other change.
     bool isSameRegistration(const Endpoint& other) const
     {
-        return id == other.id && service == other.service && address == other.address && failureDomain == other.failureDomain && slots == other.slots
-            && isLeaving == other.isLeaving && startedAtMs == other.startedAtMs;
+        return id == other.id && service == other.service && address == other.address && failureDomain == other.failureDomain && softwareVersion == other.softwareVersion
+            && slots == other.slots && isLeaving == other.isLeaving && startedAtMs == other.startedAtMs;
     }
 
     bool operator==(const Endpoint&) const = default;
--- a/Libraries/LibRelay/include/LibRelay/EndpointSelector.h
+++ b/Libraries/LibRelay/include/LibRelay/EndpointSelector.h
@@ -27,6 +27,8 @@
     bool isUnlimitedOnly { false };
     // Empty: the endpoint is not chosen by the predicted time to the first event.
     std::optional<EnginePrompt> prompt {};
+    // Only endpoints of this software version, which began the stream.
+    std::optional<std::string> softwareVersion {};
 };
 
 // Selects endpoints by the load and failures that this daemon has observed.
@@ -46,6 +48,8 @@
     size_t evacuatedEndpoints(const std::string& service) const;
     // Without a set, no endpoint is evacuated. The set must outlive this object.
     void setEvacuations(const EvacuationSet& evacuations) { m_evacuations = &evacuations; }
+    // Whether the entry's process is still the registered one, as far as this daemon knows, or no longer registered at all.
+    bool isSameProcess(const Endpoint&) const;
     bool isPaused(const Endpoint&, Core::SteadyClock::time_point now) const;
     // Whether the endpoint is registered and its process is not leaving, so that an end of the process is not planned.
     bool isExpectedToRun(const Endpoint& endpoint) const { return isRegistered(endpoint.id) && !m_directory.isLeaving(endpoint); }
--- a/Libraries/LibRelay/src/EndpointSelector.cpp
+++ b/Libraries/LibRelay/src/EndpointSelector.cpp
@@ -83,7 +83,7 @@
 bool EndpointSelector::isEligible(const Endpoint& endpoint, const SelectionQuery& query, const ColdState& cold, TimePoint now) const
 {
     return endpoint.service == query.service && !endpoint.isLeaving && !isPaused(endpoint, now) && !isEvacuated(endpoint) && !query.excluded.contains(endpoint.id)
-        && !(query.isUnlimitedOnly && requestLimit(endpoint, cold));
+        && !(query.isUnlimitedOnly && requestLimit(endpoint, cold)) && (!query.softwareVersion || endpoint.softwareVersion == *query.softwareVersion);
 }
 
 bool EndpointSelector::isCandidate(const Endpoint& endpoint, const SelectionQuery& query, const ColdState& cold, TimePoint now) const
@@ -142,6 +142,12 @@
     return first;
 }
 
+bool EndpointSelector::isSameProcess(const Endpoint& endpoint) const
+{
+    const Endpoint* registered = m_directory.find(endpoint.id);
+    return !registered || (registered->softwareVersion == endpoint.softwareVersion && registered->startedAtMs == endpoint.startedAtMs);
+}
+
 size_t EndpointSelector::evacuatedEndpoints(const std::string& service) const
 {
     return static_cast<size_t>(std::count_if(m_directory.endpoints().begin(), m_directory.endpoints().end(),
@@ -190,7 +196,7 @@
     std::vector<const Endpoint*> engines;
     engines.reserve(m_directory.endpoints().size());
     for (const auto& [id, endpoint] : m_directory.endpoints()) {
-        if (endpoint.service == query.service && !endpoint.isLeaving)
+        if (endpoint.service == query.service && !endpoint.isLeaving && (!query.softwareVersion || endpoint.softwareVersion == *query.softwareVersion))
             engines.push_back(&endpoint);
     }
     auto isUsable = [&](const Endpoint& engine) {
--- a/Libraries/LibRelay/src/RequestExecution.cpp
+++ b/Libraries/LibRelay/src/RequestExecution.cpp
@@ -193,6 +193,17 @@
     return m_route.split.back().service;
 }
 
+bool RequestExecution::bindOrigin(const Endpoint& endpoint)
+{
+    if (!m_handler.m_selector.isSameProcess(endpoint) || (m_origin && m_origin->softwareVersion != endpoint.softwareVersion)) {
+        m_lastFailure = "endpoint " + endpoint.id + " has started again since it was chosen, possibly with other software";
+        return false;
+    }
+    if (!m_origin)
+        m_origin = StreamOrigin { endpoint.service, endpoint.softwareVersion };
+    return true;
+}
+
 std::optional<Refusal> RequestExecution::findService()
 {
     m_service = selectService();
@@ -228,7 +239,10 @@
 
 SelectionQuery RequestExecution::selectionQuery(const std::string& service) const
 {
-    return { service, m_isEngine, affinity(), m_excluded, m_hasPermitTimedOut || m_permitRequests >= maxPermitRequests, predictedPrompt() };
+    SelectionQuery query { service, m_isEngine, affinity(), m_excluded, m_hasPermitTimedOut || m_permitRequests >= maxPermitRequests, predictedPrompt() };
+    if (m_origin)
+        query.softwareVersion = m_origin->softwareVersion;
+    return query;
 }
 
 bool RequestExecution::canRetry(Outcome outcome) const
@@ -399,7 +413,7 @@
         return isExpected;
     };
     selector.recordStart(endpoint.id, now);
-    Core::logEvent(Events::requestSent, "request=" + m_request.id + " endpoint=" + endpoint.id + " service=" + endpoint.service + " in_flight=" + std::to_string(selector.inFlight(endpoint.id)) + " left_ms=" + std::to_string(m_deadline.remaining().count()) + " configuration=" + std::to_string(m_configuration->version()) + " after_event=" + std::to_string(m_lastEvent.value_or(0)) + (m_permitSource.empty() ? "" : " permit=" + m_permitSource) + (dispatch.urgency ? " urgency=" + std::to_string(*dispatch.urgency) : "") + describeTokens(m_request));
+    Core::logEvent(Events::requestSent, "request=" + m_request.id + " endpoint=" + endpoint.id + " service=" + endpoint.service + " software_version=" + endpoint.softwareVersion + " in_flight=" + std::to_string(selector.inFlight(endpoint.id)) + " left_ms=" + std::to_string(m_deadline.remaining().count()) + " configuration=" + std::to_string(m_configuration->version()) + " after_event=" + std::to_string(m_lastEvent.value_or(0)) + (m_permitSource.empty() ? "" : " permit=" + m_permitSource) + (dispatch.urgency ? " urgency=" + std::to_string(*dispatch.urgency) : "") + describeTokens(m_request));
     startWatch(endpoint);
     startEngineRun(endpoint);
     Reason reason;
--- a/Libraries/LibRelay/src/RequestExecution.h
+++ b/Libraries/LibRelay/src/RequestExecution.h
@@ -2,6 +2,7 @@
 
 #include "LibRelay/EventStream.h"
 #include "LibRelay/RequestHandler.h"
+#include "LibRelay/StreamOrigin.h"
 #include "StreamWatch.h"
 
 namespace Relay {
@@ -33,6 +34,9 @@
     Core::Task<std::optional<Refusal>> holdTokens();
     Core::Task<void> dispatch();
     std::string selectService() const;
+    // Binds the stream to the version of the endpoint that sends its first event. False if the endpoint is not what it was when it was
+    // chosen.
+    bool bindOrigin(const Endpoint&);
     uint64_t affinity() const;
     // The urgency with which the request is sent to an engine now.
     int urgency() const;
@@ -93,6 +97,8 @@
     CallerRequest m_request;
     Route m_route;
     std::string m_service;
+    // Where the stream began, once that is known; it continues only there.
+    std::optional<StreamOrigin> m_origin;
     std::optional<Workspace> m_workspace;
     Core::Deadline m_deadline { Core::Deadline::never() };
     Tokens m_heldTokens { 0 };
--- a/Libraries/LibRelay/src/ResponseForwarding.cpp
+++ b/Libraries/LibRelay/src/ResponseForwarding.cpp
@@ -153,6 +153,8 @@
                 m_lastFailure = "endpoint " + endpoint.id + " sent an error in place of event " + std::to_string(*event.id);
                 co_return Outcome::Unknown;
             }
+            if (!hasEvents && !bindOrigin(endpoint))
+                co_return Outcome::Unknown;
             if (!std::exchange(hasEvents, true))
                 m_handler.m_quarantine.recordAnswerBegun(Core::SteadyClock::now());
             ++m_events;
--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -285,7 +285,7 @@
         return std::nullopt;
     }
     const Relay::Endpoint* known = m_endpoints.find(endpoint->id);
-    std::string detail = "endpoint=" + endpoint->id + " service=" + endpoint->service + " address=" + endpoint->address.text() + " store_version=" + std::to_string(object.version);
+    std::string detail = "endpoint=" + endpoint->id + " service=" + endpoint->service + " software_version=" + endpoint->softwareVersion + " address=" + endpoint->address.text() + " store_version=" + std::to_string(object.version);
     if (!known)
         Core::logEvent(RelayEvents::endpointAdded, detail);
     if (endpoint->isLeaving && (!known || !known->isLeaving))
--- /dev/null
+++ b/Tests/LibRelay/TestSoftwareVersions.cpp
@@ -0,0 +1,100 @@
+#include "RelayFixture.h"
+
+// Endpoints of several software versions in one service: a stream goes on only at the version that began it.
+
+using namespace RelayTest;
+using std::chrono::milliseconds;
+
+namespace {
+
+// Endpoints whose events name their software version. The first run of each stream breaks off after two events.
+struct MixedFixture : Fixture {
+    static constexpr uint64_t lastEvent = 4;
+
+    std::map<std::string, std::string> versions;
+    int runs { 0 };
+    bool breaksOff { true };
+
+    explicit MixedFixture(const std::vector<std::string>& versionsByEndpoint)
+        : Fixture(versionsByEndpoint.size())
+    {
+        for (size_t i = 0; i < versionsByEndpoint.size(); ++i)
+            setVersion("e" + std::to_string(i), versionsByEndpoint[i]);
+        answer = [this](const HTTP::Request& request, HTTP::ResponseWriter& writer) -> Core::Task<void> { co_await stream(request, writer); };
+    }
+
+    void setVersion(const std::string& id, const std::string& version)
+    {
+        Relay::Endpoint endpoint = *directory.find(id);
+        endpoint.softwareVersion = version;
+        directory.put(endpoint);
+        versions[id] = version;
+    }
+
+    Core::Task<void> stream(const HTTP::Request& request, HTTP::ResponseWriter& writer)
+    {
+        Core::Reason reason;
+        std::string version = versions.at(HTTP::findHeader(request.headers, "Expect-Endpoint").value());
+        uint64_t first = std::stoull(HTTP::findHeader(request.headers, "Last-Event").value_or("0")) + 1;
+        bool isBroken = breaksOff && ++runs % 2 == 1;
+        co_await writer.startStream(200, sealed(request), reason);
+        for (uint64_t event = first; event <= (isBroken ? first + 1 : lastEvent); ++event)
+            co_await writer.writeChunk("id: " + std::to_string(event) + "\ndata: " + version + "\n\n", reason);
+        if (isBroken)
+            writer.abort();
+        else
+            co_await writer.finishStream(reason);
+    }
+};
+
+}
+
+static size_t versionsIn(const std::string& body)
+{
+    size_t count = 0;
+    for (const char* version : { "data: v1\n", "data: v2\n" })
+        count += body.find(version) != std::string::npos ? 1 : 0;
+    return count;
+}
+
+// Guards against a stream that breaks off at one software version and goes on at another within one answer.
+Test(SoftwareVersions, retryWithinAnAnswerKeepsTheVersion)
+{
+    int complete = 0;
+    for (int i = 0; i < 12; ++i) {
+        MixedFixture fixture({ "v1", "v2", "v1", "v2" });
+        std::optional<HTTP::Response> response = fixture.call(fixture.makeRequest("/stream/a"));
+        cr_assert(response);
+        cr_assert_eq(versionsIn(response->body), 1, "joined from two versions:\n%s", response->body.c_str());
+        complete += response->body.find("id: 4\n") != std::string::npos;
+    }
+    cr_assert_eq(complete, 12);
+}
+
+// Guards against a broken stream that goes on at another version because its own has no endpoint left.
+Test(SoftwareVersions, streamWithoutAnEndpointOfItsVersionBreaksOff)
+{
+    for (int i = 0; i < 6; ++i) {
+        MixedFixture fixture({ "v1", "v2" });
+        cr_assert_not(fixture.call(fixture.makeRequest("/stream/a")));
+        cr_assert_eq(fixture.arrivals.size(), 1);
+    }
+}
+
+// Guards against taking up at another version: the endpoint was replaced under its id between the choice and the first event.
+Test(SoftwareVersions, endpointThatWasReplacedDoesNotContinueTheStream)
+{
+    MixedFixture fixture({ "v1", "v1" });
+    fixture.breaksOff = false;
+    int attempts = 0;
+    Fixture::Answer stream = fixture.answer;
+    fixture.answer = [&](const HTTP::Request& request, HTTP::ResponseWriter& writer) -> Core::Task<void> {
+        if (++attempts == 1)
+            fixture.setVersion(HTTP::findHeader(request.headers, "Expect-Endpoint").value(), "v2");
+        co_await stream(request, writer);
+    };
+    std::optional<HTTP::Response> response = fixture.call(fixture.makeRequest("/stream/a"));
+    cr_assert(response);
+    cr_assert_eq(versionsIn(response->body), 1);
+    cr_assert_eq(attempts, 2);
+}
--- a/Tests/PlatformAdapter/TestCodec.cpp
+++ b/Tests/PlatformAdapter/TestCodec.cpp
@@ -146,6 +146,21 @@
         cr_assert_not(decodeEndpoint("servers/i-1", bad, reason), "%s", bad);
 }
 
+// Guards against streams of two software versions being joined because the version of an endpoint is not read.
+Test(EndpointDecoder, softwareVersionIsRead)
+{
+    auto decode = [](const std::string& member) {
+        Core::Reason reason;
+        return decodeEndpoint("servers/i-1", R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":64,"state":"ready")" + member + "}", reason);
+    };
+    cr_assert_eq(decode(R"(,"version":"v1")")->softwareVersion, "v1");
+    cr_assert_eq(decode(R"(,"version":3)")->softwareVersion, "3");
+    cr_assert_eq(decode("")->softwareVersion, "");
+    for (const char* bad : { "null", "1.5", "true", "[]", "{}" })
+        cr_assert_not(decode(",\"version\":" + std::string(bad)), "%s", bad);
+    cr_assert_not(decode(R"(,"version":"v1")")->isSameRegistration(*decode(R"(,"version":"v2")")));
+}
+
 // Guards against an endpoint that is not used, or taken to be warm, because its cold time cannot be read.
 Test(EndpointDecoder, unreadableColdTimeIsNoted)
 {
