Relay: take-ups go on at the software version that began the stream

Callers who took a broken stream up, at the same or another daemon, received the rest of the text from another software version of the service.

Cause: the id of the request that began the stream, which a take-up names, was not read, and a take-up was routed like a new stream.

Change: each daemon remembers the origins of its streams. While a service has several software versions they are written to the store, so that every daemon finds them; in a large fleet one daemon writes for several. A take-up is bound before anything is sent. It is refused at once with 503 (stream_origin_unknown, version_not_served) if its version is not known or not served any more.

--- a/Libraries/LibRelay/include/LibRelay/CallerRequest.h
+++ b/Libraries/LibRelay/include/LibRelay/CallerRequest.h
@@ -42,6 +42,8 @@
     std::vector<PromptPart> promptParts;
     // Id of the last event that the caller has received.
     std::optional<uint64_t> lastEvent;
+    // Id of the caller's earlier request that began the stream, if this one takes it up.
+    std::optional<std::string> resumes;
     // Method, target, body and the headers that are forwarded to the endpoint unchanged.
     HTTP::Request message;
 };
--- a/Libraries/LibRelay/include/LibRelay/EndpointSelector.h
+++ b/Libraries/LibRelay/include/LibRelay/EndpointSelector.h
@@ -48,6 +48,8 @@
     size_t evacuatedEndpoints(const std::string& service) const;
     // Without a set, no endpoint is evacuated. The set must outlive this object.
     void setEvacuations(const EvacuationSet& evacuations) { m_evacuations = &evacuations; }
+    // Whether the service has an endpoint of this software version that is not leaving.
+    bool isServed(const std::string& service, const std::string& softwareVersion) const;
     // Whether the entry's process is still the registered one, as far as this daemon knows, or no longer registered at all.
     bool isSameProcess(const Endpoint&) const;
     bool isPaused(const Endpoint&, Core::SteadyClock::time_point now) const;
--- a/Libraries/LibRelay/include/LibRelay/PeerTable.h
+++ b/Libraries/LibRelay/include/LibRelay/PeerTable.h
@@ -23,6 +23,10 @@
 // lists may disagree on an assignment, so every job must tolerate two assignees at a time.
 class PeerTable {
 public:
+    // Daemons of a failure domain that share one watcher. Sending a configuration of 100 KB to the other seven over a link of
+    // 10 Mbit/s takes 0.6 s.
+    static constexpr size_t daemonsPerWatcher = 8;
+
     explicit PeerTable(PeerInfo self);
 
     void setPeers(std::vector<PeerInfo>);
--- a/Libraries/LibRelay/include/LibRelay/RequestHandler.h
+++ b/Libraries/LibRelay/include/LibRelay/RequestHandler.h
@@ -9,6 +9,7 @@
 #include "LibRelay/EndpointSelector.h"
 #include "LibRelay/PermitService.h"
 #include "LibRelay/PromptQuarantine.h"
+#include "LibRelay/StreamOriginStore.h"
 #include "LibRouting/RetryBudget.h"
 #include "LibTelemetry/Metrics.h"
 
@@ -42,6 +43,11 @@
     // Called for each answer in which an endpoint's process says that it is leaving, with the id of the request that brought it.
     // May be unset.
     std::function<void(const Endpoint&, const std::string& request)> endpointLeaves {};
+    // Finds where a stream that a caller takes up began; see StreamOriginStore::find(). May be unset: all streams continue anywhere.
+    std::function<Core::Task<std::optional<StreamOriginStore::Found>>(std::optional<uint64_t> stream, std::string service, Core::Deadline, Core::Reason&)> findOrigin {};
+    // Called when a stream that may be taken up begins, and when it ends. May be unset.
+    std::function<void(uint64_t stream, const StreamOrigin&, Core::Deadline)> streamBegan {};
+    std::function<void(uint64_t stream, bool isComplete)> streamEnded {};
     // Asks for a permit to send one request to an endpoint with this limit on requests a second.
     std::function<Core::Task<PermitService::Permit>(std::string endpoint, double perSecond)> acquirePermit;
 };
--- a/Libraries/LibRelay/src/EndpointSelector.cpp
+++ b/Libraries/LibRelay/src/EndpointSelector.cpp
@@ -142,6 +142,13 @@
     return first;
 }
 
+bool EndpointSelector::isServed(const std::string& service, const std::string& softwareVersion) const
+{
+    return std::any_of(m_directory.endpoints().begin(), m_directory.endpoints().end(), [&](const auto& entry) {
+        return entry.second.service == service && entry.second.softwareVersion == softwareVersion && !entry.second.isLeaving;
+    });
+}
+
 bool EndpointSelector::isSameProcess(const Endpoint& endpoint) const
 {
     const Endpoint* registered = m_directory.find(endpoint.id);
--- a/Libraries/LibRelay/src/Events.h
+++ b/Libraries/LibRelay/src/Events.h
@@ -18,6 +18,9 @@
 inline constexpr Core::Event engineChecked { 1734, Core::Severity::Info, "engine_checked" };
 inline constexpr Core::Event endpointLimited { 1735, Core::Severity::Info, "endpoint_limited" };
 inline constexpr Core::Event engineLate { 1741, Core::Severity::Info, "engine_late" };
+inline constexpr Core::Event streamTakenUp { 1742, Core::Severity::Info, "stream_taken_up" };
+inline constexpr Core::Event streamRecordIgnored { 1743, Core::Severity::Warning, "stream_record_ignored" };
+inline constexpr Core::Event streamRecordNotWritten { 1744, Core::Severity::Warning, "stream_record_not_written" };
 inline constexpr Core::Event grantChanged { 1731, Core::Severity::Info, "grant_changed" };
 inline constexpr Core::Event tokensTransferred { 1733, Core::Severity::Info, "tokens_transferred" };
 inline constexpr Core::Event ledgerRebuilt { 1736, Core::Severity::Warning, "ledger_rebuilt" };
--- a/Libraries/LibRelay/src/PeerTable.cpp
+++ b/Libraries/LibRelay/src/PeerTable.cpp
@@ -12,9 +12,6 @@
 // announced.
 static constexpr int maxDoublings = 3;
 
-// Daemons of a failure domain that share one watcher. Sending a configuration of 100 KB to the other seven over a link of
-// 10 Mbit/s takes 0.6 s.
-static constexpr size_t daemonsPerWatcher = 8;
 // Job numbers from here on are watcher assignments; all other jobs have smaller numbers.
 static constexpr uint64_t firstWatcherJob = 1'000;
 static constexpr double minCapacity = 1e-9;
--- a/Libraries/LibRelay/src/RequestExecution.cpp
+++ b/Libraries/LibRelay/src/RequestExecution.cpp
@@ -25,6 +25,8 @@
 // An outage of the store that has lasted for some time is expected to last as long again, between these bounds.
 static constexpr int64_t minRetryAfterStoreOutageMs = 700;
 static constexpr int64_t maxRetryAfterStoreOutageMs = 5'000;
+// A stream whose version has left cannot go on unless the version returns. An endpoint that has just registered may be known soon.
+static constexpr int64_t retryAfterUnservedVersionMs = 1'000;
 // A retry reaches another daemon.
 static constexpr int64_t retryAfterStopMs = 50;
 
@@ -37,6 +39,8 @@
 RequestExecution::~RequestExecution()
 {
     m_writer.onClientDisconnect({});
+    if (m_hasBegunStream && m_handler.m_hooks.streamEnded)
+        m_handler.m_hooks.streamEnded(streamKeyOf(m_workspace ? m_workspace->name : "", m_request.id), m_isComplete);
     endWatch();
     endEngineRun();
     settleTokens();
@@ -71,6 +75,8 @@
     std::optional<Refusal> refusal = co_await authorize();
     if (!refusal)
         refusal = quarantineRefusal();
+    if (!refusal)
+        refusal = co_await findOrigin();
     if (!refusal)
         refusal = findService();
     if (!refusal)
@@ -184,7 +190,9 @@
         total += std::max<int64_t>(0, share.weight);
     if (total == 0)
         return m_route.split.empty() ? "" : m_route.split.front().service;
-    int64_t pick = static_cast<int64_t>(Core::randomBelow(static_cast<uint64_t>(total)));
+    // A stream that is taken up returns to its service.
+    uint64_t draw = mayBeTakenUp() ? Core::hash64(m_request.resumes.value_or(m_request.id)) % static_cast<uint64_t>(total) : Core::randomBelow(static_cast<uint64_t>(total));
+    int64_t pick = static_cast<int64_t>(draw);
     for (const ServiceShare& share : m_route.split) {
         pick -= std::max<int64_t>(0, share.weight);
         if (pick < 0)
@@ -193,20 +201,48 @@
     return m_route.split.back().service;
 }
 
+Core::Task<std::optional<Refusal>> RequestExecution::findOrigin()
+{
+    if (!isTakeUp() || !m_handler.m_hooks.findOrigin)
+        co_return std::nullopt;
+    std::optional<uint64_t> stream;
+    if (m_request.resumes)
+        stream = streamKeyOf(m_workspace ? m_workspace->name : "", *m_request.resumes);
+    Reason reason;
+    std::optional<StreamOriginStore::Found> found = co_await m_handler.m_hooks.findOrigin(stream, selectService(), m_deadline, reason);
+    const char* source = found ? found->source : "unknown";
+    m_handler.m_metrics.counter("jujuberelay_relay_take_ups_total", "Streams that callers took up, by how their software version was found.", { { "source", source } }).add();
+    Core::logEvent(Events::streamTakenUp, "request=" + m_request.id + " resumes=" + m_request.resumes.value_or("-") + " after_event=" + std::to_string(m_request.lastEvent.value_or(0)) + " source=" + source + (found ? " service=" + found->origin.service + " software_version=" + found->origin.softwareVersion : "") + " elapsed_ms=" + std::to_string(elapsedMs()));
+    if (!found) {
+        bool isRecordMissing = reason.kind == Core::FailureKind::NotFound;
+        co_return Refusal { 503, "stream_origin_unknown", "the software version that began the stream is not known, and another one cannot continue it: " + reason.text(), isRecordMissing ? retryAfterUnservedVersionMs : retryAfterStoreOutageMs() };
+    }
+    m_origin = std::move(found->origin);
+    bool isOnRoute = std::any_of(m_route.split.begin(), m_route.split.end(), [this](const ServiceShare& share) { return share.service == m_origin->service; });
+    if (!isOnRoute)
+        co_return Refusal { 503, "stream_service_changed", "the stream began at service " + m_origin->service + ", which the route no longer uses", retryAfterUnservedVersionMs };
+    co_return std::nullopt;
+}
+
 bool RequestExecution::bindOrigin(const Endpoint& endpoint)
 {
     if (!m_handler.m_selector.isSameProcess(endpoint) || (m_origin && m_origin->softwareVersion != endpoint.softwareVersion)) {
         m_lastFailure = "endpoint " + endpoint.id + " has started again since it was chosen, possibly with other software";
         return false;
     }
-    if (!m_origin)
-        m_origin = StreamOrigin { endpoint.service, endpoint.softwareVersion };
+    if (m_origin)
+        return true;
+    m_origin = StreamOrigin { endpoint.service, endpoint.softwareVersion };
+    if (mayBeTakenUp() && m_handler.m_hooks.streamBegan) {
+        m_hasBegunStream = true;
+        m_handler.m_hooks.streamBegan(streamKeyOf(m_workspace ? m_workspace->name : "", m_request.id), *m_origin, m_request.deadline);
+    }
     return true;
 }
 
 std::optional<Refusal> RequestExecution::findService()
 {
-    m_service = selectService();
+    m_service = m_origin ? m_origin->service : selectService();
     Core::SteadyClock::time_point now = Core::SteadyClock::now();
     std::optional<Core::SteadyClock::time_point> permitAt = m_handler.m_selector.nextPermitAt(selectionQuery(m_service), now);
     if (permitAt && Deadline(*permitAt) < permitDeadline())
@@ -216,6 +252,8 @@
 
 Refusal RequestExecution::refusalWithoutEndpoint(std::string message) const
 {
+    if (m_origin && !m_handler.m_selector.isServed(m_origin->service, m_origin->softwareVersion))
+        return { 503, "version_not_served", message + "; the stream began at software version " + m_origin->softwareVersion + ", which no endpoint has any more", retryAfterUnservedVersionMs };
     Core::SteadyClock::time_point now = Core::SteadyClock::now();
     std::optional<Core::SteadyClock::time_point> takesRequestsAt = m_handler.m_selector.takesRequestsAt(m_service, now);
     if (!takesRequestsAt && !m_wasOverloaded) {
--- a/Libraries/LibRelay/src/RequestExecution.h
+++ b/Libraries/LibRelay/src/RequestExecution.h
@@ -2,7 +2,6 @@
 
 #include "LibRelay/EventStream.h"
 #include "LibRelay/RequestHandler.h"
-#include "LibRelay/StreamOrigin.h"
 #include "StreamWatch.h"
 
 namespace Relay {
@@ -31,9 +30,14 @@
     Core::Task<std::optional<Refusal>> authorize();
     // Chooses the service. Refuses the request if none of its endpoints takes requests.
     std::optional<Refusal> findService();
+    // Finds where a stream that the caller takes up began. Refuses the request if that is not known.
+    Core::Task<std::optional<Refusal>> findOrigin();
     Core::Task<std::optional<Refusal>> holdTokens();
     Core::Task<void> dispatch();
     std::string selectService() const;
+    // Whether the answer is a stream that the caller may take up after a loss of its connection.
+    bool mayBeTakenUp() const { return m_route.isStream && m_route.isResumable; }
+    bool isTakeUp() const { return mayBeTakenUp() && (m_request.resumes || m_request.lastEvent.value_or(0) > 0); }
     // Binds the stream to the version of the endpoint that sends its first event. False if the endpoint is not what it was when it was
     // chosen.
     bool bindOrigin(const Endpoint&);
@@ -99,6 +103,9 @@
     std::string m_service;
     // Where the stream began, once that is known; it continues only there.
     std::optional<StreamOrigin> m_origin;
+    // The stream began with this request, and may be taken up.
+    bool m_hasBegunStream { false };
+    bool m_isComplete { false };
     std::optional<Workspace> m_workspace;
     Core::Deadline m_deadline { Core::Deadline::never() };
     Tokens m_heldTokens { 0 };
--- a/Libraries/LibRelay/src/ResponseForwarding.cpp
+++ b/Libraries/LibRelay/src/ResponseForwarding.cpp
@@ -191,6 +191,7 @@
     }
     m_handler.m_confirmation.add(endpoint, m_request.id, m_request.promptParts);
     bool isSent = co_await m_writer.finishStream(reason);
+    m_isComplete = isSent;
     logCompletion(isSent ? "answered" : "caller_gone", "status=" + std::to_string(stream.status()) + " endpoint=" + endpoint.id);
     co_return Outcome::Finished;
 }
--- /dev/null
+++ b/Libraries/LibRelay/src/StreamOriginStore.cpp
@@ -0,0 +1,250 @@
+#include "LibRelay/StreamOriginStore.h"
+
+#include "Events.h"
+#include "SharedRead.h"
+#include <algorithm>
+#include <utility>
+
+namespace Relay {
+
+using Core::Deadline;
+using Core::FailureKind;
+using Core::Reason;
+using Core::SteadyClock;
+using std::chrono::milliseconds;
+
+StreamOriginStore::StreamOriginStore(const boost::asio::any_io_executor& executor, Platform::ObjectStore store, std::string host, SoftwareVersions& versions, StreamOriginHooks hooks, StreamOriginSettings settings)
+    : m_store(std::move(store))
+    , m_name(prefix + std::move(host))
+    , m_versions(versions)
+    , m_hooks(std::move(hooks))
+    , m_settings(settings)
+    , m_streamReads(std::make_unique<SharedRead>(executor, settings.streamReadSpacing, [this](Reason& reason) { return readStreams(reason); }))
+    , m_woken(executor)
+    , m_streamsChanged(executor)
+{
+}
+
+StreamOriginStore::~StreamOriginStore() = default;
+
+void StreamOriginStore::streamBegan(uint64_t key, StreamOrigin origin, Deadline until)
+{
+    bool needsRecord = m_versions.mixedServices(SteadyClock::now()).contains(origin.service);
+    m_table.add(key, std::move(origin), std::min(until, Deadline::after(SoftwareVersions::retention)));
+    if (!needsRecord)
+        return;
+    m_unwritten.insert(key);
+    m_streamsChanged.notifyAll();
+}
+
+void StreamOriginStore::streamEnded(uint64_t key, bool isComplete)
+{
+    if (isComplete) {
+        m_table.complete(key, SteadyClock::now());
+        return;
+    }
+    if (!m_unwritten.contains(key))
+        return;
+    m_isUrgent = true;
+    m_streamsChanged.notifyAll();
+}
+
+bool StreamOriginStore::accept(const StreamHandover& handover, Reason& reason)
+{
+    if (m_isStopping) {
+        reason = { FailureKind::Unavailable, "accept streams", "peer", "this daemon stops" };
+        return false;
+    }
+    for (const HandedStream& stream : handover.streams)
+        m_table.add(stream.key, stream.origin, Deadline::after(std::min<milliseconds>(stream.left, SoftwareVersions::retention)));
+    m_hasAccepted = true;
+    m_isUrgent = m_isUrgent || handover.isUrgent;
+    m_streamsChanged.notifyAll();
+    return true;
+}
+
+Core::Task<std::optional<StreamOriginStore::Found>> StreamOriginStore::find(std::optional<uint64_t> key, std::string service, Deadline deadline, Reason& reason)
+{
+    if (std::optional<StreamOrigin> own = key ? m_table.find(*key) : std::nullopt)
+        co_return Found { std::move(*own), "own" };
+    if (std::optional<std::string> only = m_versions.onlyVersion(service, SteadyClock::now()))
+        co_return Found { { service, std::move(*only) }, "only_version" };
+    if (!key) {
+        reason = { FailureKind::NotFound, "find stream origin", service, "the request does not name the one that began the stream" };
+        co_return std::nullopt;
+    }
+    static constexpr int maxReads = 2;
+    for (int reads = 0; reads < maxReads && !m_known.contains(*key); ++reads) {
+        if (reads > 0)
+            co_await Core::sleepUntil(Deadline::after(m_settings.secondReadDelay));
+        if (!co_await m_streamReads->read(std::min(deadline, Deadline::after(m_settings.callTimeout)), reason))
+            co_return std::nullopt;
+    }
+    auto it = m_known.find(*key);
+    if (it != m_known.end() && it->second)
+        co_return Found { *it->second, "record" };
+    reason = { FailureKind::NotFound, "find stream origin", service, it != m_known.end() ? "several streams were begun under this id" : "no daemon has recorded the stream" };
+    co_return std::nullopt;
+}
+
+Core::Task<bool> StreamOriginStore::readStreams(Reason& reason)
+{
+    std::optional<Platform::Listing> listing = co_await m_store.list(prefix, Deadline::after(m_settings.callTimeout), reason);
+    if (!listing)
+        co_return false;
+    StreamOrigins origins;
+    for (const Platform::Object& object : listing->objects) {
+        Reason malformed;
+        if (!StreamOriginTable::decode(object.value, object.name, origins, malformed))
+            Core::logEvent(Events::streamRecordIgnored, "object=" + object.name + " store_version=" + std::to_string(object.version) + " reason=\"" + malformed.text() + "\"");
+    }
+    m_known = std::move(origins);
+    co_return true;
+}
+
+Core::Task<void> StreamOriginStore::runVersions()
+{
+    while (!m_isStopping) {
+        m_hooks.observe(m_versions);
+        std::set<std::string> mixed = m_versions.mixedServices(SteadyClock::now());
+        if (mixed.empty()) {
+            m_known.clear();
+            m_unwritten.clear();
+        }
+        if (mixed != m_writtenServices)
+            m_streamsChanged.notifyAll();
+        m_table.expire(SteadyClock::now());
+        co_await m_woken.wait(Deadline::after(m_settings.observeInterval));
+    }
+}
+
+bool StreamOriginStore::hasUnwrittenStreams()
+{
+    std::set<std::string> mixed = m_versions.mixedServices(SteadyClock::now());
+    bool hasRecord = m_version != 0;
+    bool needsRecord = m_table.hasStreamsOf(mixed);
+    if (!needsRecord)
+        return hasRecord && mixed.empty();
+    return !m_unwritten.empty() || m_hasAccepted || mixed != m_writtenServices || m_collector != collector();
+}
+
+std::optional<Core::Address> StreamOriginStore::collector() const
+{
+    return m_hooks.collector && !m_isStopping && m_writesOwnUntil.hasPassed() ? m_hooks.collector() : std::nullopt;
+}
+
+Core::Task<Deadline> StreamOriginStore::saveStreams()
+{
+    std::optional<Core::Address> target = collector();
+    if (target && !m_hasAccepted && co_await handOverStreams(*target))
+        co_return Deadline::after(m_settings.handoverInterval);
+    bool isWritten = co_await writeStreams();
+    co_return Deadline::after(isWritten ? m_settings.writeInterval : m_settings.retryDelay);
+}
+
+Core::Task<bool> StreamOriginStore::handOverStreams(const Core::Address& target)
+{
+    std::set<std::string> mixed = m_versions.mixedServices(SteadyClock::now());
+    if (mixed.empty())
+        co_return false;
+    bool isComplete = m_collector != target || mixed != m_writtenServices;
+    std::unordered_set<uint64_t> handed = std::exchange(m_unwritten, {});
+    StreamHandover handover { m_table.streamsOf(mixed, isComplete ? std::unordered_set<uint64_t> {} : handed, SteadyClock::now()), std::exchange(m_isUrgent, false) };
+    Reason reason;
+    if (co_await m_hooks.handOver(target, std::move(handover), reason)) {
+        m_collector = target;
+        m_writtenServices = std::move(mixed);
+        co_return true;
+    }
+    m_unwritten.merge(handed);
+    m_writesOwnUntil = Deadline::after(m_settings.collectorRetryDelay);
+    co_return false;
+}
+
+Core::Task<bool> StreamOriginStore::inheritStreams(Reason& reason)
+{
+    std::optional<Platform::Object> object = co_await m_store.get(m_name, Deadline::after(m_settings.callTimeout), reason);
+    if (!object && reason.kind != FailureKind::NotFound)
+        co_return false;
+    m_hasInherited = true;
+    if (!object)
+        co_return true;
+    m_version = object->version;
+    StreamOrigins origins;
+    if (!StreamOriginTable::decode(object->value, object->name, origins, reason))
+        co_return true;
+    for (auto& [key, origin] : origins) {
+        if (origin && !m_table.find(key))
+            m_table.add(key, std::move(*origin), Deadline::after(SoftwareVersions::retention));
+    }
+    co_return true;
+}
+
+Core::Task<bool> StreamOriginStore::removeStreams()
+{
+    Reason reason;
+    bool isRemoved = co_await m_store.remove(m_name, m_version, Deadline::after(m_settings.callTimeout), reason);
+    m_hasInherited = false;
+    m_writtenServices.clear();
+    if (isRemoved || reason.kind == FailureKind::NotFound || reason.kind == FailureKind::Conflict)
+        m_version = 0;
+    co_return m_version == 0;
+}
+
+Core::Task<bool> StreamOriginStore::writeStreams()
+{
+    std::set<std::string> mixed = m_versions.mixedServices(SteadyClock::now());
+    if (mixed.empty())
+        co_return co_await removeStreams();
+    Reason reason;
+    if (m_hasInherited || co_await inheritStreams(reason)) {
+        std::unordered_set<uint64_t> written = std::exchange(m_unwritten, {});
+        bool hadAccepted = std::exchange(m_hasAccepted, false);
+        m_isUrgent = false;
+        m_table.expire(SteadyClock::now());
+        std::optional<Platform::Version> version = co_await m_store.put(m_name, m_table.encode(mixed), m_version, Deadline::after(m_settings.callTimeout), reason);
+        ++m_writes;
+        if (version) {
+            m_version = *version;
+            m_collector = std::nullopt;
+            m_writtenServices = std::move(mixed);
+            co_return true;
+        }
+        m_unwritten.merge(written);
+        m_hasAccepted = m_hasAccepted || hadAccepted;
+    }
+    // The record may have been written all the same, or have been lost with the store's latest changes.
+    m_hasInherited = false;
+    m_version = 0;
+    Core::logEvent(Events::streamRecordNotWritten, "object=" + m_name + " reason=\"" + reason.text() + "\"");
+    co_return false;
+}
+
+Core::Task<void> StreamOriginStore::runStreams()
+{
+    while (!m_isStopping) {
+        if (!hasUnwrittenStreams()) {
+            co_await m_streamsChanged.wait(Deadline::after(m_settings.observeInterval));
+            continue;
+        }
+        m_isWriting = true;
+        Deadline next = co_await saveStreams();
+        m_isWriting = false;
+        co_await Core::sleepUntil(Deadline::after(m_settings.minWriteInterval));
+        while (!m_isUrgent && !m_isStopping && !next.hasPassed())
+            co_await m_streamsChanged.wait(next);
+    }
+}
+
+Core::Task<void> StreamOriginStore::stop(Deadline deadline)
+{
+    m_isStopping = true;
+    m_woken.notifyAll();
+    m_streamsChanged.notifyAll();
+    while (m_isWriting && !deadline.hasPassed())
+        co_await Core::sleepUntil(std::min(deadline, Deadline::after(m_settings.minWriteInterval)));
+    if (!m_isWriting && !deadline.hasPassed() && (!m_unwritten.empty() || m_hasAccepted))
+        co_await writeStreams();
+}
+
+}
--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -56,6 +56,11 @@
     return result;
 }
 
+static int64_t ageMs(const Relay::StoreFollower& follower)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(Core::SteadyClock::now() - follower.confirmedAt()).count();
+}
+
 static Relay::FollowerSettings batchingSettings(int64_t milliseconds)
 {
     Relay::FollowerSettings settings;
@@ -108,6 +113,7 @@
     , m_budgets(executor, makeBudgetHooks(), { m_settings.host })
     , m_quarantine({}, [this] { m_quarantineStore.wake(); })
     , m_quarantineStore(executor, m_store, m_quarantine)
+    , m_streamOrigins(executor, m_store, m_settings.host, m_softwareVersions, makeStreamOriginHooks())
     , m_configurationFollower(executor, m_store, PlatformAdapter::configurationPrefix, sharedFollowerSettings(), withSharedWatches(makeConfigurationHooks()))
     , m_endpointFollower(executor, m_store, PlatformAdapter::endpointPrefix, sharedFollowerSettings(), withSharedWatches(makeEndpointHooks()))
     , m_announcementFollower(executor, m_store, Relay::PeerDirectory::prefix, withWatchTime(announcementWatchMs, batchingSettings(announcementBatchMs)), withSharedWatches(makeAnnouncementHooks()))
@@ -149,6 +155,10 @@
         [this] { return m_client->connectionsOpened(); });
     m_metrics.observeCounter("jujuberelay_relay_idle_timeouts_total", "Connections of callers that were closed by the idle timeout.",
         [this] { return m_callerServer.idleTimeouts(); });
+    m_metrics.observe("jujuberelay_relay_streams_to_take_up", "Streams that began at this daemon and that callers may still take up.",
+        [this] { return static_cast<double>(m_streamOrigins.streams()); });
+    m_metrics.observeCounter("jujuberelay_relay_stream_record_writes_total", "Writes of the streams that began at this daemon, while a service has several software versions.",
+        [this] { return m_streamOrigins.writes(); });
     m_metrics.observeCounter("jujuberelay_relay_ledger_writes_total", "Writes of budget ledgers.", [this] { return m_grants.writes(); });
 }
 
@@ -177,6 +187,8 @@
     if (m_settings.followsEvacuations())
         Core::spawn(m_executor, "follow evacuations", m_evacuationFollower.run());
     Core::spawn(m_executor, "share suspect parts", m_quarantineStore.run());
+    Core::spawn(m_executor, "record software versions", m_streamOrigins.runVersions());
+    Core::spawn(m_executor, "record streams", m_streamOrigins.runStreams());
     Core::spawn(m_executor, "expire endpoints", expireEndpoints());
     Core::spawn(m_executor, "maintain budgets", m_budgets.maintain());
     Core::spawn(m_executor, "monitor load", monitorLoad());
@@ -288,6 +300,9 @@
     std::string detail = "endpoint=" + endpoint->id + " service=" + endpoint->service + " software_version=" + endpoint->softwareVersion + " address=" + endpoint->address.text() + " store_version=" + std::to_string(object.version);
     if (!known)
         Core::logEvent(RelayEvents::endpointAdded, detail);
+    if (!known || known->softwareVersion != endpoint->softwareVersion)
+        m_streamOrigins.wake();
+    m_softwareVersions.observe(*endpoint, Core::SteadyClock::now());
     if (endpoint->isLeaving && (!known || !known->isLeaving))
         Core::logEvent(RelayEvents::endpointLeaving, detail + " source=store");
     return endpoint;
@@ -340,6 +355,24 @@
         if (m_endpoints.markLeaving(endpoint, Core::SteadyClock::now()))
             Core::logEvent(RelayEvents::endpointLeaving, "endpoint=" + endpoint.id + " service=" + endpoint.service + " address=" + endpoint.address.text() + " source=answer request=" + request);
     };
+    hooks.findOrigin = [this](std::optional<uint64_t> stream, std::string service, Deadline deadline, Reason& reason) {
+        return m_streamOrigins.find(stream, std::move(service), deadline, reason);
+    };
+    hooks.streamBegan = [this](uint64_t stream, const Relay::StreamOrigin& origin, Deadline until) { m_streamOrigins.streamBegan(stream, origin, until); };
+    hooks.streamEnded = [this](uint64_t stream, bool isComplete) { m_streamOrigins.streamEnded(stream, isComplete); };
+    return hooks;
+}
+
+Relay::StreamOriginHooks RelayDaemon::makeStreamOriginHooks()
+{
+    Relay::StreamOriginHooks hooks;
+    hooks.observe = [this](Relay::SoftwareVersions& versions) {
+        Core::SteadyClock::time_point now = Core::SteadyClock::now();
+        for (const auto& [id, endpoint] : m_endpoints.endpoints())
+            versions.observe(endpoint, now);
+    };
+    hooks.collector = [this] { return m_watchers.watcher(); };
+    hooks.handOver = [this](Core::Address collector, Relay::StreamHandover streams, Reason& reason) { return handOverStreams(std::move(collector), std::move(streams), reason); };
     return hooks;
 }
 
@@ -351,11 +384,6 @@
     co_return co_await m_configurationFollower.refresh(Deadline::after(refreshTimeout), reason);
 }
 
-static int64_t ageMs(const Relay::StoreFollower& follower)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(Core::SteadyClock::now() - follower.confirmedAt()).count();
-}
-
 int64_t RelayDaemon::configurationAgeMs() const
 {
     return ageMs(m_configurationFollower);
@@ -441,6 +469,7 @@
     m_suspectFollower.stop();
     m_evacuationFollower.stop();
     m_quarantineStore.stop();
+    co_await m_streamOrigins.stop(Deadline::after(grantReturnTime / 4));
     m_peers.stop();
     // Before the withdrawal, after which another daemon issues permits.
     m_permits.stop();
--- a/Services/jujuberelayd/src/RelayDaemon.h
+++ b/Services/jujuberelayd/src/RelayDaemon.h
@@ -9,7 +9,9 @@
 #include "LibRelay/PeerStore.h"
 #include "LibRelay/QuarantineStore.h"
 #include "LibRelay/RequestHandler.h"
+#include "LibRelay/SoftwareVersions.h"
 #include "LibRelay/StoreFollower.h"
+#include "LibRelay/StreamOriginStore.h"
 #include "RelaySettings.h"
 #include <set>
 
@@ -32,6 +34,9 @@
     // Registers the handlers of calls from other daemons.
     void servePeers();
     Relay::HandlerHooks makeHandlerHooks();
+    Relay::StreamOriginHooks makeStreamOriginHooks();
+    Core::Task<bool> handOverStreams(Core::Address, Relay::StreamHandover, Core::Reason&);
+    Core::Task<std::optional<std::string>> serveStreams(std::string body, Core::Reason&);
     Relay::PeerStoreHooks makePeerStoreHooks();
     Relay::PeerDirectory::Hooks makePeerHooks();
     Relay::BudgetHooks makeBudgetHooks();
@@ -98,6 +103,8 @@
     Relay::BudgetManager m_budgets;
     Relay::PromptQuarantine m_quarantine;
     Relay::QuarantineStore m_quarantineStore;
+    Relay::SoftwareVersions m_softwareVersions;
+    Relay::StreamOriginStore m_streamOrigins;
     Relay::StoreFollower m_configurationFollower;
     Relay::StoreFollower m_endpointFollower;
     Relay::StoreFollower m_announcementFollower;
--- a/Services/jujuberelayd/src/RelayDaemonLinks.cpp
+++ b/Services/jujuberelayd/src/RelayDaemonLinks.cpp
@@ -2,6 +2,7 @@
 #include "RelayDaemon.h"
 #include "RelayEvents.h"
 #include <algorithm>
+#include <cmath>
 
 // Calls between relay daemons: token transfers, shared watches, and forwarded store calls.
 
@@ -19,6 +20,9 @@
 // Call type that asks for a permit, and the time limit of the call: a request waits for it.
 static constexpr const char* permitCallType = "permit";
 static constexpr std::chrono::milliseconds permitTimeout(150);
+// Call type that hands over streams, and the time limit of the call.
+static constexpr const char* streamsCallType = "streams";
+static constexpr std::chrono::milliseconds streamsTimeout(300);
 // A daemon that the store refuses is kept current by its peers if its configuration is not older than this, the age at which a peer
 // stops sharing its watch.
 static constexpr int64_t maxAgeServedByPeersMs = 2'000;
@@ -28,6 +32,7 @@
     m_network.onCall(storeCallType, [this](Peer::Identity, std::string body, Reason& failure) { return m_peerStore.serve(std::move(body), failure); });
     m_network.onCall(transferCallType, [this](Peer::Identity, std::string body, Reason& failure) { return serveTransfer(std::move(body), failure); });
     m_network.onCall(permitCallType, [this](Peer::Identity, std::string body, Reason& failure) { return servePermit(std::move(body), failure); });
+    m_network.onCall(streamsCallType, [this](Peer::Identity, std::string body, Reason& failure) { return serveStreams(std::move(body), failure); });
     m_network.onCall(watchCallType, [this](Peer::Identity, std::string body, Reason& failure) { return serveWatch(std::move(body), failure); });
 }
 
@@ -119,6 +124,34 @@
     co_return std::nullopt;
 }
 
+// Keeps the records of streams to a share of the store's rate of writes.
+static std::chrono::milliseconds streamWriteInterval(size_t daemons, double storeWritesPerSecond)
+{
+    static constexpr double shareOfWrites = 1.0 / 16;
+    static constexpr double minIntervalMs = 200;
+    static constexpr double maxIntervalMs = 1'500;
+    double writers = std::ceil(static_cast<double>(daemons) / Relay::PeerTable::daemonsPerWatcher);
+    double intervalMs = writers * 1'000 / std::max(1.0, storeWritesPerSecond * shareOfWrites);
+    return std::chrono::milliseconds(static_cast<int64_t>(std::clamp(intervalMs, minIntervalMs, maxIntervalMs)));
+}
+
+Core::Task<bool> RelayDaemon::handOverStreams(Core::Address collector, Relay::StreamHandover streams, Reason& reason)
+{
+    std::optional<std::string> response = co_await m_network.call(collector, streamsCallType, Relay::encodeHandover(streams), Deadline::after(streamsTimeout), reason);
+    // One that refuses is of an earlier release, or stops.
+    if (!response && reason.kind != Core::FailureKind::Refused)
+        m_watchers.suspect(collector);
+    co_return response.has_value();
+}
+
+Core::Task<std::optional<std::string>> RelayDaemon::serveStreams(std::string body, Reason& reason)
+{
+    std::optional<Relay::StreamHandover> streams = Relay::decodeHandover(body, reason);
+    if (!streams || !m_streamOrigins.accept(*streams, reason))
+        co_return std::nullopt;
+    co_return std::string();
+}
+
 Relay::PeerDirectory::Hooks RelayDaemon::makePeerHooks()
 {
     Relay::PeerDirectory::Hooks hooks;
@@ -138,6 +171,7 @@
         m_issuers.setPeers(peers);
         m_watchers.setPeers(std::move(peers));
         m_budgets.setDaemons(m_watchers.size());
+        m_streamOrigins.setWriteInterval(streamWriteInterval(m_watchers.size(), m_settings.storeWritesPerSecond));
     };
     return hooks;
 }
--- a/Services/jujuberelayd/src/RelaySettings.cpp
+++ b/Services/jujuberelayd/src/RelaySettings.cpp
@@ -36,6 +36,7 @@
     static constexpr double maxRetries = 1e12;
     static constexpr double maxColdRequests = 1e12;
     static constexpr double maxCores = 1e12;
+    static constexpr double maxStoreWrites = 1e12;
     static constexpr double maxLinkMbps = 1e12;
     static constexpr double maxEvacuateLimitMs = 1e12;
     Fields fields;
@@ -55,6 +56,7 @@
     fields["retry_extra"] = { Presence::Optional, doubleReader(settings.retryExtra, 0, maxRetries) };
     fields["cold_overage"] = { Presence::Optional, doubleReader(settings.coldOverage, 0, maxColdRequests) };
     fields["cold_extra"] = { Presence::Optional, doubleReader(settings.coldExtra, 0, maxColdRequests) };
+    fields["store_writes_per_s"] = { Presence::Optional, doubleReader(settings.storeWritesPerSecond, 0, maxStoreWrites) };
     fields["processor_share"] = { Presence::Optional, doubleReader(settings.processorShare, 0, maxCores) };
     fields["link_mbps"] = { Presence::Optional, doubleReader(settings.linkMbps, 0, maxLinkMbps) };
     fields["memory_mb"] = { Presence::Optional, limitReader(settings.memoryMb) };
--- a/Services/jujuberelayd/src/RelaySettings.h
+++ b/Services/jujuberelayd/src/RelaySettings.h
@@ -38,6 +38,8 @@
     // Requests that a cold endpoint may get from all daemons in one second: a multiple of its service's limit plus a fixed number.
     double coldOverage { 1.5 };
     double coldExtra { 5 };
+    // Writes a second that the store takes from all daemons together.
+    double storeWritesPerSecond { 400 };
     // CPU quota of the host in cores, and its link speed in Mbit/s. Hosts with more capacity do more work for their peers.
     double processorShare { 1 };
     double linkMbps { 1'000 };
--- a/Tests/LibDaemon/TestRelaySettings.cpp
+++ b/Tests/LibDaemon/TestRelaySettings.cpp
@@ -110,6 +110,8 @@
         return "10.1.0.40";
     if (field.starts_with("listen.") || field == "platform.address")
         return "10.1.0.40:8227";
+    if (field == "platform.writes-per-s")
+        return "400";
     return "entry-1";
 }
 
@@ -122,7 +124,7 @@
     std::mt19937_64 random(7);
     for (int i = 0; i < caseCount; ++i) {
         std::string text = renderTemplate([&random](const std::string& field) {
-            bool isNumber = field.starts_with("bounds.") || field.starts_with("limits.");
+            bool isNumber = field.starts_with("bounds.") || field.starts_with("limits.") || field == "platform.writes-per-s";
             if (!isNumber)
                 return textOf(field);
             // Limits of the reader that hold by meaning: a share is at most 1, and the time to stop at most an hour.
--- a/Tests/LibRelay/RelayFixture.h
+++ b/Tests/LibRelay/RelayFixture.h
@@ -25,6 +25,9 @@
             request.deadline = Core::Deadline::after(std::chrono::milliseconds(std::stoi(*text)));
         if (std::optional<std::string> text = HTTP::findHeader(message.headers, "Tokens"))
             request.tokens = Relay::TokenDemand { std::stoi(*text), std::stoll(HTTP::findHeader(message.headers, "Max-Output").value_or("10")) };
+        request.resumes = HTTP::findHeader(message.headers, "Resumes");
+        if (std::optional<std::string> text = HTTP::findHeader(message.headers, "Last-Event"))
+            request.lastEvent = std::stoull(*text);
         std::istringstream parts(HTTP::findHeader(message.headers, "Parts").value_or(""));
         for (std::string id; std::getline(parts, id, ',');)
             request.promptParts.push_back({ id, 1 });
@@ -37,8 +40,8 @@
     };
     codec.encodeDispatch = [](const Relay::CallerRequest& request, const Relay::Dispatch& dispatch) {
         HTTP::Request message { request.message.method, request.message.target, { { "Id", request.id }, { "Expect-Endpoint", dispatch.endpointId } }, request.message.body };
-        if (dispatch.lastEvent)
-            message.headers.push_back({ "Last-Event", std::to_string(*dispatch.lastEvent) });
+        if (dispatch.lastEvent || request.lastEvent)
+            message.headers.push_back({ "Last-Event", std::to_string(dispatch.lastEvent ? *dispatch.lastEvent : *request.lastEvent) });
         if (dispatch.urgency)
             message.headers.push_back({ "Urgency", std::to_string(*dispatch.urgency) });
         return message;
@@ -183,6 +186,9 @@
         return hooks;
     }
 
+    // How the relay finds where streams began, if set.
+    Relay::StreamOriginStore* origins { nullptr };
+
     // The only daemon issues all permits.
     Relay::PermitHooks makePermitHooks()
     {
@@ -219,6 +225,17 @@
         hooks.storeSilence = [this] { return storeSilence; };
         hooks.servesUntil = [this] { return servesUntil; };
         hooks.rejectEndpoint = [this](const std::string& endpoint) { rejected.push_back(endpoint); };
+        hooks.findOrigin = [this](std::optional<uint64_t> stream, std::string service, Core::Deadline deadline, Core::Reason& reason) -> Core::Task<std::optional<Relay::StreamOriginStore::Found>> {
+            co_return origins ? co_await origins->find(stream, service, deadline, reason) : std::nullopt;
+        };
+        hooks.streamBegan = [this](uint64_t stream, const Relay::StreamOrigin& origin, Core::Deadline until) {
+            if (origins)
+                origins->streamBegan(stream, origin, until);
+        };
+        hooks.streamEnded = [this](uint64_t stream, bool isComplete) {
+            if (origins)
+                origins->streamEnded(stream, isComplete);
+        };
         hooks.acquirePermit = [this](std::string endpoint, double perSecond) -> Core::Task<Relay::PermitService::Permit> {
             Relay::PermitService::Permit permit = co_await permits.acquire(std::move(endpoint), perSecond);
             if (permitDelay.count() > 0)
--- a/Tests/LibRelay/TestSoftwareVersions.cpp
+++ b/Tests/LibRelay/TestSoftwareVersions.cpp
@@ -98,3 +98,26 @@
     cr_assert_eq(versionsIn(response->body), 1);
     cr_assert_eq(attempts, 2);
 }
+
+static Relay::Endpoint endpointOf(const std::string& version)
+{
+    Relay::Endpoint endpoint;
+    endpoint.id = "e-" + version;
+    endpoint.service = "service";
+    endpoint.softwareVersion = version;
+    return endpoint;
+}
+
+// Guards against a version that is forgotten while its streams can be taken up, and one that is kept for ever.
+Test(SoftwareVersions, versionsCountUntilTheirStreamsCannotBeTakenUp)
+{
+    Core::SteadyClock::time_point start {};
+    Relay::SoftwareVersions versions;
+    versions.observe(endpointOf("v1"), start);
+    cr_assert_eq(versions.onlyVersion("service", start), "v1");
+    versions.observe(endpointOf("v2"), start + milliseconds(1));
+    cr_assert_eq(versions.onlyVersion("service", start + milliseconds(1)), std::nullopt);
+    Core::SteadyClock::time_point later = start + Relay::SoftwareVersions::retention + milliseconds(1);
+    versions.observe(endpointOf("v2"), later);
+    cr_assert_eq(versions.onlyVersion("service", later), "v2");
+}
--- a/Tests/PlatformAdapter/TestCodec.cpp
+++ b/Tests/PlatformAdapter/TestCodec.cpp
@@ -161,6 +161,19 @@
     cr_assert_not(decode(R"(,"version":"v1")")->isSameRegistration(*decode(R"(,"version":"v2")")));
 }
 
+// Guards against a take-up that cannot be recognized because the id of the request that began the stream is lost.
+Test(Codec, requestThatBeganTheStreamIsRead)
+{
+    Core::Reason reason;
+    HTTP::Headers headers = minimal();
+    cr_assert_not(decode(headers, reason)->resumes);
+    headers.push_back({ "Connection", "Resumes" });
+    headers.push_back({ "resumes", " r0 " });
+    std::optional<Relay::CallerRequest> request = decode(headers, reason);
+    cr_assert_eq(request->resumes, "r0");
+    cr_assert_eq(HTTP::findHeader(request->message.headers, "Resumes"), " r0 ");
+}
+
 // Guards against an endpoint that is not used, or taken to be warm, because its cold time cannot be read.
 Test(EndpointDecoder, unreadableColdTimeIsNoted)
 {
