Relay: a service's software versions outlive the daemons that saw them

Take-ups were answered 200 and ran to the end, with the first part of the text from the old version and the rest from the new one.

Cause: what tells a daemon that a service has several versions is what it has seen registered. A daemon that has just started, or whose list of endpoints lags behind or is cut off from the store, sees one version and takes it for that of all streams. Class of fault: absence of knowledge is taken for knowledge of absence.

Change: the fleet records the versions of each service in the store, once a version. An endpoint of a version that is not in the record begins streams only if there is no other, and a take-up on a service that seems to have one version is confirmed by a read of the record, or refused.

--- a/Libraries/LibRelay/include/LibRelay/EndpointSelector.h
+++ b/Libraries/LibRelay/include/LibRelay/EndpointSelector.h
@@ -7,6 +7,7 @@
 #include "LibRelay/EndpointLimits.h"
 #include "LibRelay/EngineChooser.h"
 #include "LibRelay/EvacuationSet.h"
+#include "LibRelay/SoftwareVersions.h"
 #include <map>
 #include <memory>
 #include <optional>
@@ -29,6 +30,8 @@
     std::optional<EnginePrompt> prompt {};
     // Only endpoints of this software version, which began the stream.
     std::optional<std::string> softwareVersion {};
+    // The answer may begin a stream that the caller takes up later, possibly at another daemon.
+    bool mayBeTakenUp { false };
 };
 
 // Selects endpoints by the load and failures that this daemon has observed.
@@ -48,6 +51,8 @@
     size_t evacuatedEndpoints(const std::string& service) const;
     // Without a set, no endpoint is evacuated. The set must outlive this object.
     void setEvacuations(const EvacuationSet& evacuations) { m_evacuations = &evacuations; }
+    // Without them, endpoints of all versions begin streams. The versions must outlive this object.
+    void setSoftwareVersions(const SoftwareVersions& versions) { m_softwareVersions = &versions; }
     // Whether the service has an endpoint of this software version that is not leaving.
     bool isServed(const std::string& service, const std::string& softwareVersion) const;
     // Whether the entry's process is still the registered one, as far as this daemon knows, or no longer registered at all.
@@ -124,6 +129,9 @@
     bool isEligible(const Endpoint&, const SelectionQuery&, const ColdState&, Core::SteadyClock::time_point now) const;
     bool isCandidate(const Endpoint&, const SelectionQuery&, const ColdState&, Core::SteadyClock::time_point now) const;
     std::optional<double> requestLimit(const Endpoint&, const ColdState&) const;
+    // Whether a stream that begins at the endpoint could be taken for one of another software version by a daemon that does not know of its
+    // version yet. Such an endpoint is used only if there is no other.
+    bool isVersionUnrecorded(const Endpoint& endpoint, const SelectionQuery& query) const { return query.mayBeTakenUp && m_softwareVersions && !m_softwareVersions->isRecorded(endpoint); }
     // When a permit for the endpoint can be asked for after a refusal.
     Core::SteadyClock::time_point noPermitUntil(const Endpoint&, const ColdState&) const;
     // The engine that is predicted to be soonest, or null if none of those that were looked at is a healthy candidate.
@@ -139,6 +147,7 @@
     const EndpointDirectory& m_directory;
     std::string m_failureDomain;
     const EvacuationSet* m_evacuations;
+    const SoftwareVersions* m_softwareVersions { nullptr };
     std::map<std::string, EndpointState> m_states;
     // By endpoint id; hashed, since each choice looks up all candidates.
     std::unordered_map<std::string, Pause> m_pauses;
--- a/Libraries/LibRelay/include/LibRelay/SoftwareVersions.h
+++ b/Libraries/LibRelay/include/LibRelay/SoftwareVersions.h
@@ -10,8 +10,15 @@
 
 namespace Relay {
 
+// The software versions of each service.
+using VersionRecord = std::map<std::string, std::set<std::string>>;
+
+// JSON `{service: [version, ...]}`. Empty with a reason of kind Invalid if the text is none.
+std::string encodeVersionRecord(const VersionRecord&);
+std::optional<VersionRecord> decodeVersionRecord(const std::string& text, const std::string& name, Core::Reason&);
+
 // The software versions of each service that may have begun a stream which is still taken up: those of the endpoints that this daemon
-// has seen registered.
+// has seen registered, and those that the fleet has recorded in the store, since a daemon that has just started has seen none.
 class SoftwareVersions {
 public:
     // No stream is taken up longer than this after its version has left.
@@ -19,14 +26,32 @@
 
     // Records that an endpoint is registered.
     void observe(const Endpoint&, Core::SteadyClock::time_point now);
+    // Adopts the fleet's record.
+    void adopt(VersionRecord, Core::SteadyClock::time_point now);
+    // The record has been written.
+    void setRecorded(VersionRecord, Core::SteadyClock::time_point now);
+    // This daemon may have missed versions that came and went, until it adopts the record again.
+    void invalidate() { m_isCurrent = false; }
+
+    // Whether the record has been adopted, and registrations have been followed without a gap since.
+    bool isCurrent() const { return m_isCurrent; }
+    // The fleet's record as this daemon has last read or written it; empty before that.
+    const std::optional<VersionRecord>& recorded() const { return m_recorded; }
+    // Whether the endpoint's version is in the fleet's record, so that no daemon mistakes its streams for those of another version.
+    bool isRecorded(const Endpoint&) const;
+    // The versions that the record should have.
+    VersionRecord current(Core::SteadyClock::time_point now) const;
     // The version of all streams of the service; empty if there may be several or none is known.
     std::optional<std::string> onlyVersion(const std::string& service, Core::SteadyClock::time_point now) const;
     // Services with streams of several versions.
     std::set<std::string> mixedServices(Core::SteadyClock::time_point now) const;
 
 private:
-    // When each version was last seen, by service.
+    // When each version was last seen, by service. Expired versions are kept until they are gone from the record, so that adopting it
+    // does not renew them.
     std::map<std::string, std::map<std::string, Core::SteadyClock::time_point>> m_lastSeen;
+    std::optional<VersionRecord> m_recorded;
+    bool m_isCurrent { false };
 };
 
 }
--- a/Libraries/LibRelay/include/LibRelay/StreamOriginStore.h
+++ b/Libraries/LibRelay/include/LibRelay/StreamOriginStore.h
@@ -24,16 +24,21 @@
     // Time after which a collector is tried again that did not accept streams.
     std::chrono::milliseconds collectorRetryDelay { 5'000 };
     std::chrono::milliseconds callTimeout { 1'000 };
-    // Time between two reads of the streams of all hosts.
+    // Time between two reads of this daemon: of the small record of versions, and of the streams of all hosts.
+    std::chrono::milliseconds versionReadSpacing { 50 };
     std::chrono::milliseconds streamReadSpacing { 100 };
     // Delay of the second read for a stream that the first one did not find. The daemon that began it may be writing it.
     std::chrono::milliseconds secondReadDelay { 100 };
     std::chrono::milliseconds observeInterval { 250 };
+    // After about this time a daemon looks whether another one has recorded a new version, and after a few such times records it.
+    std::chrono::milliseconds recordCheckDelay { 300 };
 };
 
 struct StreamOriginHooks {
     // Observes all registered endpoints.
     std::function<void(SoftwareVersions&)> observe;
+    // Whether this daemon records the software versions for the fleet.
+    std::function<bool()> isRecorder;
     // The daemon that writes the streams of several; empty if this one writes its own. May be unset.
     std::function<std::optional<Core::Address>()> collector {};
     // Hands streams to that daemon. Fails if it did not accept them.
@@ -51,8 +56,9 @@
         const char* source { "" };
     };
 
-    // The prefix of the records of hosts' streams.
+    // The prefix of the records of hosts' streams, and the name of the record of software versions.
     static constexpr const char* prefix = "stream-origins/";
+    static constexpr const char* versionRecordName = "software-versions/services";
 
     StreamOriginStore(const boost::asio::any_io_executor&, Platform::ObjectStore, std::string host, SoftwareVersions&, StreamOriginHooks, StreamOriginSettings = {});
     ~StreamOriginStore();
@@ -95,6 +101,9 @@
     // Takes over the streams of this host's earlier process, before its record is replaced.
     Core::Task<bool> inheritStreams(Core::Reason&);
     Core::Task<bool> readStreams(Core::Reason&);
+    Core::Task<bool> readVersions(Core::Reason&);
+    Core::Task<void> maintainVersions();
+    Core::Task<void> writeVersions();
 
     Platform::ObjectStore m_store;
     std::string m_name;
@@ -105,6 +114,7 @@
     // The origins that the last read found.
     StreamOrigins m_known;
     std::unique_ptr<SharedRead> m_streamReads;
+    std::unique_ptr<SharedRead> m_versionReads;
     Core::Signal m_woken;
     Core::Signal m_streamsChanged;
     // Streams of mixed services that began since the last write.
@@ -123,6 +133,9 @@
     std::set<std::string> m_writtenServices;
     // Version of this host's record; 0: none.
     Platform::Version m_version { 0 };
+    // When this daemon next looks whether a new version has been recorded, and how often it has looked.
+    std::optional<Core::Deadline> m_recordCheck;
+    int m_recordChecks { 0 };
     uint64_t m_writes { 0 };
     bool m_isStopping { false };
 };
--- a/Libraries/LibRelay/src/EndpointSelector.cpp
+++ b/Libraries/LibRelay/src/EndpointSelector.cpp
@@ -170,11 +170,14 @@
     std::vector<const Endpoint*> candidates;
     std::vector<const Endpoint*> cold;
     std::vector<const Endpoint*> unhealthy;
+    std::vector<const Endpoint*> unrecorded;
     for (const auto& [id, endpoint] : m_directory.endpoints()) {
         ColdState coldState = m_cold.stateOf(endpoint, now);
         if (!isCandidate(endpoint, query, coldState, now))
             continue;
-        if (!isHealthy(endpoint, now))
+        if (isVersionUnrecorded(endpoint, query))
+            unrecorded.push_back(&endpoint);
+        else if (!isHealthy(endpoint, now))
             unhealthy.push_back(&endpoint);
         else
             (coldState.isCold ? cold : candidates).push_back(&endpoint);
@@ -184,6 +187,8 @@
         candidates = std::move(cold);
     if (candidates.empty())
         candidates = std::move(unhealthy);
+    if (candidates.empty())
+        candidates = std::move(unrecorded);
     if (candidates.empty())
         return nullptr;
     if (query.affinity != 0)
@@ -203,7 +208,8 @@
     std::vector<const Endpoint*> engines;
     engines.reserve(m_directory.endpoints().size());
     for (const auto& [id, endpoint] : m_directory.endpoints()) {
-        if (endpoint.service == query.service && !endpoint.isLeaving && (!query.softwareVersion || endpoint.softwareVersion == *query.softwareVersion))
+        if (endpoint.service == query.service && !endpoint.isLeaving && (!query.softwareVersion || endpoint.softwareVersion == *query.softwareVersion)
+            && !isVersionUnrecorded(endpoint, query))
             engines.push_back(&endpoint);
     }
     auto isUsable = [&](const Endpoint& engine) {
--- a/Libraries/LibRelay/src/RequestExecution.cpp
+++ b/Libraries/LibRelay/src/RequestExecution.cpp
@@ -280,6 +280,7 @@
     SelectionQuery query { service, m_isEngine, affinity(), m_excluded, m_hasPermitTimedOut || m_permitRequests >= maxPermitRequests, predictedPrompt() };
     if (m_origin)
         query.softwareVersion = m_origin->softwareVersion;
+    query.mayBeTakenUp = mayBeTakenUp() && !m_origin;
     return query;
 }
 
--- a/Libraries/LibRelay/src/StreamOriginStore.cpp
+++ b/Libraries/LibRelay/src/StreamOriginStore.cpp
@@ -1,6 +1,7 @@
 #include "LibRelay/StreamOriginStore.h"
 
 #include "Events.h"
+#include "LibCore/Random.h"
 #include "SharedRead.h"
 #include <algorithm>
 #include <utility>
@@ -13,6 +14,11 @@
 using Core::SteadyClock;
 using std::chrono::milliseconds;
 
+// Attempts at a write whose object other daemons change at the same time.
+static constexpr int maxWriteAttempts = 3;
+// Number of times that a daemon looks for the record of a new version before it records the version itself.
+static constexpr int maxRecordChecks = 3;
+
 StreamOriginStore::StreamOriginStore(const boost::asio::any_io_executor& executor, Platform::ObjectStore store, std::string host, SoftwareVersions& versions, StreamOriginHooks hooks, StreamOriginSettings settings)
     : m_store(std::move(store))
     , m_name(prefix + std::move(host))
@@ -20,6 +26,7 @@
     , m_hooks(std::move(hooks))
     , m_settings(settings)
     , m_streamReads(std::make_unique<SharedRead>(executor, settings.streamReadSpacing, [this](Reason& reason) { return readStreams(reason); }))
+    , m_versionReads(std::make_unique<SharedRead>(executor, settings.versionReadSpacing, [this](Reason& reason) { return readVersions(reason); }))
     , m_woken(executor)
     , m_streamsChanged(executor)
 {
@@ -67,8 +74,13 @@
 {
     if (std::optional<StreamOrigin> own = key ? m_table.find(*key) : std::nullopt)
         co_return Found { std::move(*own), "own" };
-    if (std::optional<std::string> only = m_versions.onlyVersion(service, SteadyClock::now()))
-        co_return Found { { service, std::move(*only) }, "only_version" };
+    if (!m_versions.mixedServices(SteadyClock::now()).contains(service)) {
+        // Another version may have begun streams since this daemon last heard of the endpoints.
+        if (!co_await m_versionReads->read(std::min(deadline, Deadline::after(m_settings.callTimeout)), reason))
+            co_return std::nullopt;
+        if (std::optional<std::string> only = m_versions.onlyVersion(service, SteadyClock::now()))
+            co_return Found { { service, std::move(*only) }, "only_version" };
+    }
     if (!key) {
         reason = { FailureKind::NotFound, "find stream origin", service, "the request does not name the one that began the stream" };
         co_return std::nullopt;
@@ -102,10 +114,91 @@
     co_return true;
 }
 
+Core::Task<bool> StreamOriginStore::readVersions(Reason& reason)
+{
+    std::optional<Platform::Object> object = co_await m_store.get(versionRecordName, Deadline::after(m_settings.callTimeout), reason);
+    if (!object && reason.kind != FailureKind::NotFound)
+        co_return false;
+    std::optional<VersionRecord> record = object ? decodeVersionRecord(object->value, object->name, reason) : VersionRecord {};
+    if (!record)
+        Core::logEvent(Events::streamRecordIgnored, "object=" + object->name + " store_version=" + std::to_string(object->version) + " reason=\"" + reason.text() + "\"");
+    m_versions.adopt(record.value_or(VersionRecord {}), SteadyClock::now());
+    co_return true;
+}
+
+static bool lacksVersions(const VersionRecord& record, const VersionRecord& wanted)
+{
+    return std::any_of(wanted.begin(), wanted.end(), [&record](const auto& entry) {
+        auto it = record.find(entry.first);
+        return it == record.end() || !std::includes(it->second.begin(), it->second.end(), entry.second.begin(), entry.second.end());
+    });
+}
+
+Core::Task<void> StreamOriginStore::writeVersions()
+{
+    Reason reason;
+    for (int attempt = 0; attempt < maxWriteAttempts; ++attempt) {
+        Deadline deadline = Deadline::after(m_settings.callTimeout);
+        std::optional<Platform::Object> object = co_await m_store.get(versionRecordName, deadline, reason);
+        if (!object && reason.kind != FailureKind::NotFound)
+            break;
+        std::optional<VersionRecord> stored = object ? decodeVersionRecord(object->value, object->name, reason) : std::nullopt;
+        m_versions.adopt(stored.value_or(VersionRecord {}), SteadyClock::now());
+        VersionRecord wanted = m_versions.current(SteadyClock::now());
+        std::optional<Platform::Version> written = object ? object->version : 0;
+        if (!stored || *stored != wanted)
+            written = co_await m_store.put(versionRecordName, encodeVersionRecord(wanted), object ? object->version : 0, deadline, reason);
+        if (written) {
+            m_versions.setRecorded(std::move(wanted), SteadyClock::now());
+            co_return;
+        }
+        if (reason.kind != FailureKind::Conflict)
+            break;
+    }
+    Core::logEvent(Events::streamRecordNotWritten, std::string("object=") + versionRecordName + " reason=\"" + reason.text() + "\"");
+}
+
+Core::Task<void> StreamOriginStore::maintainVersions()
+{
+    m_hooks.observe(m_versions);
+    VersionRecord wanted = m_versions.current(SteadyClock::now());
+    if (wanted.empty())
+        co_return;
+    if (!m_versions.isCurrent()) {
+        Reason reason;
+        co_await m_versionReads->read(Deadline::after(m_settings.callTimeout), reason);
+        co_return;
+    }
+    const VersionRecord& recorded = *m_versions.recorded();
+    if (m_hooks.isRecorder() && recorded != wanted) {
+        co_await writeVersions();
+        co_return;
+    }
+    if (!lacksVersions(recorded, wanted)) {
+        m_recordCheck = std::nullopt;
+        m_recordChecks = 0;
+        co_return;
+    }
+    if (!m_recordCheck) {
+        milliseconds jitter(Core::randomBelow(static_cast<uint64_t>(m_settings.recordCheckDelay.count()) + 1));
+        m_recordCheck = Deadline::after(m_settings.recordCheckDelay + jitter);
+        co_return;
+    }
+    if (!m_recordCheck->hasPassed())
+        co_return;
+    m_recordCheck = std::nullopt;
+    if (++m_recordChecks >= maxRecordChecks) {
+        co_await writeVersions();
+        co_return;
+    }
+    Reason reason;
+    co_await m_versionReads->read(Deadline::after(m_settings.callTimeout), reason);
+}
+
 Core::Task<void> StreamOriginStore::runVersions()
 {
     while (!m_isStopping) {
-        m_hooks.observe(m_versions);
+        co_await maintainVersions();
         std::set<std::string> mixed = m_versions.mixedServices(SteadyClock::now());
         if (mixed.empty()) {
             m_known.clear();
@@ -114,7 +207,7 @@
         if (mixed != m_writtenServices)
             m_streamsChanged.notifyAll();
         m_table.expire(SteadyClock::now());
-        co_await m_woken.wait(Deadline::after(m_settings.observeInterval));
+        co_await m_woken.wait(m_recordCheck.value_or(Deadline::after(m_settings.observeInterval)));
     }
 }
 
--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -1,6 +1,7 @@
 #include "RelayDaemon.h"
 
 #include "ClientMetrics.h"
+#include "LibCore/Hash.h"
 #include "PlatformAdapter/Adapter.h"
 #include "RelayEvents.h"
 
@@ -126,6 +127,7 @@
 {
     if (m_settings.followsEvacuations())
         m_selector.setEvacuations(m_evacuations);
+    m_selector.setSoftwareVersions(m_softwareVersions);
     m_callerServer.setCapacity(m_settings.callerCapacity());
     m_readinessServer.setCapacity(m_settings.statusCapacity());
     m_metricsServer.setCapacity(m_settings.statusCapacity());
@@ -247,6 +249,7 @@
     };
     hooks.lost = [this](const Reason& reason) {
         m_endpoints.storeLost();
+        m_softwareVersions.invalidate();
         logStoreAvailability("endpoints", true, " reason=\"" + reason.text() + "\"");
     };
     hooks.regained = [this] {
@@ -255,6 +258,7 @@
     };
     hooks.restored = [this] {
         m_endpoints.storeRestored(Core::SteadyClock::now());
+        m_softwareVersions.invalidate();
         logStoreRestored("endpoints");
     };
     return hooks;
@@ -371,11 +375,18 @@
         for (const auto& [id, endpoint] : m_endpoints.endpoints())
             versions.observe(endpoint, now);
     };
+    hooks.isRecorder = [this] { return recordsVersions(); };
     hooks.collector = [this] { return m_watchers.watcher(); };
     hooks.handOver = [this](Core::Address collector, Relay::StreamHandover streams, Reason& reason) { return handOverStreams(std::move(collector), std::move(streams), reason); };
     return hooks;
 }
 
+bool RelayDaemon::recordsVersions() const
+{
+    bool knowsPeers = m_announcementFollower.hasListed() && Core::SteadyClock::now() - m_startedAt > std::chrono::milliseconds(peerDiscoveryTimeMs + announcementBatchMs);
+    return knowsPeers && !m_watchers.assigneeOf(Core::hash64(Relay::StreamOriginStore::versionRecordName));
+}
+
 Core::Task<bool> RelayDaemon::refreshConfiguration()
 {
     if (!m_configurationFollower.isLost() && configurationAgeMs() <= maxFollowedAgeMs)
--- a/Services/jujuberelayd/src/RelayDaemon.h
+++ b/Services/jujuberelayd/src/RelayDaemon.h
@@ -37,6 +37,8 @@
     Relay::StreamOriginHooks makeStreamOriginHooks();
     Core::Task<bool> handOverStreams(Core::Address, Relay::StreamHandover, Core::Reason&);
     Core::Task<std::optional<std::string>> serveStreams(std::string body, Core::Reason&);
+    // Whether this daemon records the software versions for the fleet.
+    bool recordsVersions() const;
     Relay::PeerStoreHooks makePeerStoreHooks();
     Relay::PeerDirectory::Hooks makePeerHooks();
     Relay::BudgetHooks makeBudgetHooks();
@@ -122,6 +124,7 @@
     std::map<std::string, std::string> m_loggedColdFaults;
     // Last logged watch source of each object prefix.
     std::map<std::string, std::string> m_loggedWatchSources;
+    Core::SteadyClock::time_point m_startedAt { Core::SteadyClock::now() };
     bool m_isStopping { false };
     // Set once the load balancer no longer chooses this daemon: when requests in progress are interrupted.
     std::optional<Core::Deadline> m_servesUntil;
--- a/Tests/LibRelay/TestSoftwareVersions.cpp
+++ b/Tests/LibRelay/TestSoftwareVersions.cpp
@@ -99,6 +99,20 @@
     cr_assert_eq(attempts, 2);
 }
 
+// Guards against a daemon that has just learned of a version sending it streams that others take for those of the only version they know.
+Test(SoftwareVersions, endpointsOfAnUnrecordedVersionBeginNoStreamsWhileThereAreOthers)
+{
+    Relay::SoftwareVersions versions;
+    versions.adopt({ { "service", { "v1" } } }, Core::SteadyClock::now());
+    MixedFixture fixture({ "v1", "v2" });
+    fixture.breaksOff = false;
+    fixture.selector.setSoftwareVersions(versions);
+    for (int i = 0; i < 6; ++i)
+        cr_assert_neq(fixture.call(fixture.makeRequest("/stream/a"))->body.find("data: v1"), std::string::npos);
+    fixture.directory.remove("e0", Core::SteadyClock::now());
+    cr_assert_neq(fixture.call(fixture.makeRequest("/stream/a"))->body.find("data: v2"), std::string::npos);
+}
+
 static Relay::Endpoint endpointOf(const std::string& version)
 {
     Relay::Endpoint endpoint;
@@ -120,4 +134,37 @@
     Core::SteadyClock::time_point later = start + Relay::SoftwareVersions::retention + milliseconds(1);
     versions.observe(endpointOf("v2"), later);
     cr_assert_eq(versions.onlyVersion("service", later), "v2");
+
+    // The record of the fleet still has the old version. It is not renewed by being read, and is gone once the record is written.
+    versions.adopt({ { "service", { "v1", "v2" } } }, later);
+    cr_assert_eq(versions.onlyVersion("service", later), "v2");
+    versions.setRecorded(versions.current(later), later);
+    cr_assert_eq(*versions.recorded(), (Relay::VersionRecord { { "service", { "v2" } } }));
+}
+
+// Guards against a daemon that has just started taking the version that is registered now for the only one.
+Test(SoftwareVersions, recordedVersionsCountAtADaemonThatHasJustStarted)
+{
+    Core::SteadyClock::time_point start {};
+    Relay::SoftwareVersions versions;
+    versions.observe(endpointOf("v2"), start);
+    cr_assert_not(versions.isCurrent());
+    versions.adopt({ { "service", { "v1" } } }, start);
+    cr_assert(versions.isCurrent());
+    cr_assert_eq(versions.onlyVersion("service", start), std::nullopt);
+    cr_assert(versions.mixedServices(start).contains("service"));
+    cr_assert(versions.mixedServices(start + Relay::SoftwareVersions::retention + milliseconds(1)).empty());
+}
+
+// Guards against an unreadable record ending the daemon or counting as one without versions.
+Test(SoftwareVersions, malformedRecordsAreRefused)
+{
+    Core::Reason reason;
+    Relay::VersionRecord record { { "a", { "v1", "v2" } }, { "b", {} } };
+    cr_assert_eq(Relay::decodeVersionRecord(Relay::encodeVersionRecord(record), "n", reason), record);
+    for (const char* text : { "", "[]", "{}", R"({"services":1})", R"({"services":{"a":1}})", R"({"services":{"a":[1]}})" }) {
+        reason = {};
+        cr_assert_not(Relay::decodeVersionRecord(text, "n", reason), "%s", text);
+        cr_assert_eq(reason.kind, Core::FailureKind::Invalid);
+    }
 }
--- a/Tests/LibRelay/TestStreamOrigins.cpp
+++ b/Tests/LibRelay/TestStreamOrigins.cpp
@@ -14,10 +14,12 @@
     settings.writeInterval = milliseconds(30);
     settings.minWriteInterval = milliseconds(2);
     settings.retryDelay = milliseconds(20);
+    settings.versionReadSpacing = milliseconds(1);
     settings.streamReadSpacing = milliseconds(1);
     settings.secondReadDelay = milliseconds(40);
     settings.collectorRetryDelay = milliseconds(100);
     settings.observeInterval = milliseconds(5);
+    settings.recordCheckDelay = milliseconds(10);
     settings.callTimeout = milliseconds(200);
     return settings;
 }
@@ -25,6 +27,7 @@
 // One daemon's part in finding the origins of streams.
 struct Daemon {
     std::vector<std::string> registered;
+    bool isRecorder { true };
     // The daemon that writes for this one, if set. It can be down.
     Daemon* collector { nullptr };
     bool isDown { false };
@@ -50,6 +53,7 @@
                 seen.observe(endpoint, Core::SteadyClock::now());
             }
         };
+        hooks.isRecorder = [this] { return isRecorder; };
         hooks.collector = [this] { return collector ? std::optional<Core::Address>({ "collector", static_cast<uint16_t>(collector->isDown) }) : std::nullopt; };
         hooks.handOver = [this](Core::Address, Relay::StreamHandover handover, Core::Reason& reason) -> Core::Task<bool> {
             std::optional<Relay::StreamHandover> received = Relay::decodeHandover(Relay::encodeHandover(handover), reason);
@@ -108,7 +112,7 @@
     cr_assert_eq(fixture.store.reads(), reads);
     cr_assert_eq(fixture.find(first, 1), "own v1");
     cr_assert_eq(fixture.find(second, 1), "only_version v1");
-    cr_assert_eq(fixture.store.reads(), reads);
+    cr_assert_eq(fixture.store.reads(), reads + 1);
     cr_assert(fixture.store.table().list(Relay::StreamOriginStore::prefix).objects.empty());
 }
 
@@ -141,6 +145,24 @@
     cr_assert_eq(fixture.find(second, 1), "record v1");
 }
 
+// Guards against texts that are joined from two versions after all daemons were killed and the servers of the old version have left.
+Test(StreamOrigins, streamIsFoundAfterAllDaemonsWereKilled)
+{
+    OriginFixture fixture;
+    Daemon& killed = fixture.addDaemon("a", { "v1", "v2" });
+    killed.origins.streamBegan(1, { "service", "v1" }, Deadline::after(longTime));
+    fixture.pause(milliseconds(60));
+    // A stream that began within the last interval before the kill is not recorded.
+    killed.origins.streamBegan(2, { "service", "v1" }, Deadline::after(longTime));
+    Daemon& restarted = fixture.addDaemon("a", { "v2" });
+    Daemon& other = fixture.addDaemon("b", { "v2" });
+    killed.registered.clear();
+    for (Daemon* daemon : { &restarted, &other }) {
+        cr_assert_eq(fixture.find(*daemon, 1), "record v1");
+        cr_assert_neq(fixture.find(*daemon, 2), "only_version v2");
+    }
+}
+
 // Guards against a restarted daemon that replaces the record of its host's earlier streams with its own.
 Test(StreamOrigins, restartedDaemonKeepsTheRecordOfItsHost)
 {
@@ -163,6 +185,33 @@
     cr_assert_eq(fixture.find(other, 2), "record v2");
 }
 
+// Guards against a daemon whose list of endpoints lags behind: it must not continue a stream of a version that it has not seen.
+Test(StreamOrigins, daemonThatLagsBehindLearnsOfTheVersionFromTheRecord)
+{
+    OriginFixture fixture;
+    Daemon& lagging = fixture.addDaemon("a", { "v1" });
+    fixture.pause(milliseconds(30));
+    Daemon& current = fixture.addDaemon("b", { "v1", "v2" });
+    fixture.pause(milliseconds(30));
+    current.origins.streamBegan(1, { "service", "v2" }, Deadline::after(longTime));
+    fixture.pause(milliseconds(60));
+    cr_assert_eq(fixture.find(lagging, 1), "record v2");
+}
+
+// Guards against a daemon that the store does not answer: another daemon may use a version by now that this one has not seen.
+Test(StreamOrigins, onlyVersionCountsOnceTheStoreConfirmsIt)
+{
+    OriginFixture fixture;
+    Daemon& daemon = fixture.addDaemon("a", { "v1" });
+    fixture.pause(milliseconds(30));
+    daemon.origins.streamBegan(1, { "service", "v1" }, Deadline::after(longTime));
+    fixture.store.setOutage(true);
+    cr_assert_eq(fixture.find(daemon, 2), "store silent");
+    cr_assert_eq(fixture.find(daemon, 1), "own v1");
+    fixture.store.setOutage(false);
+    cr_assert_eq(fixture.find(daemon, 2), "only_version v1");
+}
+
 // Guards against a take-up that arrives before its stream is recorded, right after the caller's connection broke.
 Test(StreamOrigins, brokenStreamIsRecordedAtOnce)
 {
@@ -225,6 +274,25 @@
     }
 }
 
+// Guards against all daemons writing the version record, and against none writing it when its recorder has died.
+Test(StreamOrigins, versionsAreRecordedByOneDaemonOrTheOthers)
+{
+    for (bool hasRecorder : { true, false }) {
+        OriginFixture fixture;
+        for (int i = 0; i < 6; ++i)
+            fixture.addDaemon("host-" + std::to_string(i), { "v1", "v2" }).isRecorder = hasRecorder && i == 0;
+        fixture.pause(milliseconds(150));
+        Core::Reason reason;
+        std::optional<Platform::Object> record = fixture.store.table().get(Relay::StreamOriginStore::versionRecordName, reason);
+        cr_assert(record, "recorder: %d", hasRecorder);
+        cr_assert_eq(record->value, Relay::encodeVersionRecord({ { "service", { "v1", "v2" } } }));
+        if (hasRecorder)
+            cr_assert_eq(fixture.store.writes(), 1);
+        for (const std::unique_ptr<Daemon>& daemon : fixture.daemons)
+            cr_assert(daemon->versions.recorded() && !daemon->versions.recorded()->empty());
+    }
+}
+
 // Guards against a write of each daemon in a large fleet, and against streams that are lost on the way to the daemon that writes for them.
 Test(StreamOrigins, oneDaemonWritesForOthers)
 {
@@ -393,7 +461,7 @@
 Test(StreamOrigins, takeUpOfAnUnknownStreamIsRefused)
 {
     TakeUpFixture fixture({ "v1", "v2" });
-    TestSupport::runUntil(fixture.context, [&] { return !fixture.daemon.versions.mixedServices(Core::SteadyClock::now()).empty(); });
+    TestSupport::runUntil(fixture.context, [&] { return fixture.daemon.versions.isCurrent(); });
     std::optional<HTTP::Response> response = fixture.takeUp("t1", "unknown");
     cr_assert(response);
     cr_assert_eq(response->status, 503);
