Soak: releases of software versions, and callers that take streams up

Cause: the randomized soak had one software version and no caller that came back with Resumes, so that rule ORDER over a client's tries was not checked. No check was relaxed.

--- a/Tests/Soak/callers.py
+++ b/Tests/Soak/callers.py
@@ -9,6 +9,10 @@
 
 MAX_OUTPUT_TOKENS = 200  # The longest stream has 33 events of 5 tokens.
 DEADLINE_S = 4.0
+# Probability that a caller takes a broken stream up, and how often it does so.
+TAKE_UP_PROBABILITY = 0.8
+MAX_TAKE_UPS = 3
+TAKE_UP_DELAY_S = 0.05
 
 
 class Caller:
@@ -26,9 +30,26 @@
     async def run(self):
         async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=1, force_close=False)) as self.session:
             while not self.stopping:
-                await self.call()
+                await self.take_up_broken_stream(await self.call())
                 await asyncio.sleep(self.random.uniform(0.005, 0.08))
 
+    async def take_up_broken_stream(self, request):
+        """Takes a broken stream up at other daemons, as the pages allow."""
+        for _ in range(MAX_TAKE_UPS):
+            if not request.can_be_taken_up or self.stopping or self.random.random() > TAKE_UP_PROBABILITY:
+                return
+            await asyncio.sleep(self.random.uniform(0, TAKE_UP_DELAY_S))
+            others = [daemon for daemon in self.fleet.daemons_in_rotation() if daemon.name != request.daemon]
+            self.daemon = self.random.choice(others or self.fleet.daemons)
+            request_id = "%016x" % self.random.getrandbits(64)
+            next_request = Request(request_id, request.path, request.key, request.workspace, request.prompt_tokens, MAX_OUTPUT_TOKENS,
+                                   "body of " + request_id, self.daemon.name)
+            next_request.take_up(request)
+            self.checker.requests[request_id] = next_request
+            await self.send(next_request, None)
+            self.checker.taken_up(request, next_request)
+            request = next_request
+
     async def call(self, workspace=None):
         if self.daemon is None or self.random.random() < 0.02:
             self.daemon = self.random.choice(self.fleet.daemons_in_rotation())
@@ -40,7 +61,10 @@
         if path != wire.STREAM_PATH:
             request.prompt_tokens = 0
         self.checker.requests[request_id] = request
-        disconnect_after = self.random.uniform(0.01, 0.3) if self.random.random() < 0.03 else None
+        await self.send(request, self.random.uniform(0.01, 0.3) if self.random.random() < 0.03 else None)
+        return request
+
+    async def send(self, request, disconnect_after):
         try:
             await asyncio.wait_for(self.exchange(request), disconnect_after or DEADLINE_S + 1)
         except asyncio.TimeoutError:
@@ -53,7 +77,6 @@
                 self.checker.answered(request, request.status, {}, "", False)
                 self.fleet.request_interrupted(request, type(error).__name__)
             self.daemon = None
-        return request
 
     async def exchange(self, request):
         headers = {wire.ATTEMPT_ID: request.id, wire.DEADLINE: str(int(DEADLINE_S * 1000)),
@@ -64,6 +87,9 @@
             headers[wire.TOKEN_COUNTS] = "%d,%d" % (request.prompt_tokens, request.max_output_tokens)
             headers[wire.PROMPT_PREFIX] = "abc:10,%x:5" % (self.number % 7)
             headers[wire.MODEL] = "m"
+            if request.events:
+                headers[wire.RESUMES] = request.stream_id
+                headers[wire.LAST_EVENT] = str(request.events)
         url = "http://127.0.0.1:%d%s" % (self.daemon.caller_proxy.port, request.path)
         async with self.session.post(url, data=request.body, headers=headers) as response:
             request.status = response.status
--- a/Tests/Soak/faults.py
+++ b/Tests/Soak/faults.py
@@ -16,11 +16,13 @@
         self.operator = operator
         self.random = random
         self.only_planned = only_planned
+        self.releases = 1  # The engines of the second version serve from the start.
         self.tasks = set()
         self.busy = set()  # Daemons and endpoints that an action in progress has claimed.
 
     async def run(self, seconds):
-        planned = [self.terminate, self.reload, self.add_route, self.remove_route, self.revoke, self.add_key, self.top_up, self.drain_endpoint]
+        planned = [self.terminate, self.reload, self.add_route, self.remove_route, self.revoke, self.add_key, self.top_up, self.drain_endpoint,
+                   self.release]
         unplanned = [self.kill, self.kill_all, self.pause, self.fail_store_calls, self.slow_store, self.lose_store_replies, self.drop_history,
                      self.disturb_store_link, self.disturb_caller_link, self.crash_endpoint, self.fail_answers, self.hang_endpoint]
         kinds = planned if self.only_planned else planned + unplanned
@@ -33,7 +35,8 @@
                 print("%.1f s remaining: %s" % (end - time.monotonic(), kind.__name__), flush=True)
                 self.start_task(kind())
             await asyncio.sleep(self.random.uniform(0.2, 1.5))
-        await asyncio.gather(*self.tasks)
+        while self.tasks:
+            await asyncio.gather(*self.tasks)
 
     def start_task(self, work):
         task = asyncio.get_running_loop().create_task(work)
@@ -91,6 +94,24 @@
             await endpoint.start()
             self.busy.discard(endpoint)
 
+    async def release(self):
+        """Replaces some engines by endpoints of a newer software version."""
+        self.releases += 1
+        engines = [each for each in self.endpoints if each.service == "engines"]
+        gap_s = self.random.choice([0.0, 0.1, 0.5])
+        for engine in self.random.sample(engines, self.random.randint(1, len(engines) - 1)):
+            if engine in self.busy:
+                continue
+            self.busy.add(engine)
+            self.start_task(self.replace_engine(engine, "v%d" % (self.releases + 1)))
+            await asyncio.sleep(gap_s)
+
+    async def replace_engine(self, engine, version):
+        await engine.drain()
+        engine.version = version
+        await engine.start()
+        self.busy.discard(engine)
+
     # Faults.
 
     async def kill(self):
--- a/Tests/Soak/invariants.py
+++ b/Tests/Soak/invariants.py
@@ -31,9 +31,19 @@
         self.stream_id = request_id
         self.version = None
         self.events = 0
+        self.events_before = 0  # Those that the caller had when it sent the request.
         self.status = None
         self.outcome = None
 
+    def take_up(self, broken):
+        """Goes on with the stream of a request that was broken off."""
+        self.stream_id, self.version, self.events, self.events_before = broken.stream_id, broken.version, broken.events, broken.events
+
+    @property
+    def can_be_taken_up(self):
+        is_complete = self.status == 200 and self.outcome == "answered"
+        return 0 < self.events < endpoints.expected_event_count(self.stream_id) and not is_complete and self.status not in (400, 401, 402, 404)
+
     @property
     def repeatable(self):
         return not self.path.startswith(wire.ORDER_PATH)
@@ -145,6 +155,14 @@
         elif body != endpoints.expected_body(request.id):
             self.fail("MIXED", "%s got an unexpected body" % request.id)
 
+    def taken_up(self, broken, request):
+        """Counts take-ups by result."""
+        if request.events > request.events_before:
+            result = "went on"
+        else:
+            result = "refused %s" % request.status if request.status in wire.NOT_RUN_STATUSES else "failed"
+        self.counts["take-ups %s" % result] += 1
+
     def closed(self, request, reason):
         request.outcome = reason
         self.counts["%s %s" % (request.path.split("/")[1], reason)] += 1
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -62,6 +62,10 @@
     operator = Operator(store, checker, BUDGETS)
     await operator.write()
     endpoints = [Endpoint("engine-%d" % number, "engines", ZONES[number % 2], 16, store, checker, random.Random(rng.random())) for number in range(4)]
+    # Two software versions from the start.
+    engine_versions = ("v1", "v1", "v2", "v2")
+    for endpoint, version in zip(endpoints, engine_versions):
+        endpoint.version = version
     endpoints += [Endpoint("desk-%d" % number, "desk", ZONES[number % 2], 8, store, checker, random.Random(rng.random())) for number in range(3)]
     for endpoint in endpoints:
         await endpoint.start()
