HTTP: Reject responses whose status has no class

Callers got answers of status 000 from an endpoint in trouble.

Cause: Boost.Beast accepts any three digits as a status, and the client passed its number on. Nothing behind it looks at the class of a status other than 1xx, 2xx and 5xx, so 000 was forwarded as any other answer, and the connection was used again.

Change: a check of the response head in the client, which all readers share. A status outside 100 to 599 fails the call with an unknown outcome and closes the connection.

--- a/Libraries/LibHTTP/src/PooledStream.h
+++ b/Libraries/LibHTTP/src/PooledStream.h
@@ -2,6 +2,7 @@
 
 #include "ConnectionPool.h"
 #include "ReadTimeout.h"
+#include "ResponseHead.h"
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
@@ -89,21 +90,25 @@
                 reason = makeReason(error, Core::FailureKind::OutcomeUnknown, "read response", m_address);
                 co_return false;
             }
-            m_headers.clear();
+            m_head = {};
             bool isJoined = containsStatusLine(m_parser->get().reason());
             for (const http::fields::value_type& field : m_parser->get()) {
                 isJoined = isJoined || containsStatusLine(field.value());
-                m_headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+                m_head.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
             }
             if (isJoined) {
                 reason = { Core::FailureKind::OutcomeUnknown, "read response", m_address.text(), "the response head contains the status line of another response" };
                 co_return false;
             }
-            m_status = m_parser->get().result_int();
-            bool isInformational = m_status / 100 == 1;
+            m_head.status = m_parser->get().result_int();
+            if (std::optional<std::string> fault = findFault(m_head)) {
+                reason = { Core::FailureKind::OutcomeUnknown, "read response", m_address.text(), std::move(*fault) };
+                co_return false;
+            }
+            bool isInformational = m_head.status / 100 == 1;
             if (isInformational)
                 continue;
-            if (!options.isExpected || options.isExpected(m_status, m_headers)) {
+            if (!options.isExpected || options.isExpected(m_head.status, m_head.headers)) {
                 releaseIfComplete();
                 co_return true;
             }
@@ -116,8 +121,8 @@
 
     bool reserve(size_t bytes) override { return m_kept.resize(bytes); }
 
-    unsigned status() const override { return m_status; }
-    const Headers& headers() const override { return m_headers; }
+    unsigned status() const override { return m_head.status; }
+    const Headers& headers() const override { return m_head.headers; }
 
     Core::Task<std::optional<std::string>> readSome(Core::Deadline deadline, Core::Reason& reason) override
     {
@@ -204,7 +209,7 @@
     Core::Deadline reuseDeadline() const
     {
         static constexpr std::string_view parameter = "timeout=";
-        std::string text = findHeader(m_headers, "Keep-Alive").value_or("");
+        std::string text = findHeader(m_head.headers, "Keep-Alive").value_or("");
         size_t at = text.find(parameter);
         if (at == std::string::npos)
             return Core::Deadline::after(defaultKeepAliveTimeout);
@@ -220,8 +225,7 @@
     // What the reader keeps of the body.
     BufferBudget::Reservation m_kept;
     std::optional<http::response_parser<http::buffer_body>> m_parser;
-    unsigned m_status { 0 };
-    Headers m_headers;
+    ResponseHead m_head;
     bool m_hasFailed { false };
 };
 
--- /dev/null
+++ b/Tests/LibHTTP/TestInvalidResponses.cpp
@@ -0,0 +1,127 @@
+#include "LibHTTP/Client.h"
+#include "RawServer.h"
+#include "RunTask.h"
+
+#include <cctype>
+#include <cstring>
+
+// Bytes of a faulty server that are no response in the protocol, and responses that end before they are complete, over real sockets.
+
+using TestSupport::RawServer;
+using TestSupport::readRawRequest;
+using TestSupport::writeRaw;
+using tcp = boost::asio::ip::tcp;
+
+namespace {
+
+struct Fixture {
+    boost::asio::io_context context;
+    HTTP::Client client { context.get_executor() };
+    Core::Reason reason;
+
+    std::optional<HTTP::Response> roundTrip(const RawServer& server, HTTP::Request request = { "GET", "/", {}, {} }, std::chrono::milliseconds timeout = std::chrono::seconds(5))
+    {
+        reason = {};
+        return TestSupport::runTask(context, client.roundTrip(server.address(), std::move(request), Core::Deadline::after(timeout), reason));
+    }
+};
+
+using Cases = std::vector<std::pair<std::string, std::string>>;
+
+}
+
+static const std::string fields = "Keep-Alive: timeout=5\r\nContent-Length: 4\r\n\r\nbody";
+static const std::string head = "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\n";
+static const std::string chunks = "4\r\nbody\r\n0\r\n\r\n";
+
+// Answers each request on a connection with the bytes, and closes the connection after the first one if its end ends the body.
+static RawServer::Script answering(std::string bytes, bool closes)
+{
+    return [bytes = std::move(bytes), closes](tcp::socket& socket) -> Core::Task<void> {
+        while (co_await readRawRequest(socket)) {
+            if (!co_await writeRaw(socket, bytes) || closes)
+                co_return;
+        }
+    };
+}
+
+// The cases that are not reported as a call with an unknown outcome, or after which the connection is used again.
+static std::string findAccepted(const Cases& cases)
+{
+    std::string accepted;
+    for (const auto& [name, bytes] : cases) {
+        for (bool closes : { false, true }) {
+            Fixture fixture;
+            RawServer server(fixture.context, answering(bytes, closes));
+            std::optional<HTTP::Response> response = fixture.roundTrip(server, { "GET", "/", {}, {} }, std::chrono::milliseconds(300));
+            bool isUnknown = !response && (fixture.reason.kind == Core::FailureKind::OutcomeUnknown || fixture.reason.kind == Core::FailureKind::TimedOut);
+            fixture.roundTrip(server, { "GET", "/", {}, {} }, std::chrono::milliseconds(100));
+            if (!isUnknown || server.connections != 2)
+                accepted += name + (closes ? " (close)" : "") + (response ? " was accepted as " + std::to_string(response->status) + " \"" + response->body + "\"" : ": " + fixture.reason.text()) + ", " + std::to_string(server.connections) + " connections\n";
+        }
+    }
+    return accepted;
+}
+
+// Guards against a status that the protocol does not have reaching a caller as an answer.
+Test(InvalidResponses, statusOutsideTheProtocolIsNoResponse)
+{
+    Cases cases;
+    for (const char* status : { "000", "001", "010", "099", "600", "601", "700", "999", "20", "2", "2000", "+20", "-20", " 200", "2 0", "0x2", "2O0", "" })
+        cases.push_back({ status, "HTTP/1.1 " + std::string(status) + " OK\r\n" + fields });
+    std::string accepted = findAccepted(cases);
+    cr_assert(accepted.empty(), "%s", accepted.c_str());
+}
+
+// Guards against rejecting a status that servers may send.
+Test(InvalidResponses, statusOfTheProtocolIsAResponse)
+{
+    for (unsigned status = 200; status < 600; ++status) {
+        Fixture fixture;
+        RawServer server(fixture.context, answering("HTTP/1.1 " + std::to_string(status) + " \r\n" + fields, true));
+        std::optional<HTTP::Response> response = fixture.roundTrip(server);
+        cr_assert(response, "status %u: %s", status, fixture.reason.text().c_str());
+        cr_assert_eq(response->status, status);
+        cr_assert_eq(response->body, status == 204 || status == 304 ? "" : "body");
+    }
+}
+
+// Guards against lengths that contradict each other or are no numbers.
+Test(InvalidResponses, invalidLengthIsNoResponse)
+{
+    Cases cases;
+    for (const char* length : { "", "-4", "+4", "4 4", "4,5", "4,", ",4", "0x4", "4.0", "4;", "\"4\"", "99999999999999999999", "18446744073709551616", "4\r\nContent-Length: 5", "4\r\nContent-Length: ", "4\r\nTransfer-Encoding: chunked" })
+        cases.push_back({ length, head + "Content-Length: " + length + "\r\n\r\nbody" });
+    cases.push_back({ "both, chunked first", head + "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n" + chunks });
+    std::string accepted = findAccepted(cases);
+    cr_assert(accepted.empty(), "%s", accepted.c_str());
+}
+
+// Guards against reading a body whose chunks are not valid.
+Test(InvalidResponses, invalidChunkIsNoResponse)
+{
+    Cases cases;
+    std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    for (const char* size : { "", "+4", "-4", " 4", "4 ", "0x4", "4;", "4;=", "4 a", "4h", "10000000000000000", "fffffffffffffffff", "4\n" })
+        cases.push_back({ size, chunked + size + "\r\nbody\r\n0\r\n\r\n" });
+    cases.push_back({ "long chunk", chunked + "4\r\nbody, and more\r\n0\r\n\r\n" });
+    cases.push_back({ "short chunk", chunked + "4\r\nbod\r\n0\r\n\r\n" });
+    cases.push_back({ "odd end", chunked + "4\r\nbody\r\n0x\r\n\r\n" });
+    cases.push_back({ "blank in a trailer", chunked + "4\r\nbody\r\n0\r\nO dd: a\r\n\r\n" });
+    cases.push_back({ "length in a trailer", chunked + "4\r\nbody\r\n0\r\nContent-Length: 4\r\n\r\n" });
+    cases.push_back({ "transfer coding in a trailer", chunked + "4\r\nbody\r\n0\r\nTransfer-Encoding: chunked\r\n\r\n" });
+    std::string accepted = findAccepted(cases);
+    cr_assert(accepted.empty(), "%s", accepted.c_str());
+}
+
+// Guards against other versions, and bytes before the status line, being read as a response.
+Test(InvalidResponses, otherProtocolIsNoResponse)
+{
+    Cases cases;
+    for (const char* version : { "HTTP/0.9", "HTTP/1.2", "HTTP/1.9", "HTTP/2.0", "HTTP/2", "HTTP/11", "HTTP/1,1", "HTTP/1.10", "HTTP/01.1", "http/1.1", "HTTPS/1.1", "ICY", " HTTP/1.1", "\r\nHTTP/1.1", "xHTTP/1.1", "body\r\nHTTP/1.1" })
+        cases.push_back({ version, std::string(version) + " 200 OK\r\n" + fields });
+    cases.push_back({ "HTTP/0.9 body", "body" });
+    cases.push_back({ "tab after the version", "HTTP/1.1\t200 OK\r\n" + fields });
+    std::string accepted = findAccepted(cases);
+    cr_assert(accepted.empty(), "%s", accepted.c_str());
+}
