--- a/Tests/LibHTTP/TestInvalidResponses.cpp
+++ b/Tests/LibHTTP/TestInvalidResponses.cpp
@@ -86,6 +86,27 @@
     }
 }
 
+// Guards against an informational response being taken for the final one, and against reading on as HTTP after a switch to another
+// protocol that was not asked for.
+Test(InvalidResponses, informationalResponseIsNotTheFinalOne)
+{
+    Cases cases;
+    for (int status = 100; status < 200; ++status)
+        cases.push_back({ std::to_string(status), "HTTP/1.1 " + std::to_string(status) + " Odd\r\n\r\n" });
+    cases.push_back({ "101 and a response", "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: other\r\n\r\n" + head + "Content-Length: 4\r\n\r\nbody" });
+    cases.push_back({ "body after 100", "HTTP/1.1 100 Continue\r\nContent-Length: 4\r\n\r\nbody" + head + "Content-Length: 4\r\n\r\nbody" });
+    std::string accepted = findAccepted(cases);
+    cr_assert(accepted.empty(), "%s", accepted.c_str());
+    for (const char* status : { "100 Continue", "102 Processing", "103 Early Hints" }) {
+        Fixture fixture;
+        RawServer server(fixture.context, answering("HTTP/1.1 " + std::string(status) + "\r\nLink: a\r\n\r\n" + head + "Content-Length: 4\r\n\r\nbody", true));
+        std::optional<HTTP::Response> response = fixture.roundTrip(server);
+        cr_assert(response, "%s: %s", status, fixture.reason.text().c_str());
+        cr_assert_eq(response->body, "body");
+        cr_assert_not(HTTP::findHeader(response->headers, "Link"));
+    }
+}
+
 // Guards against lengths that contradict each other or are no numbers.
 Test(InvalidResponses, invalidLengthIsNoResponse)
 {
