HTTP: Reject response heads with a line that begins with a blank

Callers of systems of this kind got a body that was not the server's, or a field that was none, after a server in trouble had sent a field whose name held a blank. Here a blank or tab before the name had that effect.

Cause: Boost.Beast joins a line that begins with a blank to the line before (obs-fold) and reports one field. A length of the body that is folded this way is lost, so that the body extends to the end of the connection, with what follows it.

Change: the client parses the head from its own buffer, where it sees the lines, and fails the call with an unknown outcome if one begins with a blank. RFC 9112, section 5.2, allows a gateway to discard such a response.

Measured with TestLibHTTP InvalidResponses on the code before: a blank and a tab before a name were accepted, and a folded length gave the body "body, and more" for "body". Names with any other byte that is no token, on any place, bytes that no value may hold, lone carriage returns and line feeds were rejected before too.

--- a/Libraries/LibHTTP/src/PooledStream.h
+++ b/Libraries/LibHTTP/src/PooledStream.h
@@ -54,6 +54,11 @@
     return false;
 }
 
+inline bool containsFoldedLine(std::string_view head)
+{
+    return head.find("\r\n ") != std::string_view::npos || head.find("\r\n\t") != std::string_view::npos;
+}
+
 template <typename PoolPointer>
 class PooledStream final : public ResponseStream {
 public:
@@ -82,7 +87,8 @@
             if (isHead)
                 m_parser->skip(true);
             m_connection->stream.expires_at(deadline.at());
-            auto [error, size] = co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_parser, asTuple);
+            m_head = {};
+            beast::error_code error = co_await parseHead();
             hasReceivedBytes = hasReceivedBytes || m_parser->got_some();
             if (!error && !m_connection->reserveBuffer())
                 error = overBudget;
@@ -90,7 +96,6 @@
                 reason = makeReason(error, Core::FailureKind::OutcomeUnknown, "read response", m_address);
                 co_return false;
             }
-            m_head = {};
             bool isJoined = containsStatusLine(m_parser->get().reason());
             for (const http::fields::value_type& field : m_parser->get()) {
                 isJoined = isJoined || containsStatusLine(field.value());
@@ -157,6 +162,33 @@
     }
 
 private:
+    // Like http::async_read_header(), but sees the bytes of the head.
+    Core::Task<beast::error_code> parseHead()
+    {
+        beast::flat_buffer& buffer = m_connection->buffer;
+        for (;;) {
+            if (buffer.size() > 0) {
+                beast::error_code error;
+                asio::const_buffer bytes = buffer.data();
+                // Consumes nothing before the head is complete.
+                size_t headBytes = m_parser->put(bytes, error);
+                m_head.hasFoldedLine = containsFoldedLine({ static_cast<const char*>(bytes.data()), headBytes });
+                buffer.consume(headBytes);
+                if (m_parser->is_header_done() || (error && error != http::error::need_more))
+                    co_return error;
+            }
+            size_t size = beast::read_size(buffer, readBufferBytes);
+            if (size == 0)
+                co_return http::error::buffer_overflow;
+            auto [error, received] = co_await m_connection->stream.async_read_some(buffer.prepare(size), asTuple);
+            buffer.commit(received);
+            if (error == asio::error::eof)
+                co_return m_parser->got_some() ? http::error::partial_message : http::error::end_of_stream;
+            if (error)
+                co_return error;
+        }
+    }
+
     void closeConnection()
     {
         m_timeout.stop();
--- a/Libraries/LibHTTP/src/ResponseHead.cpp
+++ b/Libraries/LibHTTP/src/ResponseHead.cpp
@@ -14,6 +14,8 @@
     // What follows is not HTTP. The client never asks for that.
     if (head.status == switchingProtocols)
         return "the peer switched to another protocol";
+    if (head.hasFoldedLine)
+        return "a line of the head begins with a blank";
     return std::nullopt;
 }
 
--- a/Tests/LibHTTP/TestInvalidResponses.cpp
+++ b/Tests/LibHTTP/TestInvalidResponses.cpp
@@ -107,6 +107,40 @@
     }
 }
 
+// Guards against a head with a line that is no field being passed on, or read with a body that is not the server's: a line that begins
+// with a blank would be joined to the line before, with the length of the body in it.
+Test(InvalidResponses, lineThatIsNoFieldIsNoResponse)
+{
+    Cases cases;
+    for (int byte = 0; byte < 256; ++byte) {
+        char character = static_cast<char>(byte);
+        bool isToken = std::isalnum(static_cast<unsigned char>(character)) || (character != 0 && std::strchr("!#$%&'*+-.^_`|~", character));
+        if (isToken)
+            continue;
+        std::string name = "byte " + std::to_string(byte);
+        // A name that ends at a colon leaves a value.
+        if (character != ':')
+            cases.push_back({ name + " in a name", head + "Od" + character + "d: a\r\n" + fields });
+        cases.push_back({ name + " before a name", head + character + "Odd: a\r\n" + fields });
+        if (character != ':')
+            cases.push_back({ name + " before a colon", head + "Odd" + character + ": a\r\n" + fields });
+        bool isInValue = byte == '\t' || (byte >= ' ' && byte != 127);
+        if (!isInValue)
+            cases.push_back({ name + " in a value", head + "Odd: a" + character + "b\r\n" + fields });
+        if (!isInValue)
+            cases.push_back({ name + " in a reason", std::string("HTTP/1.1 200 O") + character + "K\r\n" + fields });
+    }
+    cases.push_back({ "no name", head + ": a\r\n" + fields });
+    cases.push_back({ "no colon", head + "Odd\r\n" + fields });
+    cases.push_back({ "folded length", head + "Odd: a\r\n Content-Length: 4\r\n\r\nbody, and more" });
+    cases.push_back({ "folded length after an empty value", head + "Odd:\r\n\tContent-Length: 4\r\n\r\nbody, and more" });
+    cases.push_back({ "folded blank line", head + "Content-Length: 4\r\nOdd: a\r\n \r\n\r\nbody" });
+    cases.push_back({ "folded first line", "HTTP/1.1 200 OK\r\n Odd: a\r\n" + fields });
+    cases.push_back({ "line feeds only", "HTTP/1.1 200 OK\nContent-Length: 4\n\nbody" });
+    std::string accepted = findAccepted(cases);
+    cr_assert(accepted.empty(), "%s", accepted.c_str());
+}
+
 // Guards against lengths that contradict each other or are no numbers.
 Test(InvalidResponses, invalidLengthIsNoResponse)
 {
