--- a/Libraries/LibHTTP/src/PooledStream.h
+++ b/Libraries/LibHTTP/src/PooledStream.h
@@ -106,6 +106,7 @@
                 co_return false;
             }
             m_head.status = m_parser->get().result_int();
+            m_head.isHTTP11 = m_parser->get().version() == 11;
             if (std::optional<std::string> fault = findFault(m_head)) {
                 reason = { Core::FailureKind::OutcomeUnknown, "read response", m_address.text(), std::move(*fault) };
                 co_return false;
--- a/Libraries/LibHTTP/src/ResponseHead.h
+++ b/Libraries/LibHTTP/src/ResponseHead.h
@@ -10,6 +10,7 @@
 struct ResponseHead {
     unsigned status { 0 };
     Headers headers;
+    bool isHTTP11 { true };
     // Whether a line begins with a blank. The parser joins it to the line before (RFC 9112, section 5.2), which hides a field whose name
     // begins with a blank, such as the length of the body.
     bool hasFoldedLine { false };
--- a/Tests/LibHTTP/TestInvalidResponses.cpp
+++ b/Tests/LibHTTP/TestInvalidResponses.cpp
@@ -152,6 +152,19 @@
     cr_assert(accepted.empty(), "%s", accepted.c_str());
 }
 
+// Guards against a body in a transfer coding that is not undone reaching a caller as the server's body.
+Test(InvalidResponses, transferCodingOtherThanChunkedIsNoResponse)
+{
+    Cases cases;
+    for (const char* coding : { "gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked", "identity", "identity, chunked", "", "\"chunked\"", "chunked;a=b", "xchunked", "chunkedx", "chunke d", "gzip\r\nTransfer-Encoding: chunked", "chunked\r\nTransfer-Encoding: chunked", "\r\nTransfer-Encoding: chunked" }) {
+        cases.push_back({ coding, head + "Transfer-Encoding: " + coding + "\r\n\r\n" + chunks });
+        cases.push_back({ std::string(coding) + " with a length", head + "Transfer-Encoding: " + coding + "\r\nContent-Length: 4\r\n\r\nbody" });
+    }
+    cases.push_back({ "HTTP/1.0", "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks });
+    std::string accepted = findAccepted(cases);
+    cr_assert(accepted.empty(), "%s", accepted.c_str());
+}
+
 // Guards against reading a body whose chunks are not valid.
 Test(InvalidResponses, invalidChunkIsNoResponse)
 {
