HTTP: Reject responses in a content coding that was not requested

A caller that asks for bodies without a coding could get a coded one as the server's body, sealed and with status 200.

Cause: the client passes Content-Encoding on like any other field, and none of its users decodes a body or looks at the field.

Change: a response whose Content-Encoding names a coding that the request's Accept-Encoding does not name fails the call with an unknown outcome. "identity" is never valid there.

--- a/Libraries/LibHTTP/src/Client.cpp
+++ b/Libraries/LibHTTP/src/Client.cpp
@@ -108,7 +108,7 @@
 
 }
 
-static http::request<http::string_body> buildMessage(const Core::Address& address, Request request)
+static http::request<http::string_body> buildMessage(const Core::Address& address, const Request& request, std::string body)
 {
     http::request<http::string_body> message;
     message.version(11);
@@ -118,7 +118,7 @@
         message.set(http::field::host, address.text());
     for (const Header& header : request.headers)
         message.insert(header.name, header.value);
-    message.body() = std::move(request.body);
+    message.body() = std::move(body);
     message.prepare_payload();
     return message;
 }
@@ -151,8 +151,7 @@
 Core::Task<std::optional<std::unique_ptr<ResponseStream>>> Client::call(
     Core::Address address, Request request, Core::Deadline deadline, CallOptions options, Core::Reason& reason)
 {
-    bool isHead = request.method == "HEAD";
-    http::request<http::string_body> message = buildMessage(address, std::move(request));
+    http::request<http::string_body> message = buildMessage(address, request, std::move(request.body));
     std::unique_ptr<Connection> connection = options.use == ConnectionUse::Pooled ? m_pool->acquire(address) : nullptr;
     bool isReused = connection != nullptr;
     if (!connection)
@@ -178,7 +177,7 @@
     } else {
         std::unique_ptr<PooledStream<std::shared_ptr<Pool>>> stream
             = std::make_unique<PooledStream<std::shared_ptr<Pool>>>(m_pool, address, std::move(connection), options.cancellation);
-        if (co_await stream->readHeader(deadline, isHead, options, hasReceivedBytes, reason)) {
+        if (co_await stream->readHeader(deadline, request, options, hasReceivedBytes, reason)) {
             cancellationGuard.release();
             co_return std::unique_ptr<ResponseStream>(std::move(stream));
         }
--- a/Libraries/LibHTTP/src/PooledStream.h
+++ b/Libraries/LibHTTP/src/PooledStream.h
@@ -78,13 +78,13 @@
             m_cancellation->attach({});
     }
 
-    // Reads the headers of the first expected response. hasReceivedBytes is set if any byte of a response was received.
-    Core::Task<bool> readHeader(Core::Deadline deadline, bool isHead, const CallOptions& options, bool& hasReceivedBytes, Core::Reason& reason)
+    // Reads the headers of the first expected response to the request. hasReceivedBytes is set if any byte of a response was received.
+    Core::Task<bool> readHeader(Core::Deadline deadline, const Request& request, const CallOptions& options, bool& hasReceivedBytes, Core::Reason& reason)
     {
         for (int discarded = 0; discarded <= maxDiscardedResponses; ++discarded) {
             m_parser.emplace();
             m_parser->body_limit(boost::none);
-            if (isHead)
+            if (request.method == "HEAD")
                 m_parser->skip(true);
             m_connection->stream.expires_at(deadline.at());
             m_head = {};
@@ -107,7 +107,7 @@
             }
             m_head.status = m_parser->get().result_int();
             m_head.isHTTP11 = m_parser->get().version() == 11;
-            if (std::optional<std::string> fault = findFault(m_head)) {
+            if (std::optional<std::string> fault = findFault(m_head, request.headers)) {
                 reason = { Core::FailureKind::OutcomeUnknown, "read response", m_address.text(), std::move(*fault) };
                 co_return false;
             }
--- a/Libraries/LibHTTP/src/ResponseHead.cpp
+++ b/Libraries/LibHTTP/src/ResponseHead.cpp
@@ -1,6 +1,9 @@
 #include "ResponseHead.h"
 
+#include <algorithm>
 #include <boost/beast/core/string.hpp>
+#include <cctype>
+#include <sstream>
 
 namespace HTTP {
 
@@ -24,7 +27,45 @@
     return codings > 1 || (codings > 0 && !head.isHTTP11);
 }
 
-std::optional<std::string> findFault(const ResponseHead& head)
+// The elements of the comma-separated lists of all fields with this name, in lower case.
+static std::vector<std::string> listElements(const Headers& headers, std::string_view name)
+{
+    std::vector<std::string> elements;
+    for (const Header& header : headers) {
+        if (!boost::beast::iequals(header.name, name))
+            continue;
+        std::stringstream list(header.value + ",");
+        for (std::string element; std::getline(list, element, ',');) {
+            std::erase_if(element, [](unsigned char character) { return std::isspace(character) != 0; });
+            std::transform(element.begin(), element.end(), element.begin(), [](unsigned char character) { return std::tolower(character); });
+            elements.push_back(std::move(element));
+        }
+    }
+    return elements;
+}
+
+// The client decodes no body, so only a caller that names a coding can read it.
+static bool hasUnrequestedCoding(const Headers& headers, const Headers& requestHeaders)
+{
+    static constexpr std::string_view identity = "identity";
+    std::vector<std::string> used = listElements(headers, "Content-Encoding");
+    if (used.empty())
+        return false;
+    std::vector<std::string> requested;
+    for (const std::string& element : listElements(requestHeaders, "Accept-Encoding")) {
+        size_t parameters = element.find(';');
+        static constexpr std::string_view zero = "0.";
+        std::string_view weight = std::string_view(element).substr(std::min(element.size(), element.find("q=", std::min(parameters, element.size()))));
+        bool isExcluded = weight.starts_with("q=") && weight.find_first_not_of(zero, 2) == std::string_view::npos;
+        if (!isExcluded)
+            requested.push_back(element.substr(0, parameters));
+    }
+    return std::any_of(used.begin(), used.end(), [&requested](const std::string& coding) {
+        return coding.empty() || coding == identity || std::find(requested.begin(), requested.end(), coding) == requested.end();
+    });
+}
+
+std::optional<std::string> findFault(const ResponseHead& head, const Headers& requestHeaders)
 {
     if (head.status < minStatus || head.status > maxStatus)
         return "the status " + std::to_string(head.status) + " is not between " + std::to_string(minStatus) + " and " + std::to_string(maxStatus);
@@ -35,6 +76,8 @@
         return "a line of the head begins with a blank";
     if (hasUnknownFraming(head))
         return "the transfer coding is not chunked alone, or the version has none";
+    if (hasUnrequestedCoding(head.headers, requestHeaders))
+        return "the body is in a content coding that was not requested";
     return std::nullopt;
 }
 
--- a/Libraries/LibHTTP/src/ResponseHead.h
+++ b/Libraries/LibHTTP/src/ResponseHead.h
@@ -17,6 +17,6 @@
 };
 
 // Returns why the head is not that of a response to the request, although the parser accepts it; empty if it is one.
-std::optional<std::string> findFault(const ResponseHead&);
+std::optional<std::string> findFault(const ResponseHead&, const Headers& requestHeaders);
 
 }
--- a/Tests/LibHTTP/TestInvalidResponses.cpp
+++ b/Tests/LibHTTP/TestInvalidResponses.cpp
@@ -193,3 +193,25 @@
     std::string accepted = findAccepted(cases);
     cr_assert(accepted.empty(), "%s", accepted.c_str());
 }
+
+// Guards against an encoded body reaching a caller that did not ask for it, as if it were the server's body.
+Test(InvalidResponses, contentCodingThatWasNotRequestedIsNoResponse)
+{
+    Cases cases;
+    for (const char* coding : { "gzip", "identity", "br, gzip", "", "odd", "gzip\r\nContent-Encoding: br" })
+        cases.push_back({ coding, head + "Content-Encoding: " + coding + "\r\nContent-Length: 4\r\n\r\nbody" });
+    std::string accepted = findAccepted(cases);
+    cr_assert(accepted.empty(), "%s", accepted.c_str());
+    struct Case {
+        const char* requested;
+        const char* used;
+        bool isAccepted;
+    };
+    for (const Case& example : { Case { "gzip", "gzip", true }, { "br;q=0.5, GZIP", "gzip", true }, { "gzip, br", "gzip, br", true }, { "gzip", "br", false },
+             { "gzip", "gzip, br", false }, { "identity", "identity", false }, { "*", "gzip", false }, { "xgzip", "gzip", false }, { "gzip;q=0", "gzip", false } }) {
+        Fixture fixture;
+        RawServer server(fixture.context, answering(head + "Content-Encoding: " + example.used + "\r\nContent-Length: 4\r\n\r\nbody", true));
+        bool isAccepted = fixture.roundTrip(server, { "GET", "/", { { "Accept-Encoding", example.requested } }, {} }).has_value();
+        cr_assert_eq(isAccepted, example.isAccepted, "\"%s\" after a request of \"%s\"", example.used, example.requested);
+    }
+}
