HTTP: Test that a reset stays visible to the reader of a response

A part of a body without a length could reach a caller as the whole body after the server had reset the connection.

Change: a second test of it, which looks at the connection within a response that is being read.

--- a/Tests/LibHTTP/TestInvalidResponses.cpp
+++ b/Tests/LibHTTP/TestInvalidResponses.cpp
@@ -215,3 +215,27 @@
         cr_assert_eq(isAccepted, example.isAccepted, "\"%s\" after a request of \"%s\"", example.used, example.requested);
     }
 }
+
+// Guards against a reset that ends a body without a length being taken for its end, since a look at the open connections has read the
+// error before.
+Test(InvalidResponses, resetIsNotHiddenByALookAtTheConnection)
+{
+    Fixture fixture;
+    RawServer server(fixture.context, [](tcp::socket& socket) -> Core::Task<void> {
+        co_await readRawRequest(socket);
+        co_await writeRaw(socket, "HTTP/1.1 200 OK\r\n\r\npart of the bo");
+        co_await Core::sleepUntil(Core::Deadline::after(std::chrono::milliseconds(30)));
+        TestSupport::resetConnection(socket);
+    });
+    Core::Deadline deadline = Core::Deadline::after(std::chrono::seconds(5));
+    std::optional<std::unique_ptr<HTTP::ResponseStream>> stream
+        = TestSupport::runTask(fixture.context, fixture.client.open(server.address(), { "GET", "/", {}, {} }, deadline, fixture.reason));
+    cr_assert(stream);
+    cr_assert_eq(TestSupport::runTask(fixture.context, (*stream)->readSome(deadline, fixture.reason)).value_or(""), "part of the bo");
+    cr_assert(fixture.client.hasOpenConnection(server.address(), Core::SteadyClock::now()));
+    fixture.context.restart();
+    fixture.context.run_for(std::chrono::milliseconds(100));
+    cr_assert_not(fixture.client.hasOpenConnection(server.address(), Core::SteadyClock::now()));
+    cr_assert_not(TestSupport::runTask(fixture.context, (*stream)->readSome(deadline, fixture.reason)), "the part was taken for the whole body");
+    cr_assert_eq(fixture.reason.kind, Core::FailureKind::OutcomeUnknown);
+}
