HTTP: Take no body that ends before the request was received as complete

A server answered a long upload at once with a 200 without a length, sent part of its body and ended the connection. The part could reach the caller as the whole body.

Cause: the end of the connection ends a body without a length. The client writes the whole request before it reads, and a failed write or a reset fails the call. But a write succeeds as soon as the system has taken the bytes. If the server closes its side first, the read finds an ordinary end, also when the reset for the rest of the upload follows.

Change: at the end of such a body the connection must be in CLOSE_WAIT with nothing unacknowledged (TCP_INFO, SIOCOUTQ); otherwise the body is incomplete. A server that has read the request has acknowledged it with its answer at the latest, so complete answers are not affected.

Decision: an end of the connection while the upload is unfinished is no end of the response, although the server may have meant it. Nothing tells the two apart, and answers with a length or in chunks remain possible before the upload has been read.

Open: a server whose host has received the whole request and that ends its side before it reads it cannot be told from one that has read it.

--- a/Libraries/LibHTTP/src/ConnectionPool.h
+++ b/Libraries/LibHTTP/src/ConnectionPool.h
@@ -3,10 +3,14 @@
 #include "LibHTTP/Client.h"
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
+#include <linux/sockios.h>
 #include <map>
 #include <memory>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <set>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 // The connections of a client and its pool of idle ones.
@@ -84,7 +88,21 @@
         return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) && buffer.size() == 0;
     }
 
+    // Whether the peer's host has received all that was sent, and ended its side of the connection without a reset.
+    bool hasEndedAfterReceivingAll()
+    {
+        int unacknowledgedBytes = 0;
+        return tcpState() == TCP_CLOSE_WAIT && ::ioctl(stream.socket().native_handle(), SIOCOUTQ, &unacknowledgedBytes) == 0 && unacknowledgedBytes == 0;
+    }
+
 private:
+    int tcpState()
+    {
+        ::tcp_info info {};
+        socklen_t size = sizeof(info);
+        return ::getsockopt(stream.socket().native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0 ? info.tcpi_state : TCP_CLOSE;
+    }
+
     BufferBudget::Reservation m_reservation;
     std::shared_ptr<ConnectionTable> m_table;
     Core::Address m_address;
--- a/Libraries/LibHTTP/src/PooledStream.h
+++ b/Libraries/LibHTTP/src/PooledStream.h
@@ -144,6 +144,10 @@
                 error = std::get<0>(co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser, asTuple));
             if ((!error || error == http::error::need_buffer) && !m_connection->reserveBuffer())
                 error = overBudget;
+            // The end of the connection is the end of the response only for a peer that has received the whole request. Otherwise it
+            // may as well have broken off.
+            if (!error && m_parser->is_done() && m_parser->need_eof() && !m_connection->hasEndedAfterReceivingAll())
+                error = http::error::partial_message;
             if (error && error != http::error::need_buffer) {
                 if (m_timeout.hasExpired())
                     error = beast::error::timeout;
--- a/Tests/LibHTTP/TestInvalidResponses.cpp
+++ b/Tests/LibHTTP/TestInvalidResponses.cpp
@@ -239,3 +239,117 @@
     cr_assert_not(TestSupport::runTask(fixture.context, (*stream)->readSome(deadline, fixture.reason)), "the part was taken for the whole body");
     cr_assert_eq(fixture.reason.kind, Core::FailureKind::OutcomeUnknown);
 }
+
+namespace {
+
+// How a server that has answered before it has read the whole request ends the connection.
+enum class End {
+    Reset,
+    LateReset,
+    // Ends its side only and does not read on.
+    HalfClose,
+    HalfCloseAndReset,
+    // Closes after having read what has arrived.
+    Close,
+};
+
+}
+
+static Core::Task<void> pause(std::chrono::milliseconds duration)
+{
+    co_await Core::sleepUntil(Core::Deadline::after(duration));
+}
+
+// Reads up to this many bytes, then answers and ends the connection. Counts the bytes read.
+static RawServer::Script answeringEarly(size_t readBytes, std::string bytes, End end, size_t& read)
+{
+    return [readBytes, bytes = std::move(bytes), end, &read](tcp::socket& socket) -> Core::Task<void> {
+        boost::system::error_code ignored;
+        std::vector<char> buffer(64 * 1024);
+        while (read < readBytes) {
+            auto [error, size] = co_await socket.async_read_some(boost::asio::buffer(buffer.data(), std::min(buffer.size(), readBytes - read)), TestSupport::rawTuple);
+            if (error)
+                co_return;
+            read += size;
+        }
+        co_await writeRaw(socket, bytes);
+        if (end == End::LateReset)
+            co_await pause(std::chrono::milliseconds(30));
+        if (end == End::Reset || end == End::LateReset)
+            TestSupport::resetConnection(socket);
+        if (end == End::HalfClose || end == End::HalfCloseAndReset)
+            socket.shutdown(tcp::socket::shutdown_send, ignored);
+        if (end == End::HalfClose)
+            co_await pause(std::chrono::milliseconds(500));
+        if (end == End::HalfCloseAndReset) {
+            co_await pause(std::chrono::milliseconds(30));
+            TestSupport::resetConnection(socket);
+        }
+        if (end == End::Close) {
+            while (socket.available(ignored) > 0)
+                read += socket.read_some(boost::asio::buffer(buffer), ignored);
+            socket.close(ignored);
+        }
+    };
+}
+
+// Guards against a part of a body without a length being taken for the whole body, if the server ends the connection before it has
+// read the request.
+Test(InvalidResponses, bodyThatEndsBeforeTheRequestIsReadIsIncomplete)
+{
+    std::string part = "HTTP/1.1 200 OK\r\n\r\npart of the bo";
+    std::string accepted;
+    for (size_t uploadBytes : { 100'000U, 400'000U, 3'000'000U }) {
+        for (size_t readBytes : { size_t { 0 }, size_t { 500 }, uploadBytes / 2 }) {
+            for (End end : { End::Reset, End::LateReset, End::HalfClose, End::HalfCloseAndReset, End::Close }) {
+                for (bool isNarrow : { false, true }) {
+                    // The client cannot tell what the server's host has received from what the server has read, if the server ends its
+                    // side of the connection in order.
+                    if (!isNarrow && (end == End::HalfClose || end == End::HalfCloseAndReset))
+                        continue;
+                    Fixture fixture;
+                    size_t read = 0;
+                    RawServer server(fixture.context, answeringEarly(readBytes, part, end, read));
+                    if (isNarrow)
+                        server.acceptor.set_option(boost::asio::socket_base::receive_buffer_size(4'096));
+                    std::optional<HTTP::Response> response = fixture.roundTrip(server, { "POST", "/", {}, std::string(uploadBytes, 'x') }, std::chrono::milliseconds(300));
+                    if (response && read <= uploadBytes)
+                        accepted += std::to_string(uploadBytes) + " bytes, " + std::to_string(readBytes) + " read, end " + std::to_string(static_cast<int>(end)) + (isNarrow ? ", narrow" : "") + "\n";
+                }
+            }
+        }
+    }
+    cr_assert(accepted.empty(), "%s", accepted.c_str());
+}
+
+// Guards against rejecting responses that servers may send before they have read the whole request, and bodies that end with the
+// connection after it.
+Test(InvalidResponses, earlyResponseWithALengthIsComplete)
+{
+    for (const char* status : { "413 Content Too Large", "503 Service Unavailable", "200 OK" }) {
+        for (size_t uploadBytes : { 100'000U, 3'000'000U }) {
+            Fixture fixture;
+            RawServer server(fixture.context, [&](tcp::socket& socket) -> Core::Task<void> {
+                std::vector<char> buffer(64 * 1024);
+                co_await socket.async_read_some(boost::asio::buffer(buffer), TestSupport::rawTuple);
+                co_await writeRaw(socket, "HTTP/1.1 " + std::string(status) + "\r\n" + fields);
+                co_await pause(std::chrono::milliseconds(20));
+                for (;;) {
+                    auto [error, size] = co_await socket.async_read_some(boost::asio::buffer(buffer), TestSupport::rawTuple);
+                    if (error)
+                        co_return;
+                }
+            });
+            std::optional<HTTP::Response> response = fixture.roundTrip(server, { "POST", "/", {}, std::string(uploadBytes, 'x') });
+            cr_assert(response, "%s: %s", status, fixture.reason.text().c_str());
+            cr_assert_eq(response->body, "body");
+        }
+    }
+    for (size_t uploadBytes : { 0U, 1U, 100'000U, 3'000'000U }) {
+        Fixture fixture;
+        RawServer server(fixture.context, answering("HTTP/1.1 200 OK\r\n\r\nbody", true));
+        std::optional<HTTP::Response> response = fixture.roundTrip(server, { "POST", "/", {}, std::string(uploadBytes, 'x') });
+        cr_assert(response, "%zu bytes: %s", uploadBytes, fixture.reason.text().c_str());
+        cr_assert_eq(response->body, "body");
+    }
+}
