Tests: Answers that are none, behind the relay, the store and the standalone daemon

Cause: the checks of the response head are in LibHTTP's client. These tests show that every reader of answers gets them.

Change: tests over raw sockets. Relay, on plain routes and streams, repeatable and not: the caller gets 502, and only repeatable requests reach a second endpoint. Status checks: an engine that sends such an answer is not known to run. Store: an outage for reads, an unknown outcome for writes. Standalone daemon: an unknown outcome.

--- a/Tests/LibEndpoint/TestServiceClient.cpp
+++ b/Tests/LibEndpoint/TestServiceClient.cpp
@@ -1,6 +1,7 @@
 #include "LibEmulator/ServiceEmulator.h"
 #include "LibEndpoint/ServiceClient.h"
 #include "LibHTTP/Server.h"
+#include "RawServer.h"
 #include "RunTask.h"
 
 using Core::FailureKind;
@@ -114,3 +115,24 @@
     cr_assert_not(HTTP::findHeader(response->headers, "Keep-Alive"));
     cr_assert_eq(HTTP::findHeader(response->headers, "X-Kept").value_or(""), "yes");
 }
+
+// Guards against an answer that is none being passed on to the caller of the standalone daemon, or taken for a call that did not run.
+Test(ServiceClient, invalidResponseMayHaveRun)
+{
+    for (const std::string& head : { std::string("HTTP/1.1 000 OK\r\n"), std::string("HTTP/1.1 600 OK\r\n"), std::string("HTTP/1.1 101 OK\r\n\r\nHTTP/1.1 200 OK\r\n"), std::string("HTTP/1.1 200 OK\r\nOdd: a\r\n b: c\r\n"),
+             std::string("HTTP/1.1 200 OK\r\nO dd: a\r\n"), std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n"), std::string("HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\n") }) {
+        boost::asio::io_context context;
+        TestSupport::RawServer server(context, [head](boost::asio::ip::tcp::socket& socket) -> Core::Task<void> {
+            if (co_await TestSupport::readRawRequest(socket))
+                co_await TestSupport::writeRaw(socket, head + "Content-Length: 4\r\n\r\nbody");
+        });
+        HTTP::Client client(context.get_executor());
+        Endpoint::ServiceClient services(client);
+        Core::Reason reason;
+        std::optional<HTTP::Response> response = TestSupport::runTask(
+            context, services.call(server.address(), { "POST", "/x", {}, "b" }, Core::Deadline::after(std::chrono::seconds(5)), {}, reason));
+        cr_assert_not(response, "%s was passed on", head.c_str());
+        cr_assert_eq(reason.kind, FailureKind::OutcomeUnknown, "%s: %s", head.c_str(), reason.text().c_str());
+        cr_assert_eq(reason.peer, server.address().text());
+    }
+}
--- a/Tests/LibRelay/TestFaultyEndpoints.cpp
+++ b/Tests/LibRelay/TestFaultyEndpoints.cpp
@@ -617,3 +617,77 @@
         cr_assert_eq(streams, isKilled ? 2 : 1);
     }
 }
+
+// Heads of a faulty endpoint that are no answer, although the parser of HTTP accepts them. Each is followed by other fields and a body.
+static std::vector<std::string> makeInvalidHeads()
+{
+    return { "HTTP/1.1 000 OK\r\n", "HTTP/1.1 099 OK\r\n", "HTTP/1.1 600 OK\r\n", "HTTP/1.1 999 OK\r\n", "HTTP/1.1 101 OK\r\n\r\nHTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nOdd: a\r\n b: c\r\n",
+        "HTTP/1.1 200 OK\r\nO dd: a\r\n", "HTTP/1.1 200 OK\r\nO\x01"
+                                          "dd: a\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n", "HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\n", "HTTP/1.1 503 Full\r\nContent-Encoding: gzip\r\nNot-Run: 1\r\n", "HTTP/1.1 000 Full\r\nNot-Run: 1\r\n" };
+}
+
+// Guards against an answer that is none reaching a caller, being taken for a refusal, or being repeated where it may have run, on all
+// kinds of routes.
+Test(FaultyEndpoints, invalidHeadIsNoAnswer)
+{
+    std::string accepted;
+    for (const std::string& head : makeInvalidHeads()) {
+        for (const std::string& target : { std::string("/once/a"), std::string("/again/a"), std::string("/single/a"), std::string("/stream/a") }) {
+            RawFixture fixture;
+            bool isStream = target == "/single/a" || target == "/stream/a";
+            std::string rest = std::string("Id: r1\r\nSeal: s\r\nKeep-Alive: timeout=5\r\n") + (isStream ? "Content-Type: text/event-stream\r\n" : "");
+            std::string body = isStream ? "id: 1\ndata: a\n\n" : "body";
+            AnswerSequence sequence { { makeResponse(head + rest, body) } };
+            sequence.addEndpoints(fixture, 2);
+            std::optional<HTTP::Response> response = fixture.callAs("r1", target);
+            size_t arrivals = target == "/again/a" || target == "/stream/a" ? 2 : 1;
+            if (!response || response->status != 502 || sequence.arrivals != arrivals)
+                accepted += head + target + ": " + (response ? std::to_string(response->status) + " " + response->body : "no answer") + ", " + std::to_string(sequence.arrivals) + " arrivals\n";
+        }
+    }
+    cr_assert(accepted.empty(), "%s", accepted.c_str());
+}
+
+// Guards against a whole answer or a stream of an endpoint that has not received the whole request appearing complete.
+Test(FaultyEndpoints, answerThatEndsBeforeTheUploadIsNoSuccess)
+{
+    std::string accepted;
+    for (const std::string& target : { std::string("/once/a"), std::string("/again/a"), std::string("/single/a"), std::string("/stream/a") }) {
+        for (bool isReset : { false, true }) {
+            RawFixture fixture;
+            RawServer::Script script = [&](tcp::socket& socket) -> Core::Task<void> {
+                std::array<char, 4096> bytes {};
+                co_await socket.async_read_some(boost::asio::buffer(bytes), TestSupport::rawTuple);
+                co_await writeRaw(socket, (target == "/single/a" || target == "/stream/a" ? streamHead + "\r\n" : "HTTP/1.1 200 OK\r\nId: r1\r\nSeal: s\r\n\r\n") + "id: 1\ndata: a\n\n");
+                boost::system::error_code ignored;
+                socket.shutdown(tcp::socket::shutdown_send, ignored);
+                co_await Core::sleepUntil(Core::Deadline::after(std::chrono::milliseconds(20)));
+                if (isReset)
+                    TestSupport::resetConnection(socket);
+            };
+            for (int i = 0; i < 2; ++i)
+                fixture.addEndpoint(script).acceptor.set_option(boost::asio::socket_base::receive_buffer_size(4'096));
+            HTTP::Request request { "POST", target, { { "Id", "r1" }, { "Key", "key" }, { "Timeout", "2000" } }, std::string(200'000, 'x') };
+            std::optional<HTTP::Response> response = fixture.call(std::move(request));
+            if (response && response->status / 100 == 2)
+                accepted += target + (isReset ? ", reset" : "") + ": " + std::to_string(response->status) + " " + response->body + "\n";
+        }
+    }
+    cr_assert(accepted.empty(), "%s", accepted.c_str());
+}
+
+// Guards against taking an answer that is none for the proof that an engine runs.
+Test(FaultyEndpoints, invalidStatusAnswerIsNoEvidence)
+{
+    for (const std::string& head : makeInvalidHeads()) {
+        RawFixture fixture;
+        fixture.addEndpoint([head](tcp::socket& socket) -> Core::Task<void> {
+            if (co_await readRawRequest(socket))
+                co_await writeRaw(socket, makeResponse(head, "0"));
+        });
+        Relay::CrashCheck check(fixture.context.get_executor(), fixture.client, fixture.selector, makeCodec(), std::chrono::milliseconds(500));
+        Relay::EngineState state = TestSupport::runTask(fixture.context, check.check(*fixture.directory.find("e1")));
+        cr_assert(state == Relay::EngineState::Unknown, "%s", head.c_str());
+    }
+}
--- a/Tests/PlatformAdapter/TestStore.cpp
+++ b/Tests/PlatformAdapter/TestStore.cpp
@@ -1,5 +1,6 @@
 #include "LibHTTP/Server.h"
 #include "PlatformAdapter/Adapter.h"
+#include "RawServer.h"
 #include "RunTask.h"
 
 // Fake of the platform's store that sends the response set by each test.
@@ -191,3 +192,30 @@
         cr_assert_eq(usable, (std::vector<std::string> { "a", "b", "a", "b" }), "%.60s", odd.c_str());
     }
 }
+
+// Guards against an answer that is none being taken for a value, a version, a refusal or a conflict of the store.
+Test(Store, invalidResponseIsAnOutage)
+{
+    std::string rest = "Keep-Alive: timeout=5\r\nContent-Length: " + std::to_string(std::string(object).size()) + "\r\n\r\n" + object;
+    for (const std::string& head : { std::string("HTTP/1.1 000 OK\r\n"), std::string("HTTP/1.1 099 OK\r\n"), std::string("HTTP/1.1 600 OK\r\n"), std::string("HTTP/1.1 101 OK\r\n\r\nHTTP/1.1 200 OK\r\n"),
+             std::string("HTTP/1.1 200 OK\r\nOdd: a\r\n b: c\r\n"), std::string("HTTP/1.1 200 OK\r\nO dd: a\r\n"), std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n"),
+             std::string("HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\n"), std::string("HTTP/1.1 409 Conflict\r\nContent-Encoding: gzip\r\n"), std::string("HTTP/1.1 404 Not Found\r\nOdd: a\r\n b: c\r\n") }) {
+        boost::asio::io_context context;
+        TestSupport::RawServer server(context, [bytes = head + rest](boost::asio::ip::tcp::socket& socket) -> Core::Task<void> {
+            while (co_await TestSupport::readRawRequest(socket))
+                co_await TestSupport::writeRaw(socket, bytes);
+        });
+        Platform::ObjectStore store = PlatformAdapter::makeStore(std::make_shared<HTTP::Client>(context.get_executor()), server.address());
+        Core::Reason reason;
+        cr_assert_not(TestSupport::runTask(context, store.get("k/a", StoreFixture::soon(), reason)), "%s", head.c_str());
+        cr_assert_eq(reason.kind, Core::FailureKind::Unavailable, "%s: %s", head.c_str(), reason.text().c_str());
+        cr_assert_not(TestSupport::runTask(context, store.put("k/a", "1", 5, StoreFixture::soon(), reason)), "%s", head.c_str());
+        cr_assert_eq(reason.kind, Core::FailureKind::OutcomeUnknown, "%s: %s", head.c_str(), reason.text().c_str());
+        cr_assert_not(TestSupport::runTask(context, store.remove("k/a", 5, StoreFixture::soon(), reason)), "%s", head.c_str());
+        cr_assert_eq(reason.kind, Core::FailureKind::OutcomeUnknown, "%s: %s", head.c_str(), reason.text().c_str());
+        cr_assert_not(TestSupport::runTask(context, store.list("k/", StoreFixture::soon(), reason)), "%s", head.c_str());
+        cr_assert_eq(reason.kind, Core::FailureKind::Unavailable, "%s: %s", head.c_str(), reason.text().c_str());
+        cr_assert_not(TestSupport::runTask(context, store.watch("k/", 5, Core::Deadline::after(std::chrono::milliseconds(50)), reason)), "%s", head.c_str());
+        cr_assert_eq(reason.kind, Core::FailureKind::Unavailable, "%s: %s", head.c_str(), reason.text().c_str());
+    }
+}
