HTTP: Close connections after a 204 that announces a body

The body of an answer that has none could reach a caller as the answer to the next request on the connection.

Cause: a 204 ends with its head (RFC 9110, section 15.3.5), so its connection was kept, although a length or a transfer coding in the head says that bytes follow. Bytes that come after the next request has been sent are read as its answer.

Change: such a connection is not kept. The answer itself counts as before.

Measured with TestLibHTTP InvalidResponses.bodyAfterAResponseWithoutOneIsNotTheNextResponse: the two late cases gave "forged" for "body" before. The cases in which the body comes with the head passed before too (HEAD, 204, 304).

Open: a body that comes late after HEAD or 304, whose length is allowed, is not recognized.

--- a/Libraries/LibHTTP/src/PooledStream.h
+++ b/Libraries/LibHTTP/src/PooledStream.h
@@ -233,7 +233,7 @@
             return;
         m_timeout.stop();
         m_connection->stream.expires_never();
-        if (m_parser->get().keep_alive()) {
+        if (m_parser->get().keep_alive() && !announcesForbiddenBody(m_head)) {
             if (m_cancellation)
                 m_cancellation->attach({});
             m_connection->reusableUntil = reuseDeadline();
--- a/Libraries/LibHTTP/src/ResponseHead.cpp
+++ b/Libraries/LibHTTP/src/ResponseHead.cpp
@@ -11,6 +11,7 @@
 static constexpr unsigned minStatus = 100;
 static constexpr unsigned maxStatus = 599;
 static constexpr unsigned switchingProtocols = 101;
+static constexpr unsigned noContent = 204;
 
 // Whether the body is in a transfer coding that the parser does not undo. It removes "chunked" if that is the last one of a field, and
 // takes the body of any other field as it is. Transfer codings came with HTTP/1.1 (RFC 9112, section 6.1).
@@ -81,4 +82,9 @@
     return std::nullopt;
 }
 
+bool announcesForbiddenBody(const ResponseHead& head)
+{
+    return head.status == noContent && (findHeader(head.headers, "Transfer-Encoding") || findHeader(head.headers, "Content-Length").value_or("0") != "0");
+}
+
 }
--- a/Libraries/LibHTTP/src/ResponseHead.h
+++ b/Libraries/LibHTTP/src/ResponseHead.h
@@ -19,4 +19,7 @@
 // Returns why the head is not that of a response to the request, although the parser accepts it; empty if it is one.
 std::optional<std::string> findFault(const ResponseHead&, const Headers& requestHeaders);
 
+// Whether the head announces a body that its status does not allow. A server that sends it later would send the next response with it.
+bool announcesForbiddenBody(const ResponseHead&);
+
 }
--- a/Tests/LibHTTP/TestInvalidResponses.cpp
+++ b/Tests/LibHTTP/TestInvalidResponses.cpp
@@ -4,6 +4,7 @@
 
 #include <cctype>
 #include <cstring>
+#include <utility>
 
 // Bytes of a faulty server that are no response in the protocol, and responses that end before they are complete, over real sockets.
 
@@ -353,3 +354,38 @@
         cr_assert_eq(response->body, "body");
     }
 }
+
+// Guards against the body of a response that has none, sent late, being taken for the answer to the next request on the connection.
+Test(InvalidResponses, bodyAfterAResponseWithoutOneIsNotTheNextResponse)
+{
+    std::string copy = "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=5\r\nContent-Length: 6\r\n\r\nforged";
+    struct Case {
+        const char* name;
+        const char* method;
+        std::string response;
+        // Whether the body is sent with the head, or after the next request.
+        bool isLate;
+    };
+    std::string length = "Keep-Alive: timeout=5\r\nContent-Length: " + std::to_string(copy.size()) + "\r\n\r\n";
+    std::string chunked = "Keep-Alive: timeout=5\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const Case& example : { Case { "HEAD", "HEAD", "HTTP/1.1 200 OK\r\n" + length, false }, { "204", "GET", "HTTP/1.1 204 No Content\r\n" + length, false },
+             { "204, late", "GET", "HTTP/1.1 204 No Content\r\n" + length, true }, { "204, chunked", "GET", "HTTP/1.1 204 No Content\r\n" + chunked, false },
+             { "204, chunked, late", "GET", "HTTP/1.1 204 No Content\r\n" + chunked, true }, { "304", "GET", "HTTP/1.1 304 Not Modified\r\n" + length, false } }) {
+        Fixture fixture;
+        bool isFirst = true;
+        RawServer server(fixture.context, [&](tcp::socket& socket) -> Core::Task<void> {
+            while (co_await readRawRequest(socket)) {
+                if (!std::exchange(isFirst, false)) {
+                    co_await writeRaw(socket, (example.isLate && server.connections == 1 ? copy : "") + head + "Content-Length: 4\r\n\r\nbody");
+                    continue;
+                }
+                co_await writeRaw(socket, example.response + (example.isLate ? "" : copy));
+            }
+        });
+        std::optional<HTTP::Response> first = fixture.roundTrip(server, { example.method, "/", {}, {} });
+        cr_assert(first, "%s: %s", example.name, fixture.reason.text().c_str());
+        cr_assert(first->body.empty(), "%s", example.name);
+        std::optional<HTTP::Response> second = fixture.roundTrip(server);
+        cr_expect(second && second->body == "body", "%s: %s", example.name, second ? second->body.c_str() : fixture.reason.text().c_str());
+    }
+}
