--- a/Tests/PlatformAdapter/TestCodec.cpp
+++ b/Tests/PlatformAdapter/TestCodec.cpp
@@ -42,6 +42,16 @@
     cr_assert_eq(HTTP::findHeader(sent.headers, "X-Attempt-Id").value(), "r1");
 }
 
+// Guards against a body in a content coding reaching a caller, which endpoints may send to a request that accepts one.
+Test(Codec, contentCodingsAreNotRequested)
+{
+    HTTP::Headers headers = minimal();
+    headers.push_back({ "accept-encoding", "gzip, deflate" });
+    Core::Reason reason;
+    HTTP::Request sent = makeCodec().encodeDispatch(*decode(headers, reason), {});
+    cr_assert_not(HTTP::findHeader(sent.headers, "Accept-Encoding"));
+}
+
 // Hop-by-hop headers must not be forwarded, and X-Attempt-Id must survive even if the caller lists it in Connection.
 Test(Codec, hopByHopHeadersAreNotForwarded)
 {
