Relay: the parser says whether a stream ends with its connection

Callers saw a stream end as complete before its last event when its engine was killed and its head named a transfer coding other than chunked.

Cause: the relay derived the framing from the presence of headers, while the parser treats "Transfer-Encoding: identity" as a body that ends with the connection. Class of fault: two readers of the same bytes disagree.

Change: ResponseStream::endsWithConnection, answered by the parser.

Evidence: FaultyEndpoints/streamThatEndsTogetherWithItsEngineIsNotWhole, which has this head now too, failed before with events 1 and 2 of 3. TestLibRelay: 277 of 278, the known one fails. TestLibHTTP: 52 of 52.

--- a/Libraries/LibHTTP/include/LibHTTP/Client.h
+++ b/Libraries/LibHTTP/include/LibHTTP/Client.h
@@ -19,6 +19,8 @@
 
     virtual unsigned status() const = 0;
     virtual const Headers& headers() const = 0;
+    // Whether the end of the connection is the end of the body, as for a response in neither chunks nor a length.
+    virtual bool endsWithConnection() const { return false; }
 
     // Returns the next part of the body, or an empty string once the body is complete. Fails with OutcomeUnknown if the
     // body was truncated and with TimedOut if the deadline passed.
--- a/Libraries/LibHTTP/src/PooledStream.h
+++ b/Libraries/LibHTTP/src/PooledStream.h
@@ -129,6 +129,7 @@
 
     unsigned status() const override { return m_head.status; }
     const Headers& headers() const override { return m_head.headers; }
+    bool endsWithConnection() const override { return m_parser->need_eof(); }
 
     Core::Task<std::optional<std::string>> readSome(Core::Deadline deadline, Core::Reason& reason) override
     {
--- a/Libraries/LibRelay/src/ResponseForwarding.cpp
+++ b/Libraries/LibRelay/src/ResponseForwarding.cpp
@@ -111,8 +111,7 @@
 
 Core::Task<bool> RequestExecution::hasEngineEndedWith(const Endpoint& endpoint, const HTTP::ResponseStream& stream)
 {
-    bool isFramed = HTTP::findHeader(stream.headers(), "Transfer-Encoding") || HTTP::findHeader(stream.headers(), "Content-Length");
-    if (isFramed || !m_isEngine || !m_handler.m_selector.isExpectedToRun(endpoint) || m_handler.m_selector.isPaused(endpoint, Core::SteadyClock::now()))
+    if (!stream.endsWithConnection() || !m_isEngine || !m_handler.m_selector.isExpectedToRun(endpoint) || m_handler.m_selector.isPaused(endpoint, Core::SteadyClock::now()))
         co_return false;
     // The system closes the connections of a process that is killed as if the process had done so.
     co_return co_await m_handler.m_crashCheck.check(endpoint, Core::SteadyClock::now()) == EngineState::Ended;
