Tests: A stream in the coding "identity" is no answer any more

Change: the case with that head leaves this test. InvalidResponses checks it for all readers, and demands a failure, which is stricter than a stream that is resumed. The cases without a length stay.

--- a/Tests/LibRelay/TestFaultyEndpoints.cpp
+++ b/Tests/LibRelay/TestFaultyEndpoints.cpp
@@ -586,7 +586,7 @@
 // the connection as if the engine had. Also guards against breaking off such a stream of an engine that runs on.
 Test(FaultyEndpoints, streamThatEndsTogetherWithItsEngineIsNotWhole)
 {
-    for (const auto& [isKilled, coding] : std::vector<std::pair<bool, std::string>> { { true, "" }, { true, "Transfer-Encoding: identity\r\n" }, { false, "" } }) {
+    for (bool isKilled : { true, false }) {
         RawFixture fixture;
         Relay::Workspace workspace;
         workspace.name = "w";
@@ -598,7 +598,7 @@
         fixture.configuration = std::make_shared<const Relay::Configuration>(1, routes, std::vector { service }, std::vector { workspace }, true, Relay::CallerLimits {});
         int streams = 0;
         for (size_t i = 0; i < 2; ++i) {
-            fixture.addEndpoint([&fixture, &streams, isKilled = isKilled, coding = coding, i](tcp::socket& socket) -> Core::Task<void> {
+            fixture.addEndpoint([&fixture, &streams, isKilled, i](tcp::socket& socket) -> Core::Task<void> {
                 std::optional<std::string> request = co_await readRawRequest(socket);
                 if (!request || request->starts_with("GET")) {
                     co_await writeRaw(socket, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n0");
@@ -606,7 +606,7 @@
                 }
                 bool isResumption = request->find("\r\nLast-Event: 2\r\n") != std::string::npos;
                 bool isEnding = ++streams == 1 && isKilled;
-                co_await writeRaw(socket, streamHead + coding + "\r\n" + (isResumption ? "" : "id: 1\ndata: a\n\nid: 2\ndata: b\n\n") + (isEnding ? "" : "id: 3\ndata: c\n\n"));
+                co_await writeRaw(socket, streamHead + "\r\n" + (isResumption ? "" : "id: 1\ndata: a\n\nid: 2\ndata: b\n\n") + (isEnding ? "" : "id: 3\ndata: c\n\n"));
                 if (isEnding)
                     fixture.servers.at(i)->acceptor.close();
             });
