Relay: The Retry-After of a take-up follows the endpoints of its version

Found in review (read, not run). If all endpoints of a stream's version paused while those of another one were free, its take-up was told to return after 0.4 s, again and again.

Cause: EndpointSelector::takesRequestsAt looked at all endpoints of the service. Change: it looks at those of the version that the request is bound to; the reason of version_not_served also fits endpoints that are leaving. Measured: TestLibRelay EndpointSelector, SoftwareVersions and StreamOrigins pass; no test of its own.

--- a/Libraries/LibRelay/include/LibRelay/EndpointSelector.h
+++ b/Libraries/LibRelay/include/LibRelay/EndpointSelector.h
@@ -60,9 +60,9 @@
     bool isPaused(const Endpoint&, Core::SteadyClock::time_point now) const;
     // Whether the endpoint is registered and its process is not leaving, so that an end of the process is not planned.
     bool isExpectedToRun(const Endpoint& endpoint) const { return isRegistered(endpoint.id) && !m_directory.isLeaving(endpoint); }
-    // When the first endpoint of the service takes requests again after a pause or a refused permit. Empty if one takes requests
+    // When the first endpoint of the service, and of the software version if one is given, takes requests again after a pause or a refused permit. Empty if one takes requests
     // now, or if none will, as when all are evacuated.
-    std::optional<Core::SteadyClock::time_point> takesRequestsAt(const std::string& service, Core::SteadyClock::time_point now) const;
+    std::optional<Core::SteadyClock::time_point> takesRequestsAt(const std::string& service, Core::SteadyClock::time_point now, const std::optional<std::string>& softwareVersion = {}) const;
     // When the first endpoint that the query may find takes requests, or a permit for it can be asked for. Empty if there is none.
     std::optional<Core::SteadyClock::time_point> nextPermitAt(const SelectionQuery&, Core::SteadyClock::time_point now) const;
 
--- a/Libraries/LibRelay/src/EndpointSelector.cpp
+++ b/Libraries/LibRelay/src/EndpointSelector.cpp
@@ -128,11 +128,11 @@
     return it != m_pauses.end() && now < it->second.until && endpoint.isWithinLifeOf(it->second.processStartMs);
 }
 
-std::optional<TimePoint> EndpointSelector::takesRequestsAt(const std::string& service, TimePoint now) const
+std::optional<TimePoint> EndpointSelector::takesRequestsAt(const std::string& service, TimePoint now, const std::optional<std::string>& softwareVersion) const
 {
     std::optional<TimePoint> first;
     for (const auto& [id, endpoint] : m_directory.endpoints()) {
-        if (endpoint.service != service || endpoint.isLeaving || isEvacuated(endpoint))
+        if (endpoint.service != service || endpoint.isLeaving || isEvacuated(endpoint) || (softwareVersion && endpoint.softwareVersion != *softwareVersion))
             continue;
         TimePoint until = std::max(noPermitUntil(endpoint, m_cold.stateOf(endpoint, now)), isPaused(endpoint, now) ? m_pauses.at(id).until : TimePoint {});
         if (until <= now)
--- a/Libraries/LibRelay/src/RequestExecution.cpp
+++ b/Libraries/LibRelay/src/RequestExecution.cpp
@@ -253,9 +253,9 @@
 Refusal RequestExecution::refusalWithoutEndpoint(std::string message) const
 {
     if (m_origin && !m_handler.m_selector.isServed(m_origin->service, m_origin->softwareVersion))
-        return { 503, "version_not_served", message + "; the stream began at software version " + m_origin->softwareVersion + ", which no endpoint has any more", retryAfterUnservedVersionMs };
+        return { 503, "version_not_served", message + "; the stream began at software version " + m_origin->softwareVersion + ", which no endpoint that takes requests has any more", retryAfterUnservedVersionMs };
     Core::SteadyClock::time_point now = Core::SteadyClock::now();
-    std::optional<Core::SteadyClock::time_point> takesRequestsAt = m_handler.m_selector.takesRequestsAt(m_service, now);
+    std::optional<Core::SteadyClock::time_point> takesRequestsAt = m_handler.m_selector.takesRequestsAt(m_service, now, m_origin ? std::optional<std::string>(m_origin->softwareVersion) : std::nullopt);
     if (!takesRequestsAt && !m_wasOverloaded) {
         if (size_t evacuated = m_handler.m_selector.evacuatedEndpoints(m_service); evacuated > 0)
             message += "; " + std::to_string(evacuated) + " endpoints are evacuated";
