Relay: A daemon remembers the streams that it has taken up

A stream of a service with one version is not recorded. If its daemon was killed, a caller took it up elsewhere, a second version registered and the connection broke once more, the third attempt was refused everywhere with stream_origin_unknown, though its version served.

Cause: only the daemon that passed the first event on kept the origin. Change: a take-up whose origin was found is kept in memory as well.

--- a/Libraries/LibRelay/src/RequestExecution.cpp
+++ b/Libraries/LibRelay/src/RequestExecution.cpp
@@ -218,6 +218,9 @@
         co_return Refusal { 503, "stream_origin_unknown", "the software version that began the stream is not known, and another one cannot continue it: " + reason.text(), isRecordMissing ? retryAfterUnservedVersionMs : retryAfterStoreOutageMs() };
     }
     m_origin = std::move(found->origin);
+    // Once the service has several versions, only a daemon that remembers the stream can find it again.
+    if (stream && m_handler.m_hooks.streamBegan)
+        m_handler.m_hooks.streamBegan(*stream, *m_origin, m_request.deadline);
     bool isOnRoute = std::any_of(m_route.split.begin(), m_route.split.end(), [this](const ServiceShare& share) { return share.service == m_origin->service; });
     if (!isOnRoute)
         co_return Refusal { 503, "stream_service_changed", "the stream began at service " + m_origin->service + ", which the route no longer uses", retryAfterUnservedVersionMs };
