Relay: The record of software versions decides which ones count

Class of fault: local memory overrides a durable record.

Change: the versions that count are those of the record and those seen within 120 s. Only versions that are registered now are added to the record. While it has one that is not registered, each daemon reads it again every 10 to 20 s, and a take-up that is not found in a mixed service reads it before it is refused.

--- a/Libraries/LibRelay/include/LibRelay/SoftwareVersions.h
+++ b/Libraries/LibRelay/include/LibRelay/SoftwareVersions.h
@@ -26,10 +26,8 @@
 
     // Records that an endpoint is registered.
     void observe(const Endpoint&, Core::SteadyClock::time_point now);
-    // Adopts the fleet's record.
+    // Adopts the fleet's record, as it was read or written.
     void adopt(VersionRecord, Core::SteadyClock::time_point now);
-    // The record has been written.
-    void setRecorded(VersionRecord, Core::SteadyClock::time_point now);
     // This daemon may have missed versions that came and went, until it adopts the record again.
     void invalidate() { m_isCurrent = false; }
 
@@ -39,18 +37,29 @@
     const std::optional<VersionRecord>& recorded() const { return m_recorded; }
     // Whether the endpoint's version is in the fleet's record, so that no daemon mistakes its streams for those of another version.
     bool isRecorded(const Endpoint&) const;
-    // The versions that the record should have.
-    VersionRecord current(Core::SteadyClock::time_point now) const;
+    // What the record should be: it gains the versions that are registered now, and loses those that left a retention ago.
+    VersionRecord updatedRecord(Core::SteadyClock::time_point now) const;
+    // Whether the record lacks a version that is registered now.
+    bool isRecordIncomplete(Core::SteadyClock::time_point now) const;
+    // Whether the record has a version that is not registered now, and that another daemon will remove from it.
+    bool hasDepartedVersions(Core::SteadyClock::time_point now) const;
     // The version of all streams of the service; empty if there may be several or none is known.
     std::optional<std::string> onlyVersion(const std::string& service, Core::SteadyClock::time_point now) const;
     // Services with streams of several versions.
     std::set<std::string> mixedServices(Core::SteadyClock::time_point now) const;
 
 private:
-    // When each version was last seen, by service. Expired versions are kept until they are gone from the record, so that adopting it
-    // does not renew them.
-    std::map<std::string, std::map<std::string, Core::SteadyClock::time_point>> m_lastSeen;
+    using Times = std::map<std::string, std::map<std::string, Core::SteadyClock::time_point>>;
+
+    // The versions that may have begun a stream: those of the record, and those seen within the retention.
+    VersionRecord possibleVersions(Core::SteadyClock::time_point now) const;
+    bool wasSeenSince(const std::string& service, const std::string& version, Core::SteadyClock::time_point) const;
+
+    // When each version was last seen registered, by service.
+    Times m_lastSeen;
     std::optional<VersionRecord> m_recorded;
+    // Since when the record has each of its versions, as far as this daemon knows.
+    Times m_recordedSince;
     bool m_isCurrent { false };
 };
 
--- a/Libraries/LibRelay/include/LibRelay/StreamOriginStore.h
+++ b/Libraries/LibRelay/include/LibRelay/StreamOriginStore.h
@@ -32,6 +32,8 @@
     std::chrono::milliseconds observeInterval { 250 };
     // After about this time a daemon looks whether another one has recorded a new version, and after a few such times records it.
     std::chrono::milliseconds recordCheckDelay { 300 };
+    // After about this time a daemon looks whether a version that has left was removed from the record.
+    std::chrono::milliseconds departureCheckDelay { 10'000 };
 };
 
 struct StreamOriginHooks {
@@ -68,7 +70,7 @@
     // A stream that began here ended. If it is incomplete, its caller may take it up at once.
     void streamEnded(uint64_t key, bool isComplete);
 
-    // Accepts streams that another daemon hands over. False with a reason of kind Unavailable once this daemon stops.
+    // Accepts streams that another daemon hands over. False with a reason of kind Unavailable if this daemon would not write them.
     bool accept(const StreamHandover&, Core::Reason&);
 
     // The origin of a stream that is taken up on a route to the service. Without a key, it is known only if the service has a single
@@ -95,6 +97,8 @@
     // Hands over or writes what is not written. Returns when that may be done next.
     Core::Task<Core::Deadline> saveStreams();
     std::optional<Core::Address> collector() const;
+    // After a failure: these streams are still to be written, unless they can't be taken up any more.
+    void restoreUnwritten(std::unordered_set<uint64_t> keys);
     Core::Task<bool> handOverStreams(const Core::Address&);
     Core::Task<bool> writeStreams();
     Core::Task<bool> removeStreams();
--- a/Libraries/LibRelay/include/LibRelay/StreamOriginTable.h
+++ b/Libraries/LibRelay/include/LibRelay/StreamOriginTable.h
@@ -36,6 +36,7 @@
     void expire(Core::SteadyClock::time_point now);
 
     std::optional<StreamOrigin> find(uint64_t key) const;
+    bool contains(uint64_t key) const { return m_streams.contains(key); }
     size_t size() const { return m_streams.size(); }
     // Whether there are streams of one of the services.
     bool hasStreamsOf(const std::set<std::string>& services) const;
--- a/Libraries/LibRelay/src/SoftwareVersions.cpp
+++ b/Libraries/LibRelay/src/SoftwareVersions.cpp
@@ -8,6 +8,9 @@
 using TimePoint = Core::SteadyClock::time_point;
 using nlohmann::json;
 
+// A version that was seen this recently counts as registered; registrations are observed more often.
+static constexpr std::chrono::milliseconds registrationAge(1'000);
+
 std::string encodeVersionRecord(const VersionRecord& record)
 {
     return json { { "services", record } }.dump();
@@ -30,25 +33,25 @@
 
 void SoftwareVersions::adopt(VersionRecord record, TimePoint now)
 {
+    Times since;
     for (const auto& [service, versions] : record) {
         for (const std::string& version : versions)
-            m_lastSeen[service].try_emplace(version, now);
+            since[service][version] = m_recordedSince[service].try_emplace(version, now).first->second;
     }
+    m_recordedSince = std::move(since);
     m_recorded = std::move(record);
     m_isCurrent = true;
+    for (auto& [service, versions] : m_lastSeen)
+        std::erase_if(versions, [now](const auto& entry) { return now - entry.second > retention; });
 }
 
-void SoftwareVersions::setRecorded(VersionRecord record, TimePoint now)
+bool SoftwareVersions::wasSeenSince(const std::string& service, const std::string& version, TimePoint time) const
 {
-    for (auto it = m_lastSeen.begin(); it != m_lastSeen.end();) {
-        auto kept = record.find(it->first);
-        std::erase_if(it->second, [&](const auto& entry) {
-            bool isRecorded = kept != record.end() && kept->second.contains(entry.first);
-            return !isRecorded && now - entry.second > retention;
-        });
-        it = it->second.empty() ? m_lastSeen.erase(it) : std::next(it);
-    }
-    adopt(std::move(record), now);
+    auto versions = m_lastSeen.find(service);
+    if (versions == m_lastSeen.end())
+        return false;
+    auto seen = versions->second.find(version);
+    return seen != versions->second.end() && seen->second >= time;
 }
 
 bool SoftwareVersions::isRecorded(const Endpoint& endpoint) const
@@ -59,38 +62,72 @@
     return it != m_recorded->end() && it->second.contains(endpoint.softwareVersion);
 }
 
-VersionRecord SoftwareVersions::current(TimePoint now) const
+VersionRecord SoftwareVersions::possibleVersions(TimePoint now) const
 {
-    VersionRecord record;
+    VersionRecord possible = m_recorded.value_or(VersionRecord {});
     for (const auto& [service, versions] : m_lastSeen) {
         for (const auto& [version, lastSeen] : versions) {
             if (now - lastSeen <= retention)
-                record[service].insert(version);
+                possible[service].insert(version);
         }
     }
-    return record;
+    return possible;
+}
+
+VersionRecord SoftwareVersions::updatedRecord(TimePoint now) const
+{
+    VersionRecord updated;
+    for (const auto& [service, versions] : m_recordedSince) {
+        for (const auto& [version, since] : versions) {
+            if (now - since <= retention || wasSeenSince(service, version, now - retention))
+                updated[service].insert(version);
+        }
+    }
+    for (const auto& [service, versions] : m_lastSeen) {
+        for (const auto& [version, lastSeen] : versions) {
+            if (now - lastSeen <= registrationAge)
+                updated[service].insert(version);
+        }
+    }
+    return updated;
+}
+
+bool SoftwareVersions::isRecordIncomplete(TimePoint now) const
+{
+    for (const auto& [service, versions] : m_lastSeen) {
+        for (const auto& [version, lastSeen] : versions) {
+            auto recorded = m_recordedSince.find(service);
+            if (now - lastSeen <= registrationAge && (recorded == m_recordedSince.end() || !recorded->second.contains(version)))
+                return true;
+        }
+    }
+    return false;
+}
+
+bool SoftwareVersions::hasDepartedVersions(TimePoint now) const
+{
+    for (const auto& [service, versions] : m_recordedSince) {
+        for (const auto& [version, since] : versions) {
+            if (!wasSeenSince(service, version, now - registrationAge))
+                return true;
+        }
+    }
+    return false;
 }
 
 std::optional<std::string> SoftwareVersions::onlyVersion(const std::string& service, TimePoint now) const
 {
-    auto it = m_lastSeen.find(service);
-    if (it == m_lastSeen.end())
+    VersionRecord possible = possibleVersions(now);
+    auto it = possible.find(service);
+    if (it == possible.end() || it->second.size() != 1)
         return std::nullopt;
-    std::optional<std::string> only;
-    for (const auto& [version, lastSeen] : it->second) {
-        if (now - lastSeen > retention)
-            continue;
-        if (only)
-            return std::nullopt;
-        only = version;
-    }
-    return only;
+    return *it->second.begin();
 }
 
 std::set<std::string> SoftwareVersions::mixedServices(TimePoint now) const
 {
     std::set<std::string> mixed;
-    for (const auto& [service, versions] : current(now)) {
+    for (const auto& [service, versions] : possibleVersions(now)) {
         if (versions.size() > 1)
             mixed.insert(service);
     }
--- a/Libraries/LibRelay/src/StreamOriginStore.cpp
+++ b/Libraries/LibRelay/src/StreamOriginStore.cpp
@@ -62,6 +62,11 @@
         reason = { FailureKind::Unavailable, "accept streams", "peer", "this daemon stops" };
         return false;
     }
+    std::set<std::string> mixed = m_versions.mixedServices(SteadyClock::now());
+    if (std::any_of(handover.streams.begin(), handover.streams.end(), [&mixed](const HandedStream& stream) { return !mixed.contains(stream.origin.service); })) {
+        reason = { FailureKind::Unavailable, "accept streams", "peer", "this daemon knows of one version of a service only and records none of its streams" };
+        return false;
+    }
     for (const HandedStream& stream : handover.streams)
         m_table.add(stream.key, stream.origin, Deadline::after(std::min<milliseconds>(stream.left, SoftwareVersions::retention)));
     m_hasAccepted = true;
@@ -74,22 +79,33 @@
 {
     if (std::optional<StreamOrigin> own = key ? m_table.find(*key) : std::nullopt)
         co_return Found { std::move(*own), "own" };
+    // A caller may wait for a read in progress and for its own.
+    Deadline readDeadline = std::min(deadline, Deadline::after(2 * m_settings.callTimeout + m_settings.streamReadSpacing));
+    auto findOnlyVersion = [&]() -> std::optional<Found> {
+        std::optional<std::string> only = m_versions.onlyVersion(service, SteadyClock::now());
+        return only ? std::optional<Found>({ { service, std::move(*only) }, "only_version" }) : std::nullopt;
+    };
     if (!m_versions.mixedServices(SteadyClock::now()).contains(service)) {
         // Another version may have begun streams since this daemon last heard of the endpoints.
-        if (!co_await m_versionReads->read(std::min(deadline, Deadline::after(m_settings.callTimeout)), reason))
+        if (!co_await m_versionReads->read(readDeadline, reason))
             co_return std::nullopt;
-        if (std::optional<std::string> only = m_versions.onlyVersion(service, SteadyClock::now()))
-            co_return Found { { service, std::move(*only) }, "only_version" };
+        if (std::optional<Found> only = findOnlyVersion())
+            co_return only;
     }
     if (!key) {
         reason = { FailureKind::NotFound, "find stream origin", service, "the request does not name the one that began the stream" };
         co_return std::nullopt;
     }
-    static constexpr int maxReads = 2;
-    for (int reads = 0; reads < maxReads && !m_known.contains(*key); ++reads) {
-        if (reads > 0)
-            co_await Core::sleepUntil(Deadline::after(m_settings.secondReadDelay));
-        if (!co_await m_streamReads->read(std::min(deadline, Deadline::after(m_settings.callTimeout)), reason))
+    if (!m_known.contains(*key) && !co_await m_streamReads->read(readDeadline, reason))
+        co_return std::nullopt;
+    if (!m_known.contains(*key)) {
+        // The other versions may have left long ago, so that the other daemons record no streams any more.
+        if (!co_await m_versionReads->read(readDeadline, reason))
+            co_return std::nullopt;
+        if (std::optional<Found> only = findOnlyVersion())
+            co_return only;
+        co_await Core::sleepUntil(Deadline::after(m_settings.secondReadDelay));
+        if (!co_await m_streamReads->read(readDeadline, reason))
             co_return std::nullopt;
     }
     auto it = m_known.find(*key);
@@ -126,14 +142,6 @@
     co_return true;
 }
 
-static bool lacksVersions(const VersionRecord& record, const VersionRecord& wanted)
-{
-    return std::any_of(wanted.begin(), wanted.end(), [&record](const auto& entry) {
-        auto it = record.find(entry.first);
-        return it == record.end() || !std::includes(it->second.begin(), it->second.end(), entry.second.begin(), entry.second.end());
-    });
-}
-
 Core::Task<void> StreamOriginStore::writeVersions()
 {
     Reason reason;
@@ -144,12 +152,12 @@
             break;
         std::optional<VersionRecord> stored = object ? decodeVersionRecord(object->value, object->name, reason) : std::nullopt;
         m_versions.adopt(stored.value_or(VersionRecord {}), SteadyClock::now());
-        VersionRecord wanted = m_versions.current(SteadyClock::now());
+        VersionRecord wanted = m_versions.updatedRecord(SteadyClock::now());
         std::optional<Platform::Version> written = object ? object->version : 0;
         if (!stored || *stored != wanted)
             written = co_await m_store.put(versionRecordName, encodeVersionRecord(wanted), object ? object->version : 0, deadline, reason);
         if (written) {
-            m_versions.setRecorded(std::move(wanted), SteadyClock::now());
+            m_versions.adopt(std::move(wanted), SteadyClock::now());
             co_return;
         }
         if (reason.kind != FailureKind::Conflict)
@@ -161,33 +169,33 @@
 Core::Task<void> StreamOriginStore::maintainVersions()
 {
     m_hooks.observe(m_versions);
-    VersionRecord wanted = m_versions.current(SteadyClock::now());
-    if (wanted.empty())
-        co_return;
+    SteadyClock::time_point now = SteadyClock::now();
     if (!m_versions.isCurrent()) {
         Reason reason;
-        co_await m_versionReads->read(Deadline::after(m_settings.callTimeout), reason);
+        if (!m_versions.updatedRecord(now).empty())
+            co_await m_versionReads->read(Deadline::after(m_settings.callTimeout), reason);
         co_return;
     }
-    const VersionRecord& recorded = *m_versions.recorded();
-    if (m_hooks.isRecorder() && recorded != wanted) {
+    if (m_hooks.isRecorder() && *m_versions.recorded() != m_versions.updatedRecord(now)) {
         co_await writeVersions();
         co_return;
     }
-    if (!lacksVersions(recorded, wanted)) {
-        m_recordCheck = std::nullopt;
+    bool isIncomplete = m_versions.isRecordIncomplete(now);
+    if (!isIncomplete)
         m_recordChecks = 0;
+    if (!isIncomplete && !m_versions.hasDepartedVersions(now)) {
+        m_recordCheck = std::nullopt;
         co_return;
     }
     if (!m_recordCheck) {
-        milliseconds jitter(Core::randomBelow(static_cast<uint64_t>(m_settings.recordCheckDelay.count()) + 1));
-        m_recordCheck = Deadline::after(m_settings.recordCheckDelay + jitter);
+        milliseconds delay = isIncomplete ? m_settings.recordCheckDelay : m_settings.departureCheckDelay;
+        m_recordCheck = Deadline::after(delay + milliseconds(Core::randomBelow(static_cast<uint64_t>(delay.count()) + 1)));
         co_return;
     }
     if (!m_recordCheck->hasPassed())
         co_return;
     m_recordCheck = std::nullopt;
-    if (++m_recordChecks >= maxRecordChecks) {
+    if (isIncomplete && ++m_recordChecks >= maxRecordChecks) {
         co_await writeVersions();
         co_return;
     }
@@ -207,7 +215,7 @@
         if (mixed != m_writtenServices)
             m_streamsChanged.notifyAll();
         m_table.expire(SteadyClock::now());
-        co_await m_woken.wait(m_recordCheck.value_or(Deadline::after(m_settings.observeInterval)));
+        co_await m_woken.wait(std::min(m_recordCheck.value_or(Deadline::never()), Deadline::after(m_settings.observeInterval)));
     }
 }
 
@@ -221,6 +229,12 @@
     return !m_unwritten.empty() || m_hasAccepted || mixed != m_writtenServices || m_collector != collector();
 }
 
+void StreamOriginStore::restoreUnwritten(std::unordered_set<uint64_t> keys)
+{
+    m_unwritten.merge(keys);
+    std::erase_if(m_unwritten, [this](uint64_t key) { return !m_table.contains(key); });
+}
+
 std::optional<Core::Address> StreamOriginStore::collector() const
 {
     return m_hooks.collector && !m_isStopping && m_writesOwnUntil.hasPassed() ? m_hooks.collector() : std::nullopt;
@@ -249,7 +263,7 @@
         m_writtenServices = std::move(mixed);
         co_return true;
     }
-    m_unwritten.merge(handed);
+    restoreUnwritten(std::move(handed));
     m_writesOwnUntil = Deadline::after(m_settings.collectorRetryDelay);
     co_return false;
 }
@@ -288,7 +302,7 @@
 {
     std::set<std::string> mixed = m_versions.mixedServices(SteadyClock::now());
     if (mixed.empty())
-        co_return co_await removeStreams();
+        co_return m_version == 0 || co_await removeStreams();
     Reason reason;
     if (m_hasInherited || co_await inheritStreams(reason)) {
         std::unordered_set<uint64_t> written = std::exchange(m_unwritten, {});
@@ -303,7 +317,7 @@
             m_writtenServices = std::move(mixed);
             co_return true;
         }
-        m_unwritten.merge(written);
+        restoreUnwritten(std::move(written));
         m_hasAccepted = m_hasAccepted || hadAccepted;
     }
     // The record may have been written all the same, or have been lost with the store's latest changes.
--- a/Tests/LibRelay/TestSoftwareVersions.cpp
+++ b/Tests/LibRelay/TestSoftwareVersions.cpp
@@ -135,11 +135,16 @@
     versions.observe(endpointOf("v2"), later);
     cr_assert_eq(versions.onlyVersion("service", later), "v2");
 
-    // The record of the fleet still has the old version. It is not renewed by being read, and is gone once the record is written.
+    // The record of the fleet still has the old version. It counts, and leaves the record a retention after this daemon has read it there.
     versions.adopt({ { "service", { "v1", "v2" } } }, later);
-    cr_assert_eq(versions.onlyVersion("service", later), "v2");
-    versions.setRecorded(versions.current(later), later);
+    cr_assert_eq(versions.onlyVersion("service", later), std::nullopt);
+    cr_assert(versions.hasDepartedVersions(later));
+    cr_assert_eq(versions.updatedRecord(later), *versions.recorded());
+    Core::SteadyClock::time_point muchLater = later + Relay::SoftwareVersions::retention + milliseconds(1);
+    versions.observe(endpointOf("v2"), muchLater);
+    versions.adopt(versions.updatedRecord(muchLater), muchLater);
     cr_assert_eq(*versions.recorded(), (Relay::VersionRecord { { "service", { "v2" } } }));
+    cr_assert_eq(versions.onlyVersion("service", muchLater), "v2");
 }
 
 // Guards against a daemon that has just started taking the version that is registered now for the only one.
@@ -153,7 +158,37 @@
     cr_assert(versions.isCurrent());
     cr_assert_eq(versions.onlyVersion("service", start), std::nullopt);
     cr_assert(versions.mixedServices(start).contains("service"));
-    cr_assert(versions.mixedServices(start + Relay::SoftwareVersions::retention + milliseconds(1)).empty());
+}
+
+// Guards against a version that left long ago and returns, for example when a release is taken back, not counting again.
+Test(SoftwareVersions, versionThatReturnsCountsAgain)
+{
+    Core::SteadyClock::time_point now {};
+    Relay::SoftwareVersions versions;
+    versions.observe(endpointOf("v1"), now);
+    versions.observe(endpointOf("v2"), now);
+    versions.adopt({ { "service", { "v1", "v2" } } }, now);
+    now += Relay::SoftwareVersions::retention + milliseconds(1);
+    versions.observe(endpointOf("v1"), now);
+    versions.adopt({ { "service", { "v1" } } }, now);
+    cr_assert_eq(versions.onlyVersion("service", now), "v1");
+    // Another daemon has seen it return and recorded it.
+    versions.adopt({ { "service", { "v1", "v2" } } }, now + milliseconds(1));
+    cr_assert_eq(versions.onlyVersion("service", now + milliseconds(1)), std::nullopt);
+}
+
+// Guards against a daemon that was started after a version had left keeping it alive once the fleet has removed it from the record.
+Test(SoftwareVersions, versionThatOthersHaveRemovedIsNotRecordedAgain)
+{
+    Core::SteadyClock::time_point now {};
+    Relay::SoftwareVersions versions;
+    versions.observe(endpointOf("v2"), now);
+    versions.adopt({ { "service", { "v1", "v2" } } }, now);
+    cr_assert(versions.mixedServices(now).contains("service"));
+    versions.adopt({ { "service", { "v2" } } }, now + milliseconds(10));
+    cr_assert_eq(versions.onlyVersion("service", now + milliseconds(10)), "v2");
+    cr_assert_not(versions.isRecordIncomplete(now + milliseconds(10)));
+    cr_assert_not(versions.hasDepartedVersions(now + milliseconds(10)));
 }
 
 // Guards against an unreadable record ending the daemon or counting as one without versions.
--- a/Tests/LibRelay/TestStreamOrigins.cpp
+++ b/Tests/LibRelay/TestStreamOrigins.cpp
@@ -18,6 +18,7 @@
     settings.streamReadSpacing = milliseconds(1);
     settings.secondReadDelay = milliseconds(40);
     settings.collectorRetryDelay = milliseconds(100);
+    settings.departureCheckDelay = milliseconds(50);
     settings.observeInterval = milliseconds(5);
     settings.recordCheckDelay = milliseconds(10);
     settings.callTimeout = milliseconds(200);
@@ -349,6 +350,7 @@
         cr_assert_not(Relay::decodeHandover(bytes.substr(0, length), reason), "%zu bytes", length);
     OriginFixture fixture;
     Daemon& daemon = fixture.addDaemon("a", { "v1", "v2" });
+    fixture.pause(milliseconds(30));
     cr_assert(daemon.origins.accept({ { { 1, { "service", "v1" }, milliseconds::max() } }, false }, reason));
     cr_assert_eq(fixture.find(daemon, 1), "own v1");
     TestSupport::runTask(fixture.context, [](Daemon& stopping) -> Core::Task<bool> {
@@ -358,6 +360,77 @@
     cr_assert_not(daemon.origins.accept(handover, reason));
 }
 
+// Guards against a version that left, was removed from the record and returned: a daemon whose list of endpoints lags behind must not take
+// its streams for those of the other version.
+Test(StreamOrigins, versionThatReturnsIsFoundAtADaemonThatLagsBehind)
+{
+    OriginFixture fixture;
+    Daemon& lagging = fixture.addDaemon("a", { "v1" });
+    lagging.isRecorder = false;
+    fixture.pause(milliseconds(30));
+    Core::SteadyClock::time_point longAgo = Core::SteadyClock::now() - Relay::SoftwareVersions::retention - milliseconds(1);
+    Relay::Endpoint endpoint;
+    endpoint.service = "service";
+    endpoint.softwareVersion = "v2";
+    lagging.versions.observe(endpoint, longAgo);
+    cr_assert_eq(fixture.find(lagging, 1), "only_version v1");
+    Daemon& current = fixture.addDaemon("b", { "v1", "v2" });
+    fixture.pause(milliseconds(30));
+    current.origins.streamBegan(1, { "service", "v2" }, Deadline::after(longTime));
+    fixture.pause(milliseconds(60));
+    cr_assert_eq(fixture.find(lagging, 1), "record v2");
+}
+
+// Guards against a daemon that still counts a version which the fleet has removed from the record: the others record no streams any more,
+// and it would refuse all their take-ups.
+Test(StreamOrigins, versionThatOthersHaveRemovedIsNoReasonToRefuse)
+{
+    OriginFixture fixture;
+    Daemon& recorder = fixture.addDaemon("a", { "v1", "v2" });
+    fixture.pause(milliseconds(30));
+    Daemon& late = fixture.addDaemon("b", { "v2" });
+    late.isRecorder = false;
+    fixture.pause(milliseconds(30));
+    cr_assert(late.versions.mixedServices(Core::SteadyClock::now()).contains("service"));
+    // The recorder removes the version.
+    recorder.isRecorder = false;
+    Core::Reason reason;
+    Platform::Version version = fixture.store.table().get(Relay::StreamOriginStore::versionRecordName, reason)->version;
+    cr_assert(fixture.store.table().put(Relay::StreamOriginStore::versionRecordName, Relay::encodeVersionRecord({ { "service", { "v2" } } }), version, reason));
+    cr_assert_eq(fixture.find(late, 1), "only_version v2");
+    recorder.registered = { "v2" };
+    fixture.pause(milliseconds(100));
+    cr_assert_eq(fixture.store.table().get(Relay::StreamOriginStore::versionRecordName, reason)->value, Relay::encodeVersionRecord({ { "service", { "v2" } } }));
+}
+
+// Guards against a daemon that accepts streams of a service that it records none of.
+Test(StreamOrigins, streamsOfAServiceWithOneVersionAreNotAccepted)
+{
+    OriginFixture fixture;
+    Daemon& daemon = fixture.addDaemon("a", { "v1" });
+    fixture.pause(milliseconds(30));
+    Core::Reason reason;
+    cr_assert_not(daemon.origins.accept({ { { 1, { "service", "v2" }, milliseconds(1'000) } }, false }, reason));
+}
+
+// Guards against take-ups that are refused although every read of a slow store succeeds.
+Test(StreamOrigins, takeUpsShareReadsOfASlowStore)
+{
+    OriginFixture fixture;
+    Daemon& daemon = fixture.addDaemon("a", { "v1" });
+    fixture.pause(milliseconds(30));
+    fixture.store.setDelay(milliseconds(120));
+    std::vector<std::optional<std::optional<Relay::StreamOriginStore::Found>>> found(10);
+    std::vector<Core::Reason> reasons(found.size());
+    for (size_t i = 0; i < found.size(); ++i) {
+        TestSupport::startTask(fixture.context, daemon.origins.find(i, "service", Deadline::after(std::chrono::seconds(5)), reasons[i]), found[i]);
+        fixture.pause(milliseconds(10));
+    }
+    TestSupport::runUntil(fixture.context, [&] { return std::all_of(found.begin(), found.end(), [](const auto& each) { return each.has_value(); }); });
+    for (size_t i = 0; i < found.size(); ++i)
+        cr_assert(*found[i], "%zu: %s", i, reasons[i].text().c_str());
+}
+
 // Guards against one caller's stream deciding the version of another one with the same id.
 Test(StreamOrigins, idOfSeveralStreamsHasNoOrigin)
 {
@@ -457,6 +530,17 @@
     }
 }
 
+// Guards against refusing the second take-up of a stream at a daemon that has served the first one, when a second version has come between.
+Test(StreamOrigins, streamThatWasTakenUpIsRemembered)
+{
+    TakeUpFixture fixture({ "v1", "v1" });
+    TestSupport::runUntil(fixture.context, [&] { return fixture.daemon.versions.isCurrent(); });
+    cr_assert_eq(fixture.takeUp("t1", "r0")->status, 200);
+    fixture.daemon.registered = { "v1", "v2" };
+    TestSupport::runUntil(fixture.context, [&] { return !fixture.daemon.versions.mixedServices(Core::SteadyClock::now()).empty(); });
+    cr_assert_eq(fixture.takeUp("t2", "r0")->status, 200);
+}
+
 // Guards against joining a stream whose version is not known, and against sending it to an endpoint before it is refused.
 Test(StreamOrigins, takeUpOfAnUnknownStreamIsRefused)
 {
