--- a/Libraries/LibRelay/src/StreamOriginTable.cpp
+++ b/Libraries/LibRelay/src/StreamOriginTable.cpp
@@ -93,9 +93,9 @@
         std::from_chars_result result = std::from_chars(text.data(), text.data() + keyDigits, key, hexadecimal);
         if (result.ec != std::errc() || result.ptr != text.data() + keyDigits)
             return false;
-        auto [it, isNew] = origins.try_emplace(key, origin);
-        if (!isNew && it->second != origin)
-            it->second = std::nullopt;
+        std::optional<StreamOrigin>& known = origins.try_emplace(key, origin).first->second;
+        if (known != origin)
+            known = std::nullopt;
     }
     return text.empty();
 }
