--- a/Libraries/LibRelay/include/LibRelay/StreamOriginTable.h
+++ b/Libraries/LibRelay/include/LibRelay/StreamOriginTable.h
@@ -23,7 +23,7 @@
 // The streams that this daemon began and that may still be taken up.
 class StreamOriginTable {
 public:
-    // What remains in the store of streams, and of callers that do not get the end of a complete stream.
+    // How long a complete stream is kept: its caller may not have received the end.
     static constexpr std::chrono::seconds completedRetention { 15 };
     // Bounds the record's size. The streams that end first are dropped.
     static constexpr size_t maxRecordedStreams = 20'000;
