Soak: The order test's events name the software version

Change: the engines of this test are of one version, which its events and entries name; its checks are unchanged.

--- a/Tests/Soak/stream_engine.py
+++ b/Tests/Soak/stream_engine.py
@@ -14,6 +14,7 @@
 from endpoints import expected_event_count, format_event
 
 EVENT_INTERVAL_S = 0.02
+VERSION = "v1"  # Of the software of all engines.
 FRAMINGS = ("chunked", "length", "connection")
 FAULTS = ("late start", "late copy", "wrong start", "repeated event", "missing event", "within an event", "reset", "two events of an earlier answer")
 FAULT_PROBABILITY = 0.3
@@ -74,7 +75,7 @@
             numbers[middle:middle] = [max(1, numbers[middle] - 2), max(1, numbers[middle] - 1)]
         if fault == "late start":
             await asyncio.sleep(0.5)
-        events = [format_event(text_id, number).encode() for number in numbers]
+        events = [format_event(text_id, number, VERSION).encode() for number in numbers]
         sent = self.head(request_id, framing, sum(map(len, events)))
         writer.write((previous if fault == "late copy" else b"") + sent)
         for index, event in enumerate(events):
--- a/Tests/Soak/test_stream_order.py
+++ b/Tests/Soak/test_stream_order.py
@@ -61,7 +61,7 @@
             return
         writer.write(("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s-%s\r\n%s: %s\r\nContent-Type: text/event-stream\r\n\r\n" % (
             wire.ATTEMPT_ID, request_id, wire.SEAL, request_id, wire.INSTANCE, self.id)).encode())
-        writer.write("".join(format_event(request_id, number) for number in range(1, EVENTS + 1)).encode())
+        writer.write("".join(format_event(request_id, number, stream_engine.VERSION) for number in range(1, EVENTS + 1)).encode())
         await writer.drain()
         if "/short" in head.split("\r\n")[0]:
             writer.close()
@@ -124,7 +124,7 @@
         while True:
             sequence += 1
             await self.store.put("servers", self.id, {"service": "engines", "address": "127.0.0.1:%d" % self.port, "zone": fleet.ZONES[self.number % 2],
-                                                      "version": 1, "slots": 64, "state": "ready", "cold-left-ms": 0, "seq": sequence, "born": self.born})
+                                                      "version": stream_engine.VERSION, "slots": 64, "state": "ready", "cold-left-ms": 0, "seq": sequence, "born": self.born})
             await asyncio.sleep(HEARTBEAT_INTERVAL_S)
 
     async def kill(self):
@@ -188,7 +188,7 @@
                     pending += data
                     while b"\n\n" in pending:
                         event, pending = pending.split(b"\n\n", 1)
-                        if event + b"\n\n" != format_event(stream_id, last + 1).encode():
+                        if event + b"\n\n" != format_event(stream_id, last + 1, stream_engine.VERSION).encode():
                             self.broken.append("%s, attempt %s (%s): got %s after event %d" % (stream_id, attempt_id, stream_engine.framing_of(attempt_id), event, last))
                             return
                         last += 1
@@ -223,7 +223,7 @@
                 daemon = daemons.daemons[0]
                 streams = [await start_stream(daemon.caller_port, "%016x" % number, "long") for number in range(STREAMS)]
                 for reader, writer in streams:
-                    await reader.readuntil(b"-%d\n\n" % EVENTS)
+                    await reader.readuntil(("-%d@%s\n\n" % (EVENTS, stream_engine.VERSION)).encode())
                 self.assertEqual(len(engine.streams), STREAMS)
                 reader, writer = await start_stream(daemon.caller_port, "%016x" % STREAMS, "short")
                 await reader.readuntil(b"\r\n0\r\n\r\n")
