--- a/Libraries/LibRelay/include/LibRelay/StreamOriginStore.h
+++ b/Libraries/LibRelay/include/LibRelay/StreamOriginStore.h
@@ -32,6 +32,8 @@
     std::chrono::milliseconds observeInterval { 250 };
     // After about this time a daemon looks whether another one has recorded a new version, and after a few such times records it.
     std::chrono::milliseconds recordCheckDelay { 300 };
+    // The same for a daemon that has just started. Where all start together, it takes them some time to agree which one records.
+    std::chrono::milliseconds firstRecordCheckDelay { 2'000 };
     // After about this time a daemon looks whether a version that has left was removed from the record.
     std::chrono::milliseconds departureCheckDelay { 10'000 };
 };
@@ -137,6 +139,7 @@
     std::set<std::string> m_writtenServices;
     // Version of this host's record; 0: none.
     Platform::Version m_version { 0 };
+    bool m_isStarting { true };
     // When this daemon next looks whether a new version has been recorded, and how often it has looked.
     std::optional<Core::Deadline> m_recordCheck;
     int m_recordChecks { 0 };
--- a/Libraries/LibRelay/src/StreamOriginStore.cpp
+++ b/Libraries/LibRelay/src/StreamOriginStore.cpp
@@ -181,14 +181,17 @@
         co_return;
     }
     bool isIncomplete = m_versions.isRecordIncomplete(now);
-    if (!isIncomplete)
+    if (!isIncomplete) {
         m_recordChecks = 0;
+        m_isStarting = false;
+    }
     if (!isIncomplete && !m_versions.hasDepartedVersions(now)) {
         m_recordCheck = std::nullopt;
         co_return;
     }
     if (!m_recordCheck) {
-        milliseconds delay = isIncomplete ? m_settings.recordCheckDelay : m_settings.departureCheckDelay;
+        milliseconds checkDelay = std::exchange(m_isStarting, false) ? m_settings.firstRecordCheckDelay : m_settings.recordCheckDelay;
+        milliseconds delay = isIncomplete ? checkDelay : m_settings.departureCheckDelay;
         m_recordCheck = Deadline::after(delay + milliseconds(Core::randomBelow(static_cast<uint64_t>(delay.count()) + 1)));
         co_return;
     }
--- a/Tests/LibRelay/TestStreamOrigins.cpp
+++ b/Tests/LibRelay/TestStreamOrigins.cpp
@@ -18,6 +18,7 @@
     settings.streamReadSpacing = milliseconds(1);
     settings.secondReadDelay = milliseconds(40);
     settings.collectorRetryDelay = milliseconds(100);
+    settings.firstRecordCheckDelay = milliseconds(10);
     settings.departureCheckDelay = milliseconds(50);
     settings.observeInterval = milliseconds(5);
     settings.recordCheckDelay = milliseconds(10);
