Relay: Log how long requests are being read, and measure connects

The logs did not show whether a host's own link was full (connects that succeed would be slow too) or a request's clock started late (its body took long to arrive).

Adds read_ms to E1721 and E1724 and the histogram jujuberelay_relay_connect_seconds by outcome. No logic changes.

--- a/Libraries/LibHTTP/include/LibHTTP/Client.h
+++ b/Libraries/LibHTTP/include/LibHTTP/Client.h
@@ -79,6 +79,24 @@
     std::function<void()> connectionRefused {};
 };
 
+// How an attempt to open a connection ended.
+struct ConnectAttempt {
+    enum class Outcome {
+        Established,
+        // The peer's host answered that no process listens at the address, or reset the connection.
+        Refused,
+        TimedOut,
+    };
+
+    Core::Address address;
+    Outcome outcome { Outcome::Established };
+    Core::SteadyClock::time_point startedAt {};
+    Core::SteadyClock::time_point endedAt {};
+
+    std::chrono::milliseconds elapsed() const { return std::chrono::duration_cast<std::chrono::milliseconds>(endedAt - startedAt); }
+    bool operator==(const ConnectAttempt&) const = default;
+};
+
 // An HTTP/1.1 client with a pool of idle connections per address.
 class Client {
 public:
@@ -105,6 +123,9 @@
     // that the process that accepted it still runs.
     bool hasOpenConnection(const Core::Address&, Core::SteadyClock::time_point establishedBefore) const;
 
+    // Called at the end of each attempt to open a connection, except for those that the caller cancelled.
+    void onConnectAttempt(std::function<void(const ConnectAttempt&)>);
+
     // Number of connection attempts since construction.
     uint64_t connectionsOpened() const;
 
--- a/Libraries/LibHTTP/include/LibHTTP/ResponseWriter.h
+++ b/Libraries/LibHTTP/include/LibHTTP/ResponseWriter.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "LibCore/Async.h"
+#include "LibCore/Deadline.h"
 #include "LibCore/Reason.h"
 #include "LibHTTP/Message.h"
 #include <functional>
+#include <optional>
 
 namespace HTTP {
 
@@ -30,6 +32,9 @@
     // False if the client has closed the connection already, which onClientDisconnect() may report only later.
     virtual bool isClientConnected() const { return true; }
 
+    // When the first byte of the request was read; empty if the writer does not serve a connection.
+    virtual std::optional<Core::SteadyClock::time_point> requestStartedAt() const { return std::nullopt; }
+
     // Closes the connection without completing the response.
     virtual void abort() = 0;
 
--- a/Libraries/LibHTTP/src/Client.cpp
+++ b/Libraries/LibHTTP/src/Client.cpp
@@ -58,7 +58,20 @@
 
 Client::~Client() = default;
 
-static Core::Task<bool> connect(Connection& connection, const Core::Address& address, Core::Deadline deadline, const CallOptions& options, Core::Reason& reason)
+// Empty if the attempt says nothing about the path to the peer.
+static std::optional<ConnectAttempt::Outcome> connectOutcome(const beast::error_code& error)
+{
+    if (!error)
+        return ConnectAttempt::Outcome::Established;
+    if (error == asio::error::connection_refused || error == asio::error::connection_reset)
+        return ConnectAttempt::Outcome::Refused;
+    if (error == beast::error::timeout || error == asio::error::timed_out)
+        return ConnectAttempt::Outcome::TimedOut;
+    return std::nullopt;
+}
+
+static Core::Task<bool> connect(Connection& connection, const Core::Address& address, Core::Deadline deadline, const CallOptions& options,
+    const std::function<void(const ConnectAttempt&)>& attemptEnded, Core::Reason& reason)
 {
     beast::error_code parseError;
     tcp::endpoint endpoint(asio::ip::make_address(address.ip, parseError), address.port);
@@ -67,7 +80,10 @@
     connection.stream.socket().open(endpoint.protocol(), ignored);
     connection.stream.socket().set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes), ignored);
     connection.stream.expires_at(deadline.at());
+    Core::SteadyClock::time_point startedAt = Core::SteadyClock::now();
     auto [error] = co_await connection.stream.async_connect(endpoint, asTuple);
+    if (std::optional<ConnectAttempt::Outcome> outcome = connectOutcome(error); outcome && attemptEnded)
+        attemptEnded({ address, *outcome, startedAt, Core::SteadyClock::now() });
     if (error) {
         reason = makeReason(error, Core::FailureKind::Unavailable, "connect", address);
         if (error == asio::error::connection_refused && options.connectionRefused)
@@ -143,6 +159,11 @@
     });
 }
 
+void Client::onConnectAttempt(std::function<void(const ConnectAttempt&)> handler)
+{
+    m_pool->connectAttemptEnded = std::move(handler);
+}
+
 uint64_t Client::connectionsOpened() const
 {
     return m_pool->connectionsOpened;
@@ -161,7 +182,7 @@
     CancellationGuard cancellationGuard { options.cancellation };
     if (!isReused) {
         ++m_pool->connectionsOpened;
-        if (!co_await connect(*connection, address, std::min(deadline, options.connectDeadline), options, reason))
+        if (!co_await connect(*connection, address, std::min(deadline, options.connectDeadline), options, m_pool->connectAttemptEnded, reason))
             co_return std::nullopt;
     }
     if (options.guard && !options.guard()) {
--- a/Libraries/LibHTTP/src/ConnectionPool.h
+++ b/Libraries/LibHTTP/src/ConnectionPool.h
@@ -132,6 +132,7 @@
     }
 
     uint64_t connectionsOpened { 0 };
+    std::function<void(const ConnectAttempt&)> connectAttemptEnded;
 
     void release(const Core::Address& address, std::unique_ptr<Connection> connection)
     {
--- a/Libraries/LibHTTP/src/Server.cpp
+++ b/Libraries/LibHTTP/src/Server.cpp
@@ -334,7 +334,8 @@
     parser->header_limit(static_cast<std::uint32_t>(state.limits.maxHeaderBytes));
     connection.buffer.max_size(std::max(maxRequestBufferBytes, state.limits.maxHeaderBytes + maxIdleBufferBytes));
     connection.isBusy = true;
-    connection.client.setPhase(ClientTable::Phase::Reading, Core::SteadyClock::now());
+    connection.requestStartedAt = Core::SteadyClock::now();
+    connection.client.setPhase(ClientTable::Phase::Reading, connection.requestStartedAt);
     beast::error_code error = co_await readRequest(connection, *parser, deadlineAfter(state.limits.requestTimeoutMs));
     if (!error && !hasSupportedTransferCoding(parser->get()))
         error = http::error::bad_transfer_encoding;
--- a/Libraries/LibHTTP/src/ServerConnection.h
+++ b/Libraries/LibHTTP/src/ServerConnection.h
@@ -25,6 +25,8 @@
     ClientTable::Client client;
     boost::beast::flat_buffer buffer { maxRequestBufferBytes };
     bool isBusy { false };
+    // When the first byte of the request that is being read or handled was read.
+    Core::SteadyClock::time_point requestStartedAt {};
     // Set while a request is handled; see ResponseWriter::onClientDisconnect.
     std::function<void()> onDisconnect {};
     // Incremented for each wait, so that the wait of a previous request on the connection is ignored.
--- a/Libraries/LibHTTP/src/StreamWriter.h
+++ b/Libraries/LibHTTP/src/StreamWriter.h
@@ -104,6 +104,7 @@
     void onClientDisconnect(std::function<void()> handler) override { m_connection.onDisconnect = std::move(handler); }
 
     bool isClientConnected() const override { return !m_connection.isDisconnected(); }
+    std::optional<Core::SteadyClock::time_point> requestStartedAt() const override { return m_connection.requestStartedAt; }
     void abort() override { m_connection.close(); }
 
     void abortAt(Core::Deadline deadline) override
--- a/Libraries/LibRelay/src/RequestExecution.cpp
+++ b/Libraries/LibRelay/src/RequestExecution.cpp
@@ -51,6 +51,11 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(Core::SteadyClock::now() - m_startedAt).count();
 }
 
+int64_t RequestExecution::readMs() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(m_startedAt - m_writer.requestStartedAt().value_or(m_startedAt)).count();
+}
+
 Core::Task<void> RequestExecution::serve(HTTP::Request message)
 {
     Reason reason;
@@ -514,7 +519,7 @@
     bool isSent = co_await m_writer.send(std::move(response), reason);
     m_isLogged = true;
     m_handler.m_metrics.counter("jujuberelay_relay_refusals_total", "Requests refused by the daemon, by code.", { { "code", refusal.code } }).add();
-    Core::logEvent(Events::requestRefused, "request=" + m_request.id + " status=" + std::to_string(refusal.status) + " code=" + refusal.code + " route=" + m_route.name + " workspace=" + (m_workspace ? m_workspace->name : "-") + " sends=" + std::to_string(m_sends) + " possible_runs=" + std::to_string(m_possibleRuns) + " configuration=" + std::to_string(m_configuration ? m_configuration->version() : 0) + " elapsed_ms=" + std::to_string(elapsedMs()) + " delivered=" + std::to_string(isSent) + " reason=\"" + refusal.message + "\"");
+    Core::logEvent(Events::requestRefused, "request=" + m_request.id + " status=" + std::to_string(refusal.status) + " code=" + refusal.code + " route=" + m_route.name + " workspace=" + (m_workspace ? m_workspace->name : "-") + " sends=" + std::to_string(m_sends) + " possible_runs=" + std::to_string(m_possibleRuns) + " configuration=" + std::to_string(m_configuration ? m_configuration->version() : 0) + " read_ms=" + std::to_string(readMs()) + " elapsed_ms=" + std::to_string(elapsedMs()) + " delivered=" + std::to_string(isSent) + " reason=\"" + refusal.message + "\"");
 }
 
 void RequestExecution::logCompletion(const char* outcome, const std::string& detail)
@@ -525,7 +530,7 @@
     if (m_firstByteMs)
         m_handler.m_metrics.histogram("jujuberelay_relay_first_byte_seconds", "Time to the first byte of the answer.", Telemetry::HistogramAxis::latencySeconds())
             .observe(static_cast<double>(*m_firstByteMs) / 1'000);
-    Core::logEvent(Events::requestEnded, "request=" + m_request.id + " outcome=" + outcome + " route=" + m_route.name + " workspace=" + (m_workspace ? m_workspace->name : "-") + " sends=" + std::to_string(m_sends) + " events=" + std::to_string(m_events) + " first_ms=" + std::to_string(m_firstByteMs.value_or(-1)) + " elapsed_ms=" + std::to_string(elapsedMs()) + " " + detail);
+    Core::logEvent(Events::requestEnded, "request=" + m_request.id + " outcome=" + outcome + " route=" + m_route.name + " workspace=" + (m_workspace ? m_workspace->name : "-") + " sends=" + std::to_string(m_sends) + " events=" + std::to_string(m_events) + " read_ms=" + std::to_string(readMs()) + " first_ms=" + std::to_string(m_firstByteMs.value_or(-1)) + " elapsed_ms=" + std::to_string(elapsedMs()) + " " + detail);
 }
 
 }
--- a/Libraries/LibRelay/src/RequestExecution.h
+++ b/Libraries/LibRelay/src/RequestExecution.h
@@ -93,6 +93,8 @@
     void settleTokens();
     void logCompletion(const char* outcome, const std::string& detail);
     int64_t elapsedMs() const;
+    // How long the request was being read.
+    int64_t readMs() const;
 
     RequestHandler& m_handler;
     HTTP::ResponseWriter& m_writer;
--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -155,6 +155,7 @@
     m_metrics.observe("jujuberelay_relay_active_requests", "Requests in progress.", [this] { return static_cast<double>(m_callerServer.activeRequests()); });
     m_metrics.observeCounter("jujuberelay_relay_connections_opened_total", "Connections opened to endpoints and the store.",
         [this] { return m_client->connectionsOpened(); });
+    m_client->onConnectAttempt([this](const HTTP::ConnectAttempt& attempt) { recordConnect(attempt); });
     m_metrics.observeCounter("jujuberelay_relay_idle_timeouts_total", "Connections of callers that were closed by the idle timeout.",
         [this] { return m_callerServer.idleTimeouts(); });
     m_metrics.observe("jujuberelay_relay_streams_to_take_up", "Streams that began at this daemon and that callers may still take up.",
@@ -174,6 +175,25 @@
     }
 }
 
+static const char* nameOf(HTTP::ConnectAttempt::Outcome outcome)
+{
+    switch (outcome) {
+    case HTTP::ConnectAttempt::Outcome::Established:
+        return "established";
+    case HTTP::ConnectAttempt::Outcome::Refused:
+        return "refused";
+    case HTTP::ConnectAttempt::Outcome::TimedOut:
+        return "timed_out";
+    }
+    return "unknown";
+}
+
+void RelayDaemon::recordConnect(const HTTP::ConnectAttempt& attempt)
+{
+    m_metrics.histogram("jujuberelay_relay_connect_seconds", "Time to open a connection to an endpoint or the store, by outcome.", Telemetry::HistogramAxis::latencySeconds(), { { "outcome", nameOf(attempt.outcome) } })
+        .observe(static_cast<double>(attempt.elapsed().count()) / 1'000);
+}
+
 bool RelayDaemon::start(Reason& reason)
 {
     m_peerStore.setPeers(otherSeeds());
--- a/Services/jujuberelayd/src/RelayDaemon.h
+++ b/Services/jujuberelayd/src/RelayDaemon.h
@@ -76,6 +76,7 @@
     Core::Task<void> handleMetrics(HTTP::Request, HTTP::ResponseWriter&);
     Core::Task<void> expireEndpoints();
     Core::Task<void> monitorLoad();
+    void recordConnect(const HTTP::ConnectAttempt&);
     Relay::PeerInfo selfInfo() const { return { m_settings.peerAddress, m_settings.failureDomain, m_settings.processorShare * m_settings.linkMbps }; }
     // Seed peers other than this daemon, through which the store is reached until announcements of peers are known.
     std::vector<Core::Address> otherSeeds() const;
