Relay: A request's time runs from its first byte

Callers whose bodies arrive slowly were answered later than their route's time-out and the 500 ms that an answer may take beyond it: the time-out and the caller's deadline were counted from when the whole body had been read. Endpoints were also handed time that had already passed.

The server reports when the first byte of a request was read, and both limits run from there. Waits for grants and permits still begin once the request has been read.

RequestTime/timeoutRunsFromTheFirstByte fails before: an answer after 1,700 ms for a time-out of 1,000. RequestTime/endpointsGetTheTimeThatIsLeft fails too.

--- a/Libraries/LibRelay/src/PermitChecks.cpp
+++ b/Libraries/LibRelay/src/PermitChecks.cpp
@@ -12,7 +12,7 @@
 
 Deadline RequestExecution::permitDeadline() const
 {
-    return std::min(m_deadline, Deadline(m_startedAt + std::chrono::milliseconds(m_route.objectiveMs / permitWaitDivisor)));
+    return std::min(m_deadline, Deadline(m_receivedAt + std::chrono::milliseconds(m_route.objectiveMs / permitWaitDivisor)));
 }
 
 Core::Task<bool> RequestExecution::acquirePermit(const Endpoint& endpoint)
--- a/Libraries/LibRelay/src/RequestExecution.cpp
+++ b/Libraries/LibRelay/src/RequestExecution.cpp
@@ -33,6 +33,7 @@
 RequestExecution::RequestExecution(RequestHandler& handler, HTTP::ResponseWriter& writer)
     : m_handler(handler)
     , m_writer(writer)
+    , m_startedAt(writer.requestStartedAt().value_or(m_receivedAt))
 {
 }
 
@@ -53,19 +54,20 @@
 
 int64_t RequestExecution::readMs() const
 {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(m_startedAt - m_writer.requestStartedAt().value_or(m_startedAt)).count();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(m_receivedAt - m_startedAt).count();
 }
 
 Core::Task<void> RequestExecution::serve(HTTP::Request message)
 {
     Reason reason;
     std::optional<CallerRequest> request
-        = m_handler.m_codec.decodeRequest(std::move(message), Deadline(m_startedAt + maxRequestTime), reason);
+        = m_handler.m_codec.decodeRequest(std::move(message), Deadline(m_receivedAt + maxRequestTime), reason);
     if (!request) {
         co_await refuse({ 400, "bad_request", reason.message, std::nullopt });
         co_return;
     }
     m_request = std::move(*request);
+    m_request.deadline = Deadline(m_request.deadline.at() - (m_receivedAt - m_startedAt));
     m_writer.onClientDisconnect([this, isGone = m_isCallerGone] {
         *isGone = true;
         if (m_cancellation)
@@ -139,7 +141,7 @@
         co_return std::nullopt;
     Tokens tokens = m_request.tokens->total();
     int64_t waitMs = std::max(minGrantWaitMs, m_route.objectiveMs / grantWaitDivisor);
-    Deadline deadline = std::min(m_deadline, Deadline(m_startedAt + std::chrono::milliseconds(waitMs)));
+    Deadline deadline = std::min(m_deadline, Deadline(m_receivedAt + std::chrono::milliseconds(waitMs)));
     Reason reason;
     HoldResult result = co_await m_handler.m_budgets.hold(m_workspace->name, tokens, deadline, reason);
     if (result == HoldResult::Granted) {
--- a/Libraries/LibRelay/src/RequestExecution.h
+++ b/Libraries/LibRelay/src/RequestExecution.h
@@ -98,7 +98,10 @@
 
     RequestHandler& m_handler;
     HTTP::ResponseWriter& m_writer;
-    Core::SteadyClock::time_point m_startedAt { Core::SteadyClock::now() };
+    // When the request had been read.
+    Core::SteadyClock::time_point m_receivedAt { Core::SteadyClock::now() };
+    // When its first byte was read. The caller's time and the route's time-out have been running since then.
+    Core::SteadyClock::time_point m_startedAt;
     std::shared_ptr<const Configuration> m_configuration;
     CallerRequest m_request;
     Route m_route;
--- a/Tests/LibRelay/RelayFixture.h
+++ b/Tests/LibRelay/RelayFixture.h
@@ -11,7 +11,7 @@
 namespace RelayTest {
 
 // "Id" identifies the request, "Not-Run", "Seal", "Leaving", "Limit" and, in a 503, "Pause-Ms" are an endpoint's response metadata, "Tokens" is the
-// prompt's size, "Max-Output" the maximum of its output (10 if absent), "Parts" are the ids of the prompt's parts, separated by commas.
+// prompt's size, "Left" is the time left in ms, "Max-Output" the maximum of its output (10 if absent), "Parts" are the ids of the prompt's parts, separated by commas.
 inline Relay::WireCodec makeCodec()
 {
     Relay::WireCodec codec;
@@ -39,7 +39,7 @@
         return request;
     };
     codec.encodeDispatch = [](const Relay::CallerRequest& request, const Relay::Dispatch& dispatch) {
-        HTTP::Request message { request.message.method, request.message.target, { { "Id", request.id }, { "Expect-Endpoint", dispatch.endpointId } }, request.message.body };
+        HTTP::Request message { request.message.method, request.message.target, { { "Id", request.id }, { "Expect-Endpoint", dispatch.endpointId }, { "Left", std::to_string(dispatch.deadline.remaining().count()) } }, request.message.body };
         if (dispatch.lastEvent || request.lastEvent)
             message.headers.push_back({ "Last-Event", std::to_string(dispatch.lastEvent ? *dispatch.lastEvent : *request.lastEvent) });
         if (dispatch.urgency)
