Relay: A host whose own link is full refuses, rests and answers in time

Cause: the balancer sends half of a failure domain's callers to one host with a link of 10 Mbit/s. Messages wait on that link for up to 1.4 s each way. The host took connects that timed out for failures of the endpoints, tried the next over the same link until the time-out, counted time only from the first byte it read, and went on telling the balancer that it was ready. One request's connects alone used 2 of 2 s (five of 400 ms).

Ruled out: processor time, slow bodies.

LinkMonitor tells a full link from the connects to many addresses: slow answers from most of them, which neither silent endpoints nor a partition give. While it is full, connects with 2 s instead of 400 ms measure the delay; a part of the requests is refused at once with 503, "not run", and a retry reaches another host; the host is not ready for 3 to 12 s; and the delay is taken off the time of what it still serves. A request that could not be sent after three connects is refused. Once the link is free, peers that failed over it are no longer suspected.

RequestTime/answerStartsEarlierOverASlowLink and requestIsRefusedAfterAFewFailedConnects fail before, the latter with eight connects.

--- a/Libraries/LibRelay/include/LibRelay/PeerTable.h
+++ b/Libraries/LibRelay/include/LibRelay/PeerTable.h
@@ -41,6 +41,9 @@
     // Each watcher serves only a few daemons, which limits how often one host has to send a change.
     std::optional<Core::Address> watcher() const;
 
+    // A random daemon other than this one, suspect or not; empty if there is none.
+    std::optional<Core::Address> randomPeer() const;
+
     // Whether the daemon has not answered recently.
     bool isSuspect(const Core::Address&) const;
     // Marks a daemon that did not answer. It is skipped for a time that doubles with each consecutive failure.
--- a/Libraries/LibRelay/include/LibRelay/RequestHandler.h
+++ b/Libraries/LibRelay/include/LibRelay/RequestHandler.h
@@ -31,6 +31,8 @@
     std::function<std::shared_ptr<const Configuration>()> configuration;
     // The refusal for all requests while the daemon is unable to serve any; empty otherwise.
     std::function<std::optional<Refusal>()> unservable;
+    // The time that a message and its answer take on this host's link now. May be unset.
+    std::function<std::chrono::milliseconds()> linkDelay {};
     // Reads the configuration again after a request with an unknown route or key. False if the store did not answer.
     std::function<Core::Task<bool>()> refreshConfiguration;
     // Time since the store last answered. May be unset.
@@ -58,6 +60,8 @@
     int64_t retryExtra { 25 };
     // Timeout for connecting to an endpoint.
     int64_t connectTimeoutMs { 400 };
+    // A request that could not be sent after this many connects failed is refused, so that its caller can try another daemon in time.
+    int maxFailedConnects { 3 };
     // A resumable stream without an event for this long is checked: if there is evidence that it will not continue at its
     // endpoint, it is moved to another one.
     int64_t streamIdleTimeoutMs { 1'200 };
--- a/Libraries/LibRelay/src/PeerTable.cpp
+++ b/Libraries/LibRelay/src/PeerTable.cpp
@@ -1,8 +1,10 @@
 #include "LibRelay/PeerTable.h"
 
 #include "LibCore/Hash.h"
+#include "LibCore/Random.h"
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace Relay {
 
@@ -28,6 +30,12 @@
     m_daemons.push_back(m_self);
 }
 
+std::optional<Core::Address> PeerTable::randomPeer() const
+{
+    uint64_t job = Core::randomBelow(std::numeric_limits<uint64_t>::max());
+    return addressOf(choose(job, [this](const PeerInfo& daemon) { return daemon.address != m_self.address; }));
+}
+
 bool PeerTable::isSuspect(const Core::Address& daemon) const
 {
     auto suspicion = m_suspicions.find(daemon);
--- a/Libraries/LibRelay/src/RequestExecution.cpp
+++ b/Libraries/LibRelay/src/RequestExecution.cpp
@@ -29,6 +29,7 @@
 static constexpr int64_t retryAfterUnservedVersionMs = 1'000;
 // A retry reaches another daemon.
 static constexpr int64_t retryAfterStopMs = 50;
+static constexpr int64_t retryAfterLinkMs = 100;
 
 RequestExecution::RequestExecution(RequestHandler& handler, HTTP::ResponseWriter& writer)
     : m_handler(handler)
@@ -128,6 +129,11 @@
     m_deadline = m_request.deadline;
     if (m_route.timeoutMs > 0)
         m_deadline = std::min(m_deadline, Deadline(m_startedAt + std::chrono::milliseconds(m_route.timeoutMs)));
+    // Part of the time has passed on this host's link before the first byte was read, or will pass there after the last was written.
+    std::chrono::milliseconds linkDelay = m_handler.m_hooks.linkDelay ? m_handler.m_hooks.linkDelay() : std::chrono::milliseconds(0);
+    m_deadline = Deadline(m_deadline.at() - linkDelay);
+    if (m_deadline.hasPassed())
+        co_return Refusal { 503, "link_full", "the answer could not reach the caller in time over this host's link, on which messages take " + std::to_string(linkDelay.count()) + " ms", retryAfterLinkMs };
     m_writer.abortAt(Deadline(m_deadline.at() + lateResponseTime));
     std::optional<Deadline> servesUntil = m_handler.m_hooks.servesUntil ? m_handler.m_hooks.servesUntil() : std::nullopt;
     if (servesUntil && m_deadline > *servesUntil)
@@ -352,6 +358,10 @@
             co_return;
         if (!canRetry(last) || mayCrashAnotherEngine())
             break;
+        if (m_sends == 0 && m_failedConnects >= m_handler.m_settings.maxFailedConnects) {
+            m_lastFailure += "; " + std::to_string(m_failedConnects) + " connects failed";
+            break;
+        }
     }
     co_await failRequest();
 }
@@ -483,6 +493,7 @@
     m_lastFailure = m_wasWithheld ? "endpoint " + endpoint.id + (selector.isEvacuated(endpoint) ? " was evacuated" : " began to refuse all requests, or became cold,") + " before this one was sent" : lossReason().value_or(reason.text());
     Core::logEvent(Events::attemptFailed, "request=" + m_request.id + " endpoint=" + endpoint.id + " sent=" + std::to_string(wasSent) + " reused_connection=" + std::to_string(m_wasConnectionStale) + " reason=\"" + m_lastFailure + "\"");
     m_hasConnectionBroken = wasSent;
+    m_failedConnects += !wasSent && !m_wasWithheld ? 1 : 0;
     co_await examineBreak(endpoint);
     if (*m_isCallerGone) {
         logCompletion("caller_gone", "");
--- a/Libraries/LibRelay/src/RequestExecution.h
+++ b/Libraries/LibRelay/src/RequestExecution.h
@@ -130,6 +130,8 @@
     Core::SteadyClock::time_point m_permitAskedAt {};
     // Addresses to which the request was sent. Another endpoint may take over an address.
     std::set<Core::Address> m_addresses;
+    // Number of endpoints to which no connection could be opened.
+    int m_failedConnects { 0 };
     // Number of endpoints to which the request was sent.
     int m_sends { 0 };
     // Number of sends after which the request may have run.
--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -2,6 +2,7 @@
 
 #include "ClientMetrics.h"
 #include "LibCore/Hash.h"
+#include "LibCore/Random.h"
 #include "PlatformAdapter/Adapter.h"
 #include "RelayEvents.h"
 
@@ -144,6 +145,8 @@
         [this] { return static_cast<double>(m_endpoints.endpoints().size()); });
     m_metrics.observe("jujuberelay_relay_timer_lag_seconds", "How late the last sample timer fired; a host that is short of processor time refuses requests.",
         [this] { return static_cast<double>(m_load.lag().count()) / 1'000; });
+    m_metrics.observe("jujuberelay_relay_link_delay_seconds", "Round trip over this host's link, from connects in the last second; a host whose link is full refuses requests.",
+        [this] { return static_cast<double>(m_link.delay(Core::SteadyClock::now()).count()) / 1'000; });
     m_metrics.observe("jujuberelay_relay_quarantined_parts", "Prompt parts with which requests are refused, since they crashed engines.",
         [this] { return static_cast<double>(m_quarantine.quarantinedParts(Core::SteadyClock::now())); });
     m_metrics.observe("jujuberelay_relay_limited_endpoints", "Endpoints that have named a limit on requests a second.",
@@ -192,6 +195,20 @@
 {
     m_metrics.histogram("jujuberelay_relay_connect_seconds", "Time to open a connection to an endpoint or the store, by outcome.", Telemetry::HistogramAxis::latencySeconds(), { { "outcome", nameOf(attempt.outcome) } })
         .observe(static_cast<double>(attempt.elapsed().count()) / 1'000);
+    m_link.record(attempt);
+    logLinkState();
+}
+
+void RelayDaemon::logLinkState()
+{
+    Core::SteadyClock::time_point now = Core::SteadyClock::now();
+    bool isFull = m_link.isFull(now);
+    if (std::exchange(m_wasLinkFull, isFull) == isFull)
+        return;
+    // Calls to them have failed for want of room on this host's link.
+    if (!isFull)
+        clearPeerSuspicions();
+    Core::logEvent(isFull ? RelayEvents::linkFull : RelayEvents::linkFree, "delay_ms=" + std::to_string(m_link.delay(now).count()) + " active_requests=" + std::to_string(m_callerServer.activeRequests()) + " needs_rest=" + std::to_string(m_link.needsRest(now)));
 }
 
 bool RelayDaemon::start(Reason& reason)
@@ -364,7 +381,11 @@
 {
     Relay::HandlerHooks hooks;
     hooks.configuration = [this] { return m_configuration; };
-    hooks.unservable = [this] { return servingRefusal(); };
+    hooks.unservable = [this] {
+        std::optional<Relay::Refusal> refusal = servingRefusal();
+        return refusal ? refusal : linkRefusal();
+    };
+    hooks.linkDelay = [this] { return m_link.delay(Core::SteadyClock::now()); };
     hooks.refreshConfiguration = [this] { return refreshConfiguration(); };
     hooks.storeSilence = [this] { return std::chrono::milliseconds(configurationAgeMs()); };
     hooks.servesUntil = [this] { return m_servesUntil; };
@@ -435,9 +456,18 @@
     return std::nullopt;
 }
 
+std::optional<Relay::Refusal> RelayDaemon::linkRefusal() const
+{
+    Core::SteadyClock::time_point now = Core::SteadyClock::now();
+    double share = m_link.admittedShare(now);
+    if (share >= 1 || static_cast<double>(Core::randomBelow(1'000)) < share * 1'000)
+        return std::nullopt;
+    return Relay::Refusal { 503, "link_full", "this host's link is full, connecting takes " + std::to_string(m_link.delay(now).count()) + " ms", retryAfterOverloadMs };
+}
+
 bool RelayDaemon::isReady() const
 {
-    return !m_isStopping && !servingRefusal();
+    return !m_isStopping && !servingRefusal() && !m_link.needsRest(Core::SteadyClock::now());
 }
 
 Core::Task<void> RelayDaemon::handleReadiness(HTTP::Request, HTTP::ResponseWriter& writer)
@@ -467,11 +497,29 @@
         co_await Core::sleepUntil(due);
         bool wasOverloaded = m_load.isOverloaded();
         m_load.record(due.at(), Core::SteadyClock::now());
+        logLinkState();
+        if (m_link.needsTest(Core::SteadyClock::now()) && m_linkTestDueAt.hasPassed()) {
+            m_linkTestDueAt = Deadline::after(Relay::LinkMonitor::testInterval);
+            Core::spawn(m_executor, "test link", testLink());
+        }
         if (m_load.isOverloaded() != wasOverloaded)
             Core::logEvent(wasOverloaded ? RelayEvents::overloadEnded : RelayEvents::overloaded, "timer_lag_ms=" + std::to_string(m_load.lag().count()) + " active_requests=" + std::to_string(m_callerServer.activeRequests()));
     }
 }
 
+Core::Task<void> RelayDaemon::testLink()
+{
+    std::optional<Core::Address> peer = m_watchers.randomPeer();
+    if (!peer)
+        co_return;
+    HTTP::CallOptions options;
+    options.use = HTTP::ConnectionUse::Fresh;
+    // Only the time to connect is of interest.
+    options.guard = [] { return false; };
+    Reason ignored;
+    co_await m_client->call(*peer, {}, Deadline::after(Relay::LinkMonitor::testTimeout), std::move(options), ignored);
+}
+
 Core::Task<bool> RelayDaemon::stop()
 {
     m_isStopping = true;
--- a/Services/jujuberelayd/src/RelayDaemon.h
+++ b/Services/jujuberelayd/src/RelayDaemon.h
@@ -4,6 +4,7 @@
 #include "LibPeer/Network.h"
 #include "LibRelay/EvacuationSet.h"
 #include "LibRelay/GrantRouter.h"
+#include "LibRelay/LinkMonitor.h"
 #include "LibRelay/LoadMonitor.h"
 #include "LibRelay/PeerDirectory.h"
 #include "LibRelay/PeerStore.h"
@@ -70,6 +71,8 @@
     Core::Task<bool> refreshConfiguration();
     // Returns the refusal for all requests while this daemon cannot serve any.
     std::optional<Relay::Refusal> servingRefusal() const;
+    // Refuses a part of the requests while the link is full.
+    std::optional<Relay::Refusal> linkRefusal() const;
     bool isReady() const;
     int64_t configurationAgeMs() const;
     Core::Task<void> handleReadiness(HTTP::Request, HTTP::ResponseWriter&);
@@ -77,6 +80,12 @@
     Core::Task<void> expireEndpoints();
     Core::Task<void> monitorLoad();
     void recordConnect(const HTTP::ConnectAttempt&);
+    // Logs when the link becomes full or free.
+    void logLinkState();
+    // Measures the delay of the link with a connect to another daemon.
+    Core::Task<void> testLink();
+    // Called after this host's own path has failed, which makes all peers appear to fail.
+    void clearPeerSuspicions();
     Relay::PeerInfo selfInfo() const { return { m_settings.peerAddress, m_settings.failureDomain, m_settings.processorShare * m_settings.linkMbps }; }
     // Seed peers other than this daemon, through which the store is reached until announcements of peers are known.
     std::vector<Core::Address> otherSeeds() const;
@@ -119,6 +128,7 @@
     HTTP::Server m_readinessServer;
     HTTP::Server m_metricsServer;
     Relay::LoadMonitor m_load;
+    Relay::LinkMonitor m_link;
     // Failure domains that have a metric of their evacuation, as printed.
     std::set<std::string> m_measuredEvacuations;
     // Last logged fault in the cold limit of each service.
@@ -126,6 +136,8 @@
     // Last logged watch source of each object prefix.
     std::map<std::string, std::string> m_loggedWatchSources;
     Core::SteadyClock::time_point m_startedAt { Core::SteadyClock::now() };
+    bool m_wasLinkFull { false };
+    Core::Deadline m_linkTestDueAt { Core::SteadyClock::time_point {} };
     bool m_isStopping { false };
     // Set once the load balancer no longer chooses this daemon: when requests in progress are interrupted.
     std::optional<Core::Deadline> m_servesUntil;
--- a/Services/jujuberelayd/src/RelayDaemonLinks.cpp
+++ b/Services/jujuberelayd/src/RelayDaemonLinks.cpp
@@ -265,10 +265,15 @@
     hooks.lost = [this](const Reason& reason) { logStoreAvailability("store", true, " reason=\"" + reason.text() + "\""); };
     hooks.regained = [this] {
         // A partition from the store usually includes the peers too, so they are assumed to be reachable again.
-        m_grants.peers().clearSuspicions();
-        m_watchers.clearSuspicions();
-        m_issuers.clearSuspicions();
+        clearPeerSuspicions();
         logStoreAvailability("store", false, "");
     };
     return hooks;
 }
+
+void RelayDaemon::clearPeerSuspicions()
+{
+    m_grants.peers().clearSuspicions();
+    m_watchers.clearSuspicions();
+    m_issuers.clearSuspicions();
+}
--- a/Tests/LibRelay/RelayFixture.h
+++ b/Tests/LibRelay/RelayFixture.h
@@ -126,6 +126,7 @@
     bool isStoreAnswering { true };
     std::chrono::milliseconds storeSilence { 0 };
     std::optional<Core::Deadline> servesUntil;
+    std::chrono::milliseconds linkDelay { 0 };
     std::vector<std::string> rejected;
     // Issues all permits and answers no call, if set; and the calls to it.
     std::optional<Core::Address> silentIssuer;
@@ -223,6 +224,7 @@
         hooks.unservable = []() -> std::optional<Relay::Refusal> { return std::nullopt; };
         hooks.refreshConfiguration = [this]() -> Core::Task<bool> { co_return isStoreAnswering; };
         hooks.storeSilence = [this] { return storeSilence; };
+        hooks.linkDelay = [this] { return linkDelay; };
         hooks.servesUntil = [this] { return servesUntil; };
         hooks.rejectEndpoint = [this](const std::string& endpoint) { rejected.push_back(endpoint); };
         hooks.findOrigin = [this](std::optional<uint64_t> stream, std::string service, Core::Deadline deadline, Core::Reason& reason) -> Core::Task<std::optional<Relay::StreamOriginStore::Found>> {
--- a/Tests/LibRelay/TestRequestTime.cpp
+++ b/Tests/LibRelay/TestRequestTime.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
+#include <sys/socket.h>
 
 using namespace RelayTest;
 using namespace std::chrono_literals;
@@ -42,6 +43,27 @@
     co_return std::chrono::duration_cast<std::chrono::milliseconds>(Core::SteadyClock::now() - startedAt);
 }
 
+// An address that takes no further connections: connects wait without an answer.
+struct FullListener {
+    FullListener()
+        : acceptor(context, boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0))
+    {
+        ::listen(acceptor.native_handle(), 0);
+        for (boost::asio::ip::tcp::socket& socket : pending) {
+            socket.open(boost::asio::ip::tcp::v4());
+            socket.native_non_blocking(true);
+            // The library's connect would wait for the connection.
+            ::connect(socket.native_handle(), acceptor.local_endpoint().data(), static_cast<socklen_t>(acceptor.local_endpoint().size()));
+        }
+    }
+
+    Core::Address address() const { return { "127.0.0.1", acceptor.local_endpoint().port() }; }
+
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor acceptor;
+    std::array<boost::asio::ip::tcp::socket, 2> pending { boost::asio::ip::tcp::socket(context), boost::asio::ip::tcp::socket(context) };
+};
+
 }
 
 // Guards against holding a request beyond its route's time-out because its body took long to arrive.
@@ -67,3 +89,45 @@
     cr_assert_eq(fixture.arrivals.size(), 1);
     cr_assert_leq(std::stoi(HTTP::findHeader(fixture.arrivals.front().headers, "Left").value()), 900 - 700);
 }
+
+// Guards against an answer that reaches the caller late because it has to wait in the queue of this host's link.
+Test(RequestTime, answerStartsEarlierOverASlowLink)
+{
+    Fixture fixture;
+    setRouteTimeout(fixture);
+    fixture.answer = neverAnswer;
+    fixture.linkDelay = 200ms;
+    std::optional<std::chrono::milliseconds> elapsed = TestSupport::runTask(fixture.context, sendInTwoParts(fixture.address, "", 0ms));
+    cr_assert(elapsed && *elapsed < routeTimeout, "answered after %lld ms", static_cast<long long>(elapsed.value_or(0ms).count()));
+}
+
+// Guards against beginning a request whose answer cannot reach the caller in time.
+Test(RequestTime, requestIsRefusedIfTheLinkTakesAllItsTime)
+{
+    Fixture fixture;
+    setRouteTimeout(fixture);
+    fixture.answer = neverAnswer;
+    fixture.linkDelay = routeTimeout;
+    cr_assert_eq(fixture.call(fixture.makeRequest("/once/a"))->status, 503);
+    cr_assert(fixture.arrivals.empty());
+}
+
+// Guards against holding a request until its time is over while no endpoint can be connected to: its caller could try another daemon.
+Test(RequestTime, requestIsRefusedAfterAFewFailedConnects)
+{
+    Fixture fixture(0);
+    std::array<FullListener, 8> listeners;
+    for (size_t i = 0; i < listeners.size(); ++i) {
+        Relay::Endpoint endpoint;
+        endpoint.id = "full" + std::to_string(i);
+        endpoint.service = "service";
+        endpoint.address = listeners.at(i).address();
+        fixture.directory.put(endpoint);
+    }
+    size_t timeouts = 0;
+    fixture.client->onConnectAttempt([&timeouts](const HTTP::ConnectAttempt& attempt) { timeouts += attempt.outcome == HTTP::ConnectAttempt::Outcome::TimedOut ? 1 : 0; });
+    std::optional<HTTP::Response> response = fixture.call(fixture.makeRequest("/once/a"));
+    cr_assert_eq(response->status, 503);
+    cr_assert(HTTP::findHeader(response->headers, "Retry-After").has_value());
+    cr_assert_eq(timeouts, 3);
+}
