HTTP: Connections that only measure a path are closed at once

The connects that measure a full link went to the pool, at addresses to which nothing else is sent over HTTP, and kept their descriptors until the process ended: five a second while the link is full. Found on reading; not seen by a caller. Client::testConnect closes them.

--- a/Libraries/LibHTTP/include/LibHTTP/Client.h
+++ b/Libraries/LibHTTP/include/LibHTTP/Client.h
@@ -119,6 +119,9 @@
     Core::Task<std::optional<std::unique_ptr<ResponseStream>>> call(
         Core::Address, Request, Core::Deadline, CallOptions, Core::Reason&);
 
+    // Opens a connection and closes it again, to measure how long that takes; see onConnectAttempt().
+    Core::Task<bool> testConnect(Core::Address, Core::Deadline);
+
     // Whether a connection to the address that was established before the given time has not been closed by the peer since, so
     // that the process that accepted it still runs.
     bool hasOpenConnection(const Core::Address&, Core::SteadyClock::time_point establishedBefore) const;
--- a/Libraries/LibHTTP/src/Client.cpp
+++ b/Libraries/LibHTTP/src/Client.cpp
@@ -209,6 +209,14 @@
     co_return std::nullopt;
 }
 
+Core::Task<bool> Client::testConnect(Core::Address address, Core::Deadline deadline)
+{
+    Connection connection(m_executor, m_pool->table, m_pool->budget, address);
+    ++m_pool->connectionsOpened;
+    Core::Reason ignored;
+    co_return co_await connect(connection, address, deadline, {}, m_pool->connectAttemptEnded, ignored);
+}
+
 Core::Task<std::optional<std::unique_ptr<ResponseStream>>> Client::open(
     Core::Address address, Request request, Core::Deadline deadline, Core::Reason& reason, ConnectionUse use)
 {
--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -509,15 +509,8 @@
 
 Core::Task<void> RelayDaemon::testLink()
 {
-    std::optional<Core::Address> peer = m_watchers.randomPeer();
-    if (!peer)
-        co_return;
-    HTTP::CallOptions options;
-    options.use = HTTP::ConnectionUse::Fresh;
-    // Only the time to connect is of interest.
-    options.guard = [] { return false; };
-    Reason ignored;
-    co_await m_client->call(*peer, {}, Deadline::after(Relay::LinkMonitor::testTimeout), std::move(options), ignored);
+    if (std::optional<Core::Address> peer = m_watchers.randomPeer())
+        co_await m_client->testConnect(*peer, Deadline::after(Relay::LinkMonitor::testTimeout));
 }
 
 Core::Task<bool> RelayDaemon::stop()
