Relay: A host that is cut off from endpoints passes requests on through peers

Cause: such a host tried one endpoint after the other for each request, 400 ms each, and refused after seconds; what one request learned did not help the next. Readiness alone cannot help: if fewer than half of a failure domain's hosts are ready, the balancer uses all.

EndpointReach tells from the connects of all requests, for each service, whether the host is cut off. While it is, it passes the service's requests on to a daemon that reaches endpoints: one hop, marked, never a second time once a request may have run. That daemon holds the tokens, counts attempts, records the stream and bills.

--- a/Libraries/LibRelay/include/LibRelay/BudgetManager.h
+++ b/Libraries/LibRelay/include/LibRelay/BudgetManager.h
@@ -67,7 +67,8 @@
     void stopAllocating() { m_isAllocating = false; }
 
     // Keeps no reserve from now on; maintain() returns what requests leave over.
-    void stopReserving() { m_isReserving = false; }
+    void stopReserving() { setReserving(false); }
+    void setReserving(bool isReserving) { m_isReserving = isReserving; }
 
     // Returns all tokens that no request holds. Call this once no further requests are accepted.
     Core::Task<void> returnAll(Core::Deadline);
--- a/Libraries/LibRelay/include/LibRelay/CallerRequest.h
+++ b/Libraries/LibRelay/include/LibRelay/CallerRequest.h
@@ -44,6 +44,8 @@
     std::optional<uint64_t> lastEvent;
     // Id of the caller's earlier request that began the stream, if this one takes it up.
     std::optional<std::string> resumes;
+    // Another daemon has passed the request on for its caller.
+    bool isRelayed { false };
     // Method, target, body and the headers that are forwarded to the endpoint unchanged.
     HTTP::Request message;
 };
@@ -93,6 +95,8 @@
     // Empty with a reason of kind Invalid if the request is malformed.
     std::function<std::optional<CallerRequest>(HTTP::Request, Core::Deadline limit, Core::Reason&)> decodeRequest;
     std::function<HTTP::Request(const CallerRequest&, const Dispatch&)> encodeDispatch;
+    // The caller's request as it is passed on through another daemon, with its key and the time left.
+    std::function<HTTP::Request(const CallerRequest&, Core::Deadline)> encodeRelayed;
     std::function<ResponseMetadata(unsigned status, const HTTP::Headers&)> decodeResponseMetadata;
     // Headers of an endpoint's response that are forwarded to the caller.
     std::function<HTTP::Headers(const HTTP::Headers&)> callerHeaders;
--- a/Libraries/LibRelay/include/LibRelay/PeerTable.h
+++ b/Libraries/LibRelay/include/LibRelay/PeerTable.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -16,6 +17,8 @@
     std::string failureDomain;
     // Relative weight of the host in the distribution of jobs.
     double capacity { 1 };
+    // Where the daemon takes requests of callers; empty for one of a release that does not announce it.
+    std::optional<Core::Address> callerAddress {};
     bool operator==(const PeerInfo&) const = default;
 };
 
@@ -44,6 +47,10 @@
     // A random daemon other than this one, suspect or not; empty if there is none.
     std::optional<Core::Address> randomPeer() const;
 
+    // A daemon other than this one that takes requests of callers and is neither suspect nor excluded by that address, drawn at random by
+    // capacity. Daemons are suspected here by that address too.
+    std::optional<Core::Address> randomRelay(const std::set<Core::Address>& excluded) const;
+
     // Whether the daemon has not answered recently.
     bool isSuspect(const Core::Address&) const;
     // Marks a daemon that did not answer. It is skipped for a time that doubles with each consecutive failure.
--- a/Libraries/LibRelay/include/LibRelay/RequestHandler.h
+++ b/Libraries/LibRelay/include/LibRelay/RequestHandler.h
@@ -50,6 +50,13 @@
     // Called when a stream that may be taken up begins, and when it ends. May be unset.
     std::function<void(uint64_t stream, const StreamOrigin&, Core::Deadline)> streamBegan {};
     std::function<void(uint64_t stream, bool isComplete)> streamEnded {};
+    // Whether this host reaches no endpoint of the service. May be unset.
+    std::function<bool(const std::string& service)> isCutOff {};
+    // Another daemon's address for callers, through which a request can be passed on, other than those that were asked already. Empty if
+    // there is none. Set if isCutOff is.
+    std::function<std::optional<Core::Address>(const std::set<Core::Address>& asked)> relayPeer {};
+    // Called after a request was passed on, with whether the daemon takes requests. Set if isCutOff is.
+    std::function<void(const Core::Address&, bool takesRequests)> relayEnded {};
     // Asks for a permit to send one request to an endpoint with this limit on requests a second.
     std::function<Core::Task<PermitService::Permit>(std::string endpoint, double perSecond)> acquirePermit;
 };
--- a/Libraries/LibRelay/src/Events.h
+++ b/Libraries/LibRelay/src/Events.h
@@ -7,6 +7,7 @@
 inline constexpr Core::Event endpointPaused { 1718, Core::Severity::Info, "endpoint_paused" };
 inline constexpr Core::Event requestRefused { 1721, Core::Severity::Info, "request_refused" };
 inline constexpr Core::Event requestSent { 1722, Core::Severity::Info, "request_sent" };
+inline constexpr Core::Event requestRelayed { 1719, Core::Severity::Info, "request_relayed" };
 inline constexpr Core::Event attemptFailed { 1723, Core::Severity::Info, "attempt_failed" };
 inline constexpr Core::Event requestEnded { 1724, Core::Severity::Info, "request_ended" };
 inline constexpr Core::Event streamSilent { 1725, Core::Severity::Info, "stream_silent" };
--- a/Libraries/LibRelay/src/PeerDirectory.cpp
+++ b/Libraries/LibRelay/src/PeerDirectory.cpp
@@ -42,7 +42,10 @@
 
 Core::Task<bool> PeerDirectory::announce(Reason& reason)
 {
-    std::string value = json { { "address", m_self.address.text() }, { "failure_domain", m_self.failureDomain }, { "capacity", m_self.capacity }, { "process", m_nonce } }.dump();
+    json announcement { { "address", m_self.address.text() }, { "failure_domain", m_self.failureDomain }, { "capacity", m_self.capacity }, { "process", m_nonce } };
+    if (m_self.callerAddress)
+        announcement["caller_address"] = m_self.callerAddress->text();
+    std::string value = announcement.dump();
     std::optional<Platform::Object> object = co_await readAnnouncement(reason);
     if (!object && reason.kind != FailureKind::NotFound)
         co_return false;
@@ -71,6 +74,8 @@
         peer.failureDomain = value["failure_domain"].get<std::string>();
     if (value.contains("capacity") && value["capacity"].is_number())
         peer.capacity = value["capacity"].get<double>();
+    if (value.contains("caller_address") && value["caller_address"].is_string())
+        peer.callerAddress = Core::Address::parse(value["caller_address"].get<std::string>(), ignored);
     m_lost.erase(object.name);
     m_peers.insert_or_assign(object.name, std::move(peer));
 }
--- a/Libraries/LibRelay/src/PeerTable.cpp
+++ b/Libraries/LibRelay/src/PeerTable.cpp
@@ -36,6 +36,14 @@
     return addressOf(choose(job, [this](const PeerInfo& daemon) { return daemon.address != m_self.address; }));
 }
 
+std::optional<Core::Address> PeerTable::randomRelay(const std::set<Core::Address>& excluded) const
+{
+    const PeerInfo* relay = choose(Core::randomBelow(std::numeric_limits<uint64_t>::max()), [this, &excluded](const PeerInfo& daemon) {
+        return daemon.address != m_self.address && daemon.callerAddress && !excluded.contains(*daemon.callerAddress) && !isSuspect(*daemon.callerAddress);
+    });
+    return relay ? relay->callerAddress : std::nullopt;
+}
+
 bool PeerTable::isSuspect(const Core::Address& daemon) const
 {
     auto suspicion = m_suspicions.find(daemon);
--- a/Libraries/LibRelay/src/RequestExecution.cpp
+++ b/Libraries/LibRelay/src/RequestExecution.cpp
@@ -83,8 +83,14 @@
     std::optional<Refusal> refusal = co_await authorize();
     if (!refusal)
         refusal = quarantineRefusal();
-    if (!refusal)
+    if (!refusal) {
+        m_service = selectService();
+        if (isCutOffFrom(m_service)) {
+            co_await relayToPeer();
+            co_return;
+        }
         refusal = co_await findOrigin();
+    }
     if (!refusal)
         refusal = findService();
     if (!refusal)
@@ -318,6 +324,10 @@
     retries.recordRequest(Core::SteadyClock::now());
     Outcome last = Outcome::NotRun;
     for (;;) {
+        if (m_sends == 0 && isCutOffFrom(service)) {
+            co_await relayToPeer();
+            co_return;
+        }
         const Endpoint* endpoint = m_handler.m_selector.choose(selectionQuery(service), Core::SteadyClock::now());
         if (!endpoint && co_await waitForPermit())
             continue;
--- a/Libraries/LibRelay/src/RequestExecution.h
+++ b/Libraries/LibRelay/src/RequestExecution.h
@@ -34,6 +34,14 @@
     Core::Task<std::optional<Refusal>> findOrigin();
     Core::Task<std::optional<Refusal>> holdTokens();
     Core::Task<void> dispatch();
+    bool isCutOffFrom(const std::string& service) const;
+    // Passes the request, which has not been sent to an endpoint, on through another daemon; see PeerRelay.cpp.
+    Core::Task<void> relayToPeer();
+    // Finished unless the peer has not run the request. The peer's refusal is stored if it has sent one.
+    Core::Task<Outcome> relayTo(Core::Address peer, std::optional<HTTP::Response>& refusal);
+    Core::Task<void> forwardFromPeer(const Core::Address& peer, HTTP::ResponseStream&);
+    Core::Task<void> forwardStreamFromPeer(HTTP::ResponseStream&, const std::string& detail);
+    Refusal cutOffRefusal(const std::string& detail) const;
     std::string selectService() const;
     // Whether the answer is a stream that the caller may take up after a loss of its connection.
     bool mayBeTakenUp() const { return m_route.isStream && m_route.isResumable; }
--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -106,6 +106,7 @@
     , m_watchers(selfInfo())
     , m_issuers(selfInfo())
     , m_permits(makePermitHooks())
+    , m_relays(selfInfo())
     , m_endpoints([this](const Relay::Endpoint& endpoint, const char* why) {
         m_selector.forget(endpoint.id);
         Core::logEvent(RelayEvents::endpointRemoved, "endpoint=" + endpoint.id + " service=" + endpoint.service + " reason=\"" + why + "\"");
@@ -197,6 +198,7 @@
         .observe(static_cast<double>(attempt.elapsed().count()) / 1'000);
     m_link.record(attempt);
     logLinkState();
+    recordReach(attempt);
 }
 
 void RelayDaemon::logLinkState()
@@ -231,6 +233,7 @@
     Core::spawn(m_executor, "expire endpoints", expireEndpoints());
     Core::spawn(m_executor, "maintain budgets", m_budgets.maintain());
     Core::spawn(m_executor, "monitor load", monitorLoad());
+    Core::spawn(m_executor, "test reach", testReach());
     return true;
 }
 
@@ -396,6 +399,7 @@
         double ownSharesFraction = isCold ? Relay::ColdEndpoints::ownSharesFraction : Relay::PermitService::defaultOwnSharesFraction;
         return m_permits.acquire(std::move(endpoint), perSecond, ownSharesFraction);
     };
+    addRelayHooks(hooks);
     hooks.endpointLeaves = [this](const Relay::Endpoint& endpoint, const std::string& request) {
         if (m_endpoints.markLeaving(endpoint, Core::SteadyClock::now()))
             Core::logEvent(RelayEvents::endpointLeaving, "endpoint=" + endpoint.id + " service=" + endpoint.service + " address=" + endpoint.address.text() + " source=answer request=" + request);
@@ -467,7 +471,7 @@
 
 bool RelayDaemon::isReady() const
 {
-    return !m_isStopping && !servingRefusal() && !m_link.needsRest(Core::SteadyClock::now());
+    return !m_isStopping && !servingRefusal() && !m_link.needsRest(Core::SteadyClock::now()) && !isCutOffFromAll();
 }
 
 Core::Task<void> RelayDaemon::handleReadiness(HTTP::Request, HTTP::ResponseWriter& writer)
@@ -502,6 +506,7 @@
             m_linkTestDueAt = Deadline::after(Relay::LinkMonitor::testInterval);
             Core::spawn(m_executor, "test link", testLink());
         }
+        updateReach();
         if (m_load.isOverloaded() != wasOverloaded)
             Core::logEvent(wasOverloaded ? RelayEvents::overloadEnded : RelayEvents::overloaded, "timer_lag_ms=" + std::to_string(m_load.lag().count()) + " active_requests=" + std::to_string(m_callerServer.activeRequests()));
     }
--- a/Services/jujuberelayd/src/RelayDaemon.h
+++ b/Services/jujuberelayd/src/RelayDaemon.h
@@ -2,6 +2,7 @@
 
 #include "LibHTTP/Server.h"
 #include "LibPeer/Network.h"
+#include "LibRelay/EndpointReach.h"
 #include "LibRelay/EvacuationSet.h"
 #include "LibRelay/GrantRouter.h"
 #include "LibRelay/LinkMonitor.h"
@@ -80,13 +81,22 @@
     Core::Task<void> expireEndpoints();
     Core::Task<void> monitorLoad();
     void recordConnect(const HTTP::ConnectAttempt&);
+    void recordReach(const HTTP::ConnectAttempt&);
+    // Logs from which services this host has become cut off, and adapts what it keeps for their requests.
+    void updateReach();
+    // Whether this host reaches no endpoint of any service that has one.
+    bool isCutOffFromAll() const;
+    // Connects to endpoints from which this host is cut off, to find out when it no longer is.
+    Core::Task<void> testReach();
+    Core::Task<void> testReachOf(std::string service);
+    void addRelayHooks(Relay::HandlerHooks&);
     // Logs when the link becomes full or free.
     void logLinkState();
     // Measures the delay of the link with a connect to another daemon.
     Core::Task<void> testLink();
     // Called after this host's own path has failed, which makes all peers appear to fail.
     void clearPeerSuspicions();
-    Relay::PeerInfo selfInfo() const { return { m_settings.peerAddress, m_settings.failureDomain, m_settings.processorShare * m_settings.linkMbps }; }
+    Relay::PeerInfo selfInfo() const { return { m_settings.peerAddress, m_settings.failureDomain, m_settings.processorShare * m_settings.linkMbps, m_settings.callerAddress }; }
     // Seed peers other than this daemon, through which the store is reached until announcements of peers are known.
     std::vector<Core::Address> otherSeeds() const;
     void predictEngineLoad();
@@ -108,6 +118,9 @@
     // Daemons that issue permits for endpoints with a limit.
     Relay::PeerTable m_issuers;
     Relay::PermitService m_permits;
+    // Daemons through which requests are passed on while this host is cut off from endpoints; suspected by their addresses for callers.
+    Relay::PeerTable m_relays;
+    Relay::EndpointReach m_reach;
     std::shared_ptr<const Relay::Configuration> m_configuration;
     Relay::EndpointDirectory m_endpoints;
     Relay::EvacuationSet m_evacuations;
@@ -138,6 +151,8 @@
     Core::SteadyClock::time_point m_startedAt { Core::SteadyClock::now() };
     bool m_wasLinkFull { false };
     Core::Deadline m_linkTestDueAt { Core::SteadyClock::time_point {} };
+    // As last logged.
+    std::set<std::string> m_cutOffServices;
     bool m_isStopping { false };
     // Set once the load balancer no longer chooses this daemon: when requests in progress are interrupted.
     std::optional<Core::Deadline> m_servesUntil;
--- a/Services/jujuberelayd/src/RelayDaemonLinks.cpp
+++ b/Services/jujuberelayd/src/RelayDaemonLinks.cpp
@@ -169,6 +169,7 @@
         m_peerStore.setPeers(addresses.empty() ? otherSeeds() : std::move(addresses));
         m_grants.peers().setPeers(peers);
         m_issuers.setPeers(peers);
+        m_relays.setPeers(peers);
         m_watchers.setPeers(std::move(peers));
         m_budgets.setDaemons(m_watchers.size());
         m_streamOrigins.setWriteInterval(streamWriteInterval(m_watchers.size(), m_settings.storeWritesPerSecond));
--- a/Services/jujuberelayd/src/RelayEvents.h
+++ b/Services/jujuberelayd/src/RelayEvents.h
@@ -18,6 +18,8 @@
 inline constexpr Core::Event overloadEnded { 1716, Core::Severity::Info, "host_overload_ended" };
 inline constexpr Core::Event linkFull { 1752, Core::Severity::Warning, "link_full" };
 inline constexpr Core::Event linkFree { 1753, Core::Severity::Info, "link_free" };
+inline constexpr Core::Event cutOff { 1754, Core::Severity::Warning, "cut_off" };
+inline constexpr Core::Event cutOffEnded { 1755, Core::Severity::Info, "cut_off_ended" };
 inline constexpr Core::Event announced { 1713, Core::Severity::Info, "relay_announced" };
 inline constexpr Core::Event evacuationAdopted { 1745, Core::Severity::Warning, "evacuation_adopted" };
 inline constexpr Core::Event evacuationLifted { 1746, Core::Severity::Info, "evacuation_lifted" };
--- a/Tests/LibRelay/RelayFixture.h
+++ b/Tests/LibRelay/RelayFixture.h
@@ -25,6 +25,7 @@
             request.deadline = Core::Deadline::after(std::chrono::milliseconds(std::stoi(*text)));
         if (std::optional<std::string> text = HTTP::findHeader(message.headers, "Tokens"))
             request.tokens = Relay::TokenDemand { std::stoi(*text), std::stoll(HTTP::findHeader(message.headers, "Max-Output").value_or("10")) };
+        request.isRelayed = HTTP::findHeader(message.headers, "Relayed").has_value();
         request.resumes = HTTP::findHeader(message.headers, "Resumes");
         if (std::optional<std::string> text = HTTP::findHeader(message.headers, "Last-Event"))
             request.lastEvent = std::stoull(*text);
@@ -46,6 +47,12 @@
             message.headers.push_back({ "Urgency", std::to_string(*dispatch.urgency) });
         return message;
     };
+    codec.encodeRelayed = [](const Relay::CallerRequest& request, Core::Deadline) {
+        HTTP::Request message = request.message;
+        std::erase_if(message.headers, [](const HTTP::Header& header) { return header.name == "Content-Length"; });
+        message.headers.push_back({ "Relayed", "1" });
+        return message;
+    };
     codec.decodeResponseMetadata = [](unsigned status, const HTTP::Headers& headers) {
         Relay::ResponseMetadata metadata;
         metadata.requestId = HTTP::findHeader(headers, "Id").value_or("");
@@ -61,7 +68,7 @@
     codec.callerHeaders = [](const HTTP::Headers& headers) {
         HTTP::Headers kept;
         for (const HTTP::Header& header : headers) {
-            if (header.name == "Seal")
+            if (header.name == "Seal" || header.name == "Retry-After")
                 kept.push_back(header);
         }
         return kept;
@@ -127,6 +134,10 @@
     std::chrono::milliseconds storeSilence { 0 };
     std::optional<Core::Deadline> servesUntil;
     std::chrono::milliseconds linkDelay { 0 };
+    // Whether the host is cut off from a service, if set, its peers' addresses for callers, and whether those that were asked took requests.
+    std::function<bool(const std::string&)> isCutOff;
+    std::vector<Core::Address> relayPeers;
+    std::vector<bool> relayOutcomes;
     std::vector<std::string> rejected;
     // Issues all permits and answers no call, if set; and the calls to it.
     std::optional<Core::Address> silentIssuer;
@@ -225,6 +236,15 @@
         hooks.refreshConfiguration = [this]() -> Core::Task<bool> { co_return isStoreAnswering; };
         hooks.storeSilence = [this] { return storeSilence; };
         hooks.linkDelay = [this] { return linkDelay; };
+        hooks.isCutOff = [this](const std::string& service) { return isCutOff && isCutOff(service); };
+        hooks.relayPeer = [this](const std::set<Core::Address>& asked) -> std::optional<Core::Address> {
+            for (const Core::Address& peer : relayPeers) {
+                if (!asked.contains(peer))
+                    return peer;
+            }
+            return std::nullopt;
+        };
+        hooks.relayEnded = [this](const Core::Address&, bool takesRequests) { relayOutcomes.push_back(takesRequests); };
         hooks.servesUntil = [this] { return servesUntil; };
         hooks.rejectEndpoint = [this](const std::string& endpoint) { rejected.push_back(endpoint); };
         hooks.findOrigin = [this](std::optional<uint64_t> stream, std::string service, Core::Deadline deadline, Core::Reason& reason) -> Core::Task<std::optional<Relay::StreamOriginStore::Found>> {
--- a/Tests/PlatformAdapter/TestCodec.cpp
+++ b/Tests/PlatformAdapter/TestCodec.cpp
@@ -42,6 +42,32 @@
     cr_assert_eq(HTTP::findHeader(sent.headers, "X-Attempt-Id").value(), "r1");
 }
 
+// Guards against a request that loses its key or its time on the way through another daemon, and against a mark that reaches endpoints.
+Test(Codec, relayedRequestIsTheCallersOwn)
+{
+    HTTP::Headers headers = minimal();
+    for (const HTTP::Header& header : HTTP::Headers { { "Authorization", "Bearer secret" }, { "X-Deadline-Ms", "9000" }, { "X-Token-Counts", "7,8" }, { "Last-Event-Id", "4" }, { "Resumes", "r0" }, { "X-Tenant", "forged" } })
+        headers.push_back(header);
+    Core::Reason reason;
+    std::optional<Relay::CallerRequest> request = decode(headers, reason);
+    cr_assert(!request->isRelayed);
+    HTTP::Request relayed = makeCodec().encodeRelayed(*request, Core::Deadline::after(std::chrono::seconds(1)));
+    cr_assert_eq(relayed.target, "/a/b");
+    cr_assert_eq(relayed.body, "body");
+    cr_assert_leq(std::stoi(HTTP::findHeader(relayed.headers, "X-Deadline-Ms").value()), 1'000);
+    cr_assert(!HTTP::findHeader(relayed.headers, "X-Tenant"));
+    std::optional<Relay::CallerRequest> received = makeCodec().decodeRequest(relayed, Core::Deadline::after(std::chrono::seconds(60)), reason);
+    cr_assert(received->isRelayed);
+    cr_assert_eq(received->id, request->id);
+    cr_assert_eq(received->key, request->key);
+    cr_assert_eq(received->host, request->host);
+    cr_assert_eq(received->tokens, request->tokens);
+    cr_assert_eq(received->lastEvent, request->lastEvent);
+    cr_assert_eq(received->resumes, request->resumes);
+    for (const HTTP::Header& header : makeCodec().encodeDispatch(*received, {}).headers)
+        cr_assert_neq(header.name, "X-Relayed-By");
+}
+
 // Guards against a body in a content coding reaching a caller, which endpoints may send to a request that accepts one.
 Test(Codec, contentCodingsAreNotRequested)
 {
