Relay: Requests to brittle endpoints need a place

Cause: each daemon decides alone, and tries an endpoint until it rejects.

Requests to a service whose endpoints say so take a place first.

--- a/Libraries/LibRelay/include/LibRelay/CallerRequest.h
+++ b/Libraries/LibRelay/include/LibRelay/CallerRequest.h
@@ -75,6 +75,8 @@
     std::optional<Core::Deadline> pausedUntil;
     // Requests a second that the endpoint takes from all daemons together.
     std::optional<double> requestLimit;
+    // The endpoint falls over if it has to reject more requests in a second.
+    std::optional<double> maxRejections;
     // The rest of the time in which the endpoint is cold; 0 if the answer names none.
     std::chrono::milliseconds coldLeft { 0 };
 };
--- a/Libraries/LibRelay/include/LibRelay/PermitService.h
+++ b/Libraries/LibRelay/include/LibRelay/PermitService.h
@@ -63,6 +63,9 @@
     // All daemons' own shares together are the given part of the limit.
     Core::Task<Permit> acquire(std::string endpoint, double perSecond, double ownSharesFraction = defaultOwnSharesFraction);
 
+    // Whether this daemon issues the endpoint's permits now.
+    bool isIssuer(const std::string& endpoint, TimePoint now) const;
+
     // Answers another daemon. Empty if this daemon does not issue the endpoint's permits now.
     std::optional<PermitReply> serve(const PermitRequest&, TimePoint now);
 
--- a/Libraries/LibRelay/include/LibRelay/RequestHandler.h
+++ b/Libraries/LibRelay/include/LibRelay/RequestHandler.h
@@ -3,6 +3,7 @@
 #include "LibHTTP/Client.h"
 #include "LibHTTP/ResponseWriter.h"
 #include "LibRelay/AnswerConfirmation.h"
+#include "LibRelay/BrittleServices.h"
 #include "LibRelay/BudgetManager.h"
 #include "LibRelay/CallerRequest.h"
 #include "LibRelay/CrashCheck.h"
@@ -57,6 +58,10 @@
     std::function<std::optional<Core::Address>(const std::set<Core::Address>& asked)> relayPeer {};
     // Called after a request was passed on, with whether the daemon takes requests. Set if isCutOff is.
     std::function<void(const Core::Address&, bool takesRequests)> relayEnded {};
+    // Takes a place at a brittle endpoint, and returns it with what the endpoint has named if it rejected the request; see PlaceService.
+    // May be unset: brittle endpoints are treated like others.
+    std::function<Core::Task<std::optional<uint64_t>>(const Endpoint&, Core::Deadline)> acquirePlace {};
+    std::function<void(const std::string& endpoint, uint64_t place, std::optional<double> maxRejections)> returnPlace {};
     // Asks for a permit to send one request to an endpoint with this limit on requests a second.
     std::function<Core::Task<PermitService::Permit>(std::string endpoint, double perSecond)> acquirePermit;
 };
@@ -98,6 +103,8 @@
     Routing::RetryBudget& retryBudget(const std::string& service);
     // Acts on what an answer says about the endpoint itself, whether or not it answers the request.
     void recordAnswer(const Endpoint&, const std::string& request, const ResponseMetadata&);
+    // Records whether the endpoint is brittle.
+    void recordBrittleness(const Endpoint&, const std::string& request, const ResponseMetadata&);
     // Records the limit on requests a second in the answer to a request that was sent at sentAt, or that the answer names none.
     void recordLimit(const Endpoint&, const std::string& request, const ResponseMetadata&, Core::SteadyClock::time_point sentAt);
 
@@ -113,6 +120,7 @@
     AnswerConfirmation m_confirmation;
     Telemetry::Metrics& m_metrics;
     std::map<std::string, Routing::RetryBudget> m_retryBudgets;
+    BrittleServices m_brittleServices;
 };
 
 }
--- a/Libraries/LibRelay/src/Events.h
+++ b/Libraries/LibRelay/src/Events.h
@@ -18,6 +18,7 @@
 inline constexpr Core::Event suspectNotWritten { 1730, Core::Severity::Warning, "suspect_not_written" };
 inline constexpr Core::Event engineChecked { 1734, Core::Severity::Info, "engine_checked" };
 inline constexpr Core::Event endpointLimited { 1735, Core::Severity::Info, "endpoint_limited" };
+inline constexpr Core::Event serviceBrittle { 1756, Core::Severity::Warning, "service_brittle" };
 inline constexpr Core::Event engineLate { 1741, Core::Severity::Info, "engine_late" };
 inline constexpr Core::Event streamTakenUp { 1742, Core::Severity::Info, "stream_taken_up" };
 inline constexpr Core::Event streamRecordIgnored { 1743, Core::Severity::Warning, "stream_record_ignored" };
--- a/Libraries/LibRelay/src/PermitChecks.cpp
+++ b/Libraries/LibRelay/src/PermitChecks.cpp
@@ -21,19 +21,45 @@
     m_permitAskedAt = Core::SteadyClock::now();
     std::optional<double> limit = m_handler.m_selector.requestLimit(endpoint, m_permitAskedAt);
     if (!limit)
-        co_return true;
+        co_return co_await acquirePlace(endpoint);
     ++m_permitRequests;
     PermitService::Permit permit = co_await m_handler.m_hooks.acquirePermit(endpoint.id, *limit);
     m_hasPermitTimedOut = m_hasPermitTimedOut || permit.hasTimedOut;
     m_permitSource = permit.isOwnShare ? "own_share" : "issuer";
     m_handler.m_metrics.counter("jujuberelay_relay_permits_total", "Permits for endpoints that name a limit or are cold, by source and outcome.", { { "source", m_permitSource }, { "outcome", permit.reply.isGranted ? "granted" : "refused" } }).add();
     if (permit.reply.isGranted)
-        co_return true;
+        co_return co_await acquirePlace(endpoint);
     m_handler.m_selector.recordPermitRefusal(endpoint.id, Core::SteadyClock::now() + std::chrono::milliseconds(permit.reply.retryAfterMs));
     m_lastFailure = "endpoint " + endpoint.id + " takes only " + std::to_string(*limit) + " requests a second";
     co_return false;
 }
 
+Core::Task<bool> RequestExecution::acquirePlace(const Endpoint& endpoint)
+{
+    returnPlace(false);
+    if (!m_handler.m_hooks.acquirePlace || !m_handler.m_brittleServices.maxRejections(endpoint.service, Core::SteadyClock::now()))
+        co_return true;
+    std::optional<uint64_t> number = co_await m_handler.m_hooks.acquirePlace(endpoint, m_deadline);
+    m_handler.m_metrics.counter("jujuberelay_relay_places_total", "Places asked for at brittle endpoints, by outcome.", { { "outcome", number ? "granted" : "refused" } }).add();
+    if (number) {
+        m_place = Place { endpoint.id, *number };
+        co_return true;
+    }
+    ++m_refusedPlaces;
+    m_excluded.insert(endpoint.id);
+    m_lastFailure = "endpoint " + endpoint.id + " falls over if it rejects many requests, and has no free place";
+    co_return false;
+}
+
+void RequestExecution::returnPlace(bool wasRejected)
+{
+    if (!m_place)
+        return;
+    std::optional<double> maxRejections = m_handler.m_brittleServices.maxRejections(m_service, Core::SteadyClock::now());
+    m_handler.m_hooks.returnPlace(m_place->endpoint, m_place->number, wasRejected ? std::optional<double>(maxRejections.value_or(0)) : std::nullopt);
+    m_place = std::nullopt;
+}
+
 bool RequestExecution::lacksPermit(const Endpoint& endpoint) const
 {
     Core::SteadyClock::time_point now = Core::SteadyClock::now();
--- a/Libraries/LibRelay/src/PermitService.cpp
+++ b/Libraries/LibRelay/src/PermitService.cpp
@@ -71,9 +71,14 @@
     co_return Permit { takeOwnShare(request, Core::SteadyClock::now(), ownSharesFraction), true, hasTimedOut };
 }
 
+bool PermitService::isIssuer(const std::string& endpoint, TimePoint now) const
+{
+    return !m_isStopped && now >= m_settledAt && m_hooks.isFleetCurrent() && !m_hooks.issuerOf(endpoint);
+}
+
 std::optional<PermitReply> PermitService::serve(const PermitRequest& request, TimePoint now)
 {
-    if (m_isStopped || now < m_settledAt || !m_hooks.isFleetCurrent() || m_hooks.issuerOf(request.endpoint))
+    if (!isIssuer(request.endpoint, now))
         return std::nullopt;
     auto pacer = m_issued.find(request.endpoint);
     if (pacer == m_issued.end()) {
--- a/Libraries/LibRelay/src/RequestExecution.cpp
+++ b/Libraries/LibRelay/src/RequestExecution.cpp
@@ -14,6 +14,8 @@
 
 // Timeout of requests without a deadline on routes without a timeout.
 static constexpr std::chrono::milliseconds maxRequestTime(120'000);
+// Brittle endpoints without a free place that are asked for one request.
+static constexpr int maxRefusedPlaces = 4;
 // A request waits for a grant for at most its latency objective divided by this.
 static constexpr int64_t grantWaitDivisor = 3;
 static constexpr int64_t minGrantWaitMs = 150;
@@ -45,6 +47,7 @@
         m_handler.m_hooks.streamEnded(streamKeyOf(m_workspace ? m_workspace->name : "", m_request.id), m_isComplete);
     endWatch();
     endEngineRun();
+    returnPlace(false);
     settleTokens();
 }
 
@@ -341,6 +344,10 @@
             logCompletion("caller_gone", "");
             co_return;
         }
+        if (!isPermitted && m_refusedPlaces >= maxRefusedPlaces) {
+            m_wasOverloaded = true;
+            break;
+        }
         if (!isPermitted)
             continue;
         std::optional<Refusal> refusal = quarantineRefusal();
@@ -359,11 +366,13 @@
             break;
         }
         last = co_await attempt(chosen, HTTP::ConnectionUse::Pooled);
+        returnPlace(m_wasRejected);
         if (m_wasWithheld && isRetry)
             retries.returnRetry(startedAt);
         if (m_wasConnectionStale && last == Outcome::Unknown && !m_hasCrashedEngine && m_route.mayRunAgain() && co_await acquirePermit(chosen)
             && !*m_isCallerGone && !m_deadline.hasPassed())
             last = co_await repeatOnFreshConnection(chosen, retries);
+        returnPlace(m_wasRejected);
         if (last == Outcome::Finished)
             co_return;
         if (!canRetry(last) || mayCrashAnotherEngine())
@@ -456,6 +465,7 @@
     options.connectDeadline = Deadline::after(std::chrono::milliseconds(m_handler.m_settings.connectTimeoutMs));
     m_wasConnectionStale = false;
     m_wasWithheld = false;
+    m_wasRejected = false;
     m_hasConnectionBroken = false;
     options.reusedConnectionFailed = [this] { m_wasConnectionStale = true; };
     options.guard = [this, &wasSent, &sentAt, &selector, &endpoint] {
@@ -477,8 +487,10 @@
         ResponseMetadata metadata = m_handler.m_codec.decodeResponseMetadata(status, headers);
         m_handler.recordAnswer(endpoint, metadata.requestId, metadata);
         bool isExpected = metadata.requestId == m_request.id;
-        if (isExpected)
+        if (isExpected) {
             m_handler.recordLimit(endpoint, m_request.id, metadata, sentAt);
+            m_handler.recordBrittleness(endpoint, m_request.id, metadata);
+        }
         return isExpected;
     };
     selector.recordStart(endpoint.id, now);
--- a/Libraries/LibRelay/src/RequestExecution.h
+++ b/Libraries/LibRelay/src/RequestExecution.h
@@ -60,6 +60,10 @@
     bool lacksPermit(const Endpoint&) const;
     // Waits for the next permit at any endpoint that is left; false if the wait would be too long.
     Core::Task<bool> waitForPermit();
+    // Takes a place at the endpoint if its service is brittle; false if there is none.
+    Core::Task<bool> acquirePlace(const Endpoint&);
+    // Returns the place of the attempt that has ended, if it has one.
+    void returnPlace(bool wasRejected);
     // A request waits for permits up to this time.
     Core::Deadline permitDeadline() const;
     Core::Task<Outcome> attempt(Endpoint, HTTP::ConnectionUse);
@@ -133,6 +137,16 @@
     int m_permitRequests { 0 };
     // An issuer did not answer in time. The request asks no further one, since each may take as long.
     bool m_hasPermitTimedOut { false };
+    struct Place {
+        std::string endpoint;
+        uint64_t number { 0 };
+    };
+    // The place of the current attempt at a brittle endpoint.
+    std::optional<Place> m_place;
+    // Brittle endpoints that had no place.
+    int m_refusedPlaces { 0 };
+    // The endpoint of the last attempt rejected the request for want of room.
+    bool m_wasRejected { false };
     // Where the permit of the current attempt came from; for logs.
     std::string m_permitSource;
     Core::SteadyClock::time_point m_permitAskedAt {};
--- a/Libraries/LibRelay/src/RequestHandler.cpp
+++ b/Libraries/LibRelay/src/RequestHandler.cpp
@@ -48,6 +48,14 @@
         Core::logEvent(Events::endpointPaused, "endpoint=" + endpoint.id + " service=" + endpoint.service + " pause_ms=" + std::to_string(metadata.pausedUntil->remaining().count()) + " request=" + request);
 }
 
+void RequestHandler::recordBrittleness(const Endpoint& endpoint, const std::string& request, const ResponseMetadata& metadata)
+{
+    if (!m_brittleServices.record(endpoint, metadata.maxRejections, Core::SteadyClock::now()))
+        return;
+    std::string rejections = metadata.maxRejections ? std::to_string(*metadata.maxRejections) : "none";
+    Core::logEvent(Events::serviceBrittle, "service=" + endpoint.service + " max_rejections_per_s=" + rejections + " endpoint=" + endpoint.id + " request=" + request);
+}
+
 void RequestHandler::recordLimit(const Endpoint& endpoint, const std::string& request, const ResponseMetadata& metadata, Core::SteadyClock::time_point sentAt)
 {
     if (!m_selector.limits().record(endpoint, metadata.requestLimit, sentAt, Core::SteadyClock::now()))
--- a/Libraries/LibRelay/src/ResponseForwarding.cpp
+++ b/Libraries/LibRelay/src/ResponseForwarding.cpp
@@ -34,6 +34,7 @@
             m_handler.m_hooks.rejectEndpoint(endpoint.id);
         } else {
             m_wasOverloaded = true;
+            m_wasRejected = true;
             selector.recordOverload(endpoint.id, Core::SteadyClock::now());
         }
         co_await stream->discardAll(maxDrainedBytes, Deadline::after(refusalDrainTimeout));
--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -106,6 +106,7 @@
     , m_watchers(selfInfo())
     , m_issuers(selfInfo())
     , m_permits(makePermitHooks())
+    , m_places(m_settings.host, makePlaceHooks())
     , m_relays(selfInfo())
     , m_endpoints([this](const Relay::Endpoint& endpoint, const char* why) {
         m_selector.forget(endpoint.id);
@@ -399,6 +400,10 @@
         double ownSharesFraction = isCold ? Relay::ColdEndpoints::ownSharesFraction : Relay::PermitService::defaultOwnSharesFraction;
         return m_permits.acquire(std::move(endpoint), perSecond, ownSharesFraction);
     };
+    hooks.acquirePlace = [this](const Relay::Endpoint& endpoint, Deadline deadline) { return m_places.acquire(endpoint, deadline); };
+    hooks.returnPlace = [this](const std::string& endpoint, uint64_t place, std::optional<double> maxRejections) {
+        Core::spawn(m_executor, "return place", m_places.giveBack(endpoint, place, maxRejections));
+    };
     addRelayHooks(hooks);
     hooks.endpointLeaves = [this](const Relay::Endpoint& endpoint, const std::string& request) {
         if (m_endpoints.markLeaving(endpoint, Core::SteadyClock::now()))
--- a/Services/jujuberelayd/src/RelayDaemon.h
+++ b/Services/jujuberelayd/src/RelayDaemon.h
@@ -9,6 +9,7 @@
 #include "LibRelay/LoadMonitor.h"
 #include "LibRelay/PeerDirectory.h"
 #include "LibRelay/PeerStore.h"
+#include "LibRelay/PlaceService.h"
 #include "LibRelay/QuarantineStore.h"
 #include "LibRelay/RequestHandler.h"
 #include "LibRelay/SoftwareVersions.h"
@@ -49,6 +50,9 @@
     Relay::PermitHooks makePermitHooks();
     Core::Task<std::optional<Relay::PermitReply>> requestPermit(Core::Address, Relay::PermitRequest, Core::Reason&);
     Core::Task<std::optional<std::string>> servePermit(std::string body, Core::Reason&);
+    Relay::PlaceHooks makePlaceHooks();
+    Core::Task<std::optional<bool>> requestPlace(Core::Address, Relay::PlaceRequest, Core::Reason&);
+    Core::Task<std::optional<std::string>> servePlace(std::string body, Core::Reason&);
     Relay::FollowerHooks makeConfigurationHooks();
     Relay::FollowerHooks makeEndpointHooks();
     Relay::FollowerHooks makeAnnouncementHooks();
@@ -118,6 +122,7 @@
     // Daemons that issue permits for endpoints with a limit.
     Relay::PeerTable m_issuers;
     Relay::PermitService m_permits;
+    Relay::PlaceService m_places;
     // Daemons through which requests are passed on while this host is cut off from endpoints; suspected by their addresses for callers.
     Relay::PeerTable m_relays;
     Relay::EndpointReach m_reach;
--- a/Services/jujuberelayd/src/RelayDaemonLinks.cpp
+++ b/Services/jujuberelayd/src/RelayDaemonLinks.cpp
@@ -20,6 +20,8 @@
 // Call type that asks for a permit, and the time limit of the call: a request waits for it.
 static constexpr const char* permitCallType = "permit";
 static constexpr std::chrono::milliseconds permitTimeout(150);
+// Call type that asks for a place at a brittle endpoint or returns one.
+static constexpr const char* placeCallType = "place";
 // Call type that hands over streams, and the time limit of the call.
 static constexpr const char* streamsCallType = "streams";
 static constexpr std::chrono::milliseconds streamsTimeout(300);
@@ -32,6 +34,7 @@
     m_network.onCall(storeCallType, [this](Peer::Identity, std::string body, Reason& failure) { return m_peerStore.serve(std::move(body), failure); });
     m_network.onCall(transferCallType, [this](Peer::Identity, std::string body, Reason& failure) { return serveTransfer(std::move(body), failure); });
     m_network.onCall(permitCallType, [this](Peer::Identity, std::string body, Reason& failure) { return servePermit(std::move(body), failure); });
+    m_network.onCall(placeCallType, [this](Peer::Identity, std::string body, Reason& failure) { return servePlace(std::move(body), failure); });
     m_network.onCall(streamsCallType, [this](Peer::Identity, std::string body, Reason& failure) { return serveStreams(std::move(body), failure); });
     m_network.onCall(watchCallType, [this](Peer::Identity, std::string body, Reason& failure) { return serveWatch(std::move(body), failure); });
 }
@@ -124,6 +127,43 @@
     co_return std::nullopt;
 }
 
+Relay::PlaceHooks RelayDaemon::makePlaceHooks()
+{
+    Relay::PlaceHooks hooks;
+    hooks.issuerOf = [this](const std::string& endpoint) { return m_issuers.ownerOf(Core::hash64(endpoint)); };
+    hooks.isIssuer = [this](const std::string& endpoint) { return m_permits.isIssuer(endpoint, Core::SteadyClock::now()); };
+    hooks.call = [this](Core::Address issuer, Relay::PlaceRequest request, Reason& reason) { return requestPlace(std::move(issuer), std::move(request), reason); };
+    hooks.daemons = [this] { return m_announcementFollower.hasListed() ? m_issuers.size() : 0; };
+    hooks.inFlight = [this](const std::string& endpoint) { return m_selector.inFlight(endpoint); };
+    return hooks;
+}
+
+Core::Task<std::optional<bool>> RelayDaemon::requestPlace(Core::Address issuer, Relay::PlaceRequest request, Reason& reason)
+{
+    if (m_issuers.isSuspect(issuer))
+        co_return std::nullopt;
+    std::optional<std::string> response = co_await m_network.call(issuer, placeCallType, Relay::encodePlaceRequest(request), Deadline::after(permitTimeout), reason);
+    if (response) {
+        m_issuers.clearSuspicion(issuer);
+        co_return Relay::decodePlaceReply(*response, reason);
+    }
+    // An issuer that refuses is there, of an earlier release or not ready to assign places.
+    if (reason.kind != Core::FailureKind::Refused)
+        m_issuers.suspect(issuer);
+    co_return std::nullopt;
+}
+
+Core::Task<std::optional<std::string>> RelayDaemon::servePlace(std::string body, Reason& reason)
+{
+    std::optional<Relay::PlaceRequest> request = Relay::decodePlaceRequest(body, reason);
+    if (!request)
+        co_return std::nullopt;
+    if (std::optional<bool> isGranted = m_places.serve(*request, Core::SteadyClock::now()))
+        co_return Relay::encodePlaceReply(*isGranted);
+    reason = { Core::FailureKind::Unavailable, "serve place", "peer", "this daemon does not assign the places of endpoint " + request->endpoint + " now" };
+    co_return std::nullopt;
+}
+
 // Keeps the records of streams to a share of the store's rate of writes.
 static std::chrono::milliseconds streamWriteInterval(size_t daemons, double storeWritesPerSecond)
 {
--- a/Tests/LibRelay/RelayFixture.h
+++ b/Tests/LibRelay/RelayFixture.h
@@ -10,7 +10,7 @@
 // A relay with endpoints and callers on loopback and a minimal wire codec.
 namespace RelayTest {
 
-// "Id" identifies the request, "Not-Run", "Seal", "Leaving", "Limit" and, in a 503, "Pause-Ms" are an endpoint's response metadata, "Tokens" is the
+// "Id" identifies the request, "Not-Run", "Seal", "Leaving", "Limit", "Brittle" and, in a 503, "Pause-Ms" are an endpoint's response metadata, "Tokens" is the
 // prompt's size, "Left" is the time left in ms, "Max-Output" the maximum of its output (10 if absent), "Parts" are the ids of the prompt's parts, separated by commas.
 inline Relay::WireCodec makeCodec()
 {
@@ -61,6 +61,8 @@
         metadata.isLeaving = HTTP::findHeader(headers, "Leaving").has_value();
         if (std::optional<std::string> text = HTTP::findHeader(headers, "Pause-Ms"); text && status == 503)
             metadata.pausedUntil = Core::Deadline::after(std::chrono::milliseconds(std::stoi(*text)));
+        if (std::optional<std::string> text = HTTP::findHeader(headers, "Brittle"))
+            metadata.maxRejections = std::stod(*text);
         if (std::optional<std::string> text = HTTP::findHeader(headers, "Limit"))
             metadata.requestLimit = std::stod(*text);
         return metadata;
@@ -138,6 +140,9 @@
     std::function<bool(const std::string&)> isCutOff;
     std::vector<Core::Address> relayPeers;
     std::vector<bool> relayOutcomes;
+    // Assigns places at brittle endpoints and takes them back, if set.
+    std::function<std::optional<uint64_t>(const Relay::Endpoint&)> acquirePlace;
+    std::function<void(const std::string&, std::optional<double>)> returnPlace;
     std::vector<std::string> rejected;
     // Issues all permits and answers no call, if set; and the calls to it.
     std::optional<Core::Address> silentIssuer;
@@ -236,6 +241,13 @@
         hooks.refreshConfiguration = [this]() -> Core::Task<bool> { co_return isStoreAnswering; };
         hooks.storeSilence = [this] { return storeSilence; };
         hooks.linkDelay = [this] { return linkDelay; };
+        hooks.acquirePlace = [this](const Relay::Endpoint& endpoint, Core::Deadline) -> Core::Task<std::optional<uint64_t>> {
+            co_return acquirePlace ? acquirePlace(endpoint) : std::optional<uint64_t>(0);
+        };
+        hooks.returnPlace = [this](const std::string& endpoint, uint64_t, std::optional<double> maxRejections) {
+            if (returnPlace)
+                returnPlace(endpoint, maxRejections);
+        };
         hooks.isCutOff = [this](const std::string& service) { return isCutOff && isCutOff(service); };
         hooks.relayPeer = [this](const std::set<Core::Address>& asked) -> std::optional<Core::Address> {
             for (const Core::Address& peer : relayPeers) {
--- a/Tests/PlatformAdapter/TestCodec.cpp
+++ b/Tests/PlatformAdapter/TestCodec.cpp
@@ -68,6 +68,18 @@
         cr_assert_neq(header.name, "X-Relayed-By");
 }
 
+// Guards against overlooking that an endpoint is brittle, and against a misreading of what it says.
+Test(Codec, brittleEndpointsAreRecognized)
+{
+    Relay::WireCodec codec = makeCodec();
+    cr_assert_eq(codec.decodeResponseMetadata(200, { { "Server-Brittle", "5" } }).maxRejections, 5);
+    cr_assert_eq(codec.decodeResponseMetadata(503, { { "server-brittle", "2.5" } }).maxRejections, 2.5);
+    for (const char* text : { "", "-1", "x", "nan", "1e400" })
+        cr_assert(!codec.decodeResponseMetadata(200, { { "Server-Brittle", text } }).maxRejections, "%s", text);
+    // Another endpoint has answered.
+    cr_assert(!codec.decodeResponseMetadata(421, { { "Server-Brittle", "5" } }).maxRejections);
+}
+
 // Guards against a body in a content coding reaching a caller, which endpoints may send to a request that accepts one.
 Test(Codec, contentCodingsAreNotRequested)
 {
