Relay: A version that registers later begins no streams before it is recorded

Operators' report: during a release a host was out of step for some seconds; streams that had begun at endpoints of the new version were taken up there and went on at the old one (ORDER).

Shown with real processes: of three daemons one is suspended and one cut off from the store while two endpoints of a new version register.

Cause, from a run with each read of the record logged: the daemon that begins the streams had read the record when it was still empty. To it the old version was as unrecorded as the new one, so that it used both alike; by then the record held the old version, written by the daemon that is out of step, which reads it, finds one version, and continues all streams there. Once more absence of knowledge was taken for knowledge of absence.

While a daemon knows of no recorded version of a service, streams begin only at the versions that it saw in its first listing. A version that registers later has to be recorded first, which takes up to 2 s.

SoftwareVersions/ versionThatRegistersLaterBeginsNoStreamsBeforeItIsRecorded tests the rule.

--- a/Libraries/LibRelay/include/LibRelay/EndpointSelector.h
+++ b/Libraries/LibRelay/include/LibRelay/EndpointSelector.h
@@ -131,7 +131,7 @@
     std::optional<double> requestLimit(const Endpoint&, const ColdState&) const;
     // Whether a stream that begins at the endpoint could be taken for one of another software version by a daemon that does not know of its
     // version yet. Such an endpoint is used only if there is no other.
-    bool isVersionUnrecorded(const Endpoint& endpoint, const SelectionQuery& query) const { return query.mayBeTakenUp && m_softwareVersions && !m_softwareVersions->isRecorded(endpoint); }
+    bool isVersionUnrecorded(const Endpoint& endpoint, const SelectionQuery& query) const { return query.mayBeTakenUp && m_softwareVersions && !m_softwareVersions->mayBegin(endpoint); }
     // When a permit for the endpoint can be asked for after a refusal.
     Core::SteadyClock::time_point noPermitUntil(const Endpoint&, const ColdState&) const;
     // The engine that is predicted to be soonest, or null if none of those that were looked at is a healthy candidate.
--- a/Libraries/LibRelay/include/LibRelay/SoftwareVersions.h
+++ b/Libraries/LibRelay/include/LibRelay/SoftwareVersions.h
@@ -37,6 +37,9 @@
     const std::optional<VersionRecord>& recorded() const { return m_recorded; }
     // Whether the endpoint's version is in the fleet's record, so that no daemon mistakes its streams for those of another version.
     bool isRecorded(const Endpoint&) const;
+    // Whether streams may begin at the endpoint. While no version of its service is recorded, as far as this daemon knows, those may that it
+    // saw first: a version that registers later may be unknown to other daemons, also if the record has been written meanwhile.
+    bool mayBegin(const Endpoint&) const;
     // What the record should be: it gains the versions that are registered now, and loses those that left a retention ago.
     VersionRecord updatedRecord(Core::SteadyClock::time_point now) const;
     // Whether the record lacks a version that is registered now.
@@ -55,7 +58,8 @@
     VersionRecord possibleVersions(Core::SteadyClock::time_point now) const;
     bool wasSeenSince(const std::string& service, const std::string& version, Core::SteadyClock::time_point) const;
 
-    // When each version was last seen registered, by service.
+    // When each version was first and last seen registered, by service.
+    Times m_firstSeen;
     Times m_lastSeen;
     std::optional<VersionRecord> m_recorded;
     // Since when the record has each of its versions, as far as this daemon knows.
--- a/Libraries/LibRelay/src/SoftwareVersions.cpp
+++ b/Libraries/LibRelay/src/SoftwareVersions.cpp
@@ -1,6 +1,7 @@
 #include "LibRelay/SoftwareVersions.h"
 
 #include "LibCore/Reason.h"
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace Relay {
@@ -8,6 +9,8 @@
 using TimePoint = Core::SteadyClock::time_point;
 using nlohmann::json;
 
+// Versions that are first seen within this time were in one listing.
+static constexpr std::chrono::milliseconds firstListingTime(100);
 // A version that was seen this recently counts as registered; registrations are observed more often.
 static constexpr std::chrono::milliseconds registrationAge(1'000);
 
@@ -28,6 +31,7 @@
 
 void SoftwareVersions::observe(const Endpoint& endpoint, TimePoint now)
 {
+    m_firstSeen[endpoint.service].try_emplace(endpoint.softwareVersion, now);
     m_lastSeen[endpoint.service][endpoint.softwareVersion] = now;
 }
 
@@ -41,8 +45,10 @@
     m_recordedSince = std::move(since);
     m_recorded = std::move(record);
     m_isCurrent = true;
-    for (auto& [service, versions] : m_lastSeen)
+    for (auto& [service, versions] : m_lastSeen) {
         std::erase_if(versions, [now](const auto& entry) { return now - entry.second > retention; });
+        std::erase_if(m_firstSeen[service], [&seen = versions](const auto& entry) { return !seen.contains(entry.first); });
+    }
 }
 
 bool SoftwareVersions::wasSeenSince(const std::string& service, const std::string& version, TimePoint time) const
@@ -62,6 +68,20 @@
     return it != m_recorded->end() && it->second.contains(endpoint.softwareVersion);
 }
 
+bool SoftwareVersions::mayBegin(const Endpoint& endpoint) const
+{
+    if (isRecorded(endpoint))
+        return true;
+    bool isServiceRecorded = m_recorded && m_recorded->contains(endpoint.service);
+    auto versions = m_firstSeen.find(endpoint.service);
+    if (isServiceRecorded || versions == m_firstSeen.end() || !versions->second.contains(endpoint.softwareVersion))
+        return false;
+    TimePoint earliest = TimePoint::max();
+    for (const auto& [version, firstSeen] : versions->second)
+        earliest = std::min(earliest, firstSeen);
+    return versions->second.at(endpoint.softwareVersion) - earliest <= firstListingTime;
+}
+
 VersionRecord SoftwareVersions::possibleVersions(TimePoint now) const
 {
     VersionRecord possible = m_recorded.value_or(VersionRecord {});
--- a/Tests/LibRelay/TestSoftwareVersions.cpp
+++ b/Tests/LibRelay/TestSoftwareVersions.cpp
@@ -203,3 +203,25 @@
         cr_assert_eq(reason.kind, Core::FailureKind::Invalid);
     }
 }
+
+// Guards against streams of a new version that a daemon begins while its copy of the record is older than the record: a daemon that is out of
+// step finds only the old version there, and continued them at it.
+Test(SoftwareVersions, versionThatRegistersLaterBeginsNoStreamsBeforeItIsRecorded)
+{
+    Relay::SoftwareVersions versions;
+    Core::SteadyClock::time_point now = Core::SteadyClock::now();
+    versions.observe(endpointOf("v1"), now);
+    versions.observe(endpointOf("v2"), now + std::chrono::microseconds(50));
+    // Nothing is recorded when the fleet starts.
+    versions.adopt({}, now);
+    cr_assert(versions.mayBegin(endpointOf("v1")));
+    cr_assert(versions.mayBegin(endpointOf("v2")));
+    versions.observe(endpointOf("v3"), now + std::chrono::seconds(2));
+    cr_assert(!versions.mayBegin(endpointOf("v3")));
+    versions.adopt({ { "service", { "v1" } } }, now + std::chrono::seconds(2));
+    cr_assert(versions.mayBegin(endpointOf("v1")));
+    cr_assert(!versions.mayBegin(endpointOf("v2")));
+    cr_assert(!versions.mayBegin(endpointOf("v3")));
+    versions.adopt({ { "service", { "v1", "v3" } } }, now + std::chrono::seconds(2));
+    cr_assert(versions.mayBegin(endpointOf("v3")));
+}
--- a/Tests/Soak/test_software_versions.py
+++ b/Tests/Soak/test_software_versions.py
@@ -380,6 +380,58 @@
             stale.store_proxy.reset_all()
         await self.release_unseen_by(stale, suspend, lambda: stale.signal(signal.SIGCONT))
 
+    async def wait_until_recorded(self, version):
+        end = time.monotonic() + 5
+        while version not in json.dumps(self.store.kinds.get("software-versions", {})):
+            self.assertLess(time.monotonic(), end, "the version was not recorded")
+            await asyncio.sleep(0.02)
+
+    async def release_with_daemons_out_of_step(self, is_finished, is_taken_up_asleep):
+        """A new version registers while one daemon is suspended and another one is cut off from the store and its peers, and the old version
+        may leave too. Streams of the new version are then broken off and taken up at these two, before or after they are in step again."""
+        await self.start("v1", "v1")
+        await self.wait_until_recorded("v1")
+        begins, cut_off, suspended = self.fleet.daemons
+        self.begin_load(100, [begins])
+        await asyncio.sleep(0.5)
+        cut_off.store_proxy.blocked_directions = {"up", "down"}
+        suspended.signal(signal.SIGSTOP)
+        for _ in range(2):
+            await self.start_engine("v2")
+        self.random = AlternatingChoice([cut_off, suspended])
+        end = time.monotonic() + 6
+        while sum(stream.versions == ["v2"] and not stream.is_complete for stream in self.streams) < MIN_TAKE_UPS:
+            self.assertLess(time.monotonic(), end, "too few streams began at the new version")
+            await asyncio.sleep(0.01)
+        if is_finished:
+            # The old endpoints serve on for a while, without an entry.
+            for engine in self.engines[:2]:
+                engine.heartbeat.cancel()
+                await self.store.delete("servers", engine.id)
+        if is_taken_up_asleep:
+            begins.caller_proxy.reset_all()
+            await asyncio.sleep(0.2)
+        suspended.signal(signal.SIGCONT)
+        cut_off.store_proxy.blocked_directions = set()
+        for _ in range(3):
+            begins.caller_proxy.reset_all()
+            await asyncio.sleep(0.3)
+        await self.end_load()
+        self.random = random.Random(43)
+        self.expect_no_joined_streams()
+
+    # Guards against streams of a new version that go on at the old one at daemons that were out of step when it registered.
+    async def test_daemons_out_of_step_join_no_streams(self):
+        await self.release_with_daemons_out_of_step(is_finished=False, is_taken_up_asleep=False)
+
+    # The same for take-ups that wait in the socket of a suspended daemon, which handles them before anything else when it goes on.
+    async def test_daemons_that_wake_with_take_ups_join_no_streams(self):
+        await self.release_with_daemons_out_of_step(is_finished=False, is_taken_up_asleep=True)
+
+    # The same where the old version has left the store meanwhile, and still serves.
+    async def test_daemons_that_missed_a_whole_release_join_no_streams(self):
+        await self.release_with_daemons_out_of_step(is_finished=True, is_taken_up_asleep=True)
+
     # Guards against take-ups that are held, or go on at the new version, after the endpoints of the old version have left.
     async def test_take_ups_are_refused_at_once_after_the_version_has_left(self):
         await self.start("v1", "v1", "v2", "v2")
@@ -414,5 +466,20 @@
         return self.item if self.item in items else super().choice(items)
 
 
+class AlternatingChoice(random.Random):
+    """Chooses the given items in turn wherever they may be chosen."""
+
+    def __init__(self, wanted):
+        super().__init__(43)
+        self.wanted = wanted
+
+    def choice(self, items):
+        for _ in self.wanted:
+            self.wanted.append(self.wanted.pop(0))
+            if self.wanted[-1] in items:
+                return self.wanted[-1]
+        return super().choice(items)
+
+
 if __name__ == "__main__":
     unittest.main()
