Relay: An endpoint's answer that comes through a peer is no refusal

Found on reading: a host that passes a request on took a 503 with an endpoint's seal for a refusal by the peer, and asked the next one, although the request had run. A response with a seal is the endpoint's answer. PeerRelay/answerOfAnEndpointIsNoRefusal fails before.

--- a/Libraries/LibRelay/src/PeerRelay.cpp
+++ b/Libraries/LibRelay/src/PeerRelay.cpp
@@ -90,7 +90,9 @@
         co_return Outcome::Finished;
     }
     unsigned status = stream ? (*stream)->status() : 0;
-    bool isNotRun = std::find(notRunStatuses.begin(), notRunStatuses.end(), status) != notRunStatuses.end();
+    // With an endpoint's seal it is the endpoint's answer, not the peer's refusal.
+    bool isSealed = stream && m_handler.m_codec.decodeResponseMetadata(status, (*stream)->headers()).isSealed;
+    bool isNotRun = !isSealed && std::find(notRunStatuses.begin(), notRunStatuses.end(), status) != notRunStatuses.end();
     if (stream && !isNotRun) {
         m_handler.m_hooks.relayEnded(peer, true);
         m_possibleRuns = 1;
--- a/Tests/LibRelay/TestPeerRelay.cpp
+++ b/Tests/LibRelay/TestPeerRelay.cpp
@@ -100,6 +100,22 @@
     cr_assert(second.arrivals.empty());
 }
 
+// Guards against repeating a request that an endpoint has run and answered with 503.
+Test(PeerRelay, answerOfAnEndpointIsNoRefusal)
+{
+    Fixture fixture;
+    fixture.isCutOff = [](const std::string&) { return true; };
+    Peer first(fixture, [](const HTTP::Request& request, HTTP::ResponseWriter& writer) -> Core::Task<void> {
+        Core::Reason ignored;
+        co_await writer.send({ 503, sealed(request), "answer" }, ignored);
+    });
+    Peer second(fixture, answerOk);
+    std::optional<HTTP::Response> response = fixture.call(fixture.makeRequest("/again/a"));
+    cr_assert_eq(response->status, 503);
+    cr_assert_eq(response->body, "answer");
+    cr_assert(second.arrivals.empty());
+}
+
 // Guards against requests that wander among hosts that are all cut off.
 Test(PeerRelay, relayedRequestIsNotPassedOnAgain)
 {
