Relay: The limit of a full link is a setting; silent endpoints take no time

Found on reading: a deployment whose hosts are 150 ms away from its endpoints would have taken its links for full, and time-outs at silent endpoints were taken off the time of requests though the link was free.

full_link_delay_ms, 150 by default. Time-outs count toward the delay only while the link is full. LinkMonitor/limitFollowsTheSettings and silentEndpointsAreNoFullLink test it.

--- a/Libraries/LibRelay/include/LibRelay/LinkMonitor.h
+++ b/Libraries/LibRelay/include/LibRelay/LinkMonitor.h
@@ -17,8 +17,8 @@
     static constexpr std::chrono::milliseconds window { 1'000 };
     // Fewer addresses may have a cause of their own.
     static constexpr size_t minAddresses = 4;
-    // Round trip from which a link counts as full. One on an idle link takes some milliseconds.
-    static constexpr std::chrono::milliseconds fullLinkDelay { 150 };
+    // Default round trip from which a link counts as full. Between hosts of one region it takes some milliseconds on an idle link.
+    static constexpr std::chrono::milliseconds defaultFullLinkDelay { 150 };
     // How the admitted part of the requests follows the link: what is left of it each time the link is found full, the shortest time
     // between two reductions, in which the queue has drained, the smallest part, which shows when the link has room again, and the rise
     // a second.
@@ -34,6 +34,11 @@
     static constexpr std::chrono::milliseconds minRest { 3'000 };
     static constexpr std::chrono::milliseconds maxRest { 12'000 };
 
+    explicit LinkMonitor(std::chrono::milliseconds fullLinkDelay = defaultFullLinkDelay)
+        : m_fullLinkDelay(fullLinkDelay)
+    {
+    }
+
     // Attempts are recorded in the order of their ends.
     void record(const Attempt&);
 
@@ -65,6 +70,7 @@
     // The slowest attempt within the window that was answered; 0 if there is none.
     std::chrono::milliseconds slowestAnswer(TimePoint now) const;
 
+    std::chrono::milliseconds m_fullLinkDelay;
     std::map<Core::Address, Sample> m_samples;
     // Whether the link was full at the latest attempt.
     bool m_isFull { false };
--- a/Libraries/LibRelay/src/LinkMonitor.cpp
+++ b/Libraries/LibRelay/src/LinkMonitor.cpp
@@ -41,8 +41,8 @@
             answered.push_back(sample.elapsed);
     }
     // Attempts that time out everywhere do not tell a full link from a partition. They do not end what slow answers have shown.
-    bool areAnswersSlow = answered.empty() ? wasFull : medianOf(std::move(answered)) >= fullLinkDelay;
-    m_isFull = areAnswersSlow && medianOf(std::move(all)) >= fullLinkDelay;
+    bool areAnswersSlow = answered.empty() ? wasFull : medianOf(std::move(answered)) >= m_fullLinkDelay;
+    m_isFull = areAnswersSlow && medianOf(std::move(all)) >= m_fullLinkDelay;
     if (m_isFull && now - m_reducedAt >= reductionInterval) {
         m_admittedShare = std::max(minAdmittedShare, reduction * admittedShare(now));
         m_reducedAt = now;
@@ -78,12 +78,15 @@
 
 milliseconds LinkMonitor::delay(TimePoint now) const
 {
+    bool isLinkFull = isFull(now);
     std::vector<milliseconds> times;
-    for (const Sample& sample : recentSamples(now))
-        times.push_back(sample.elapsed);
+    // Attempts that time out say nothing about the link unless it is full, and then not how long an answer would have taken.
+    for (const Sample& sample : recentSamples(now)) {
+        if (isLinkFull || sample.outcome != Attempt::Outcome::TimedOut)
+            times.push_back(sample.elapsed);
+    }
     milliseconds median = medianOf(std::move(times));
-    // Attempts that time out do not tell how long an answer would have taken.
-    return isFull(now) ? std::max(median, slowestAnswer(now)) : median;
+    return isLinkFull ? std::max(median, slowestAnswer(now)) : median;
 }
 
 bool LinkMonitor::needsTest(TimePoint now) const
--- a/Services/jujuberelayd/src/RelayDaemon.cpp
+++ b/Services/jujuberelayd/src/RelayDaemon.cpp
@@ -198,11 +198,11 @@
     m_metrics.histogram("jujuberelay_relay_connect_seconds", "Time to open a connection to an endpoint or the store, by outcome.", Telemetry::HistogramAxis::latencySeconds(), { { "outcome", nameOf(attempt.outcome) } })
         .observe(static_cast<double>(attempt.elapsed().count()) / 1'000);
     m_link.record(attempt);
-    logLinkState();
+    updateLinkState();
     recordReach(attempt);
 }
 
-void RelayDaemon::logLinkState()
+void RelayDaemon::updateLinkState()
 {
     Core::SteadyClock::time_point now = Core::SteadyClock::now();
     bool isFull = m_link.isFull(now);
@@ -506,7 +506,7 @@
         co_await Core::sleepUntil(due);
         bool wasOverloaded = m_load.isOverloaded();
         m_load.record(due.at(), Core::SteadyClock::now());
-        logLinkState();
+        updateLinkState();
         if (m_link.needsTest(Core::SteadyClock::now()) && m_linkTestDueAt.hasPassed()) {
             m_linkTestDueAt = Deadline::after(Relay::LinkMonitor::testInterval);
             Core::spawn(m_executor, "test link", testLink());
--- a/Services/jujuberelayd/src/RelayDaemon.h
+++ b/Services/jujuberelayd/src/RelayDaemon.h
@@ -94,8 +94,8 @@
     Core::Task<void> testReach();
     Core::Task<void> testReachOf(std::string service);
     void addRelayHooks(Relay::HandlerHooks&);
-    // Logs when the link becomes full or free.
-    void logLinkState();
+    // Logs when the link becomes full or free, and ends the suspicions that it has caused.
+    void updateLinkState();
     // Measures the delay of the link with a connect to another daemon.
     Core::Task<void> testLink();
     // Called after this host's own path has failed, which makes all peers appear to fail.
@@ -146,7 +146,7 @@
     HTTP::Server m_readinessServer;
     HTTP::Server m_metricsServer;
     Relay::LoadMonitor m_load;
-    Relay::LinkMonitor m_link;
+    Relay::LinkMonitor m_link { std::chrono::milliseconds(m_settings.fullLinkDelayMs) };
     // Failure domains that have a metric of their evacuation, as printed.
     std::set<std::string> m_measuredEvacuations;
     // Last logged fault in the cold limit of each service.
--- a/Services/jujuberelayd/src/RelaySettings.cpp
+++ b/Services/jujuberelayd/src/RelaySettings.cpp
@@ -58,6 +58,7 @@
     fields["cold_extra"] = { Presence::Optional, doubleReader(settings.coldExtra, 0, maxColdRequests) };
     fields["store_writes_per_s"] = { Presence::Optional, doubleReader(settings.storeWritesPerSecond, 0, maxStoreWrites) };
     fields["processor_share"] = { Presence::Optional, doubleReader(settings.processorShare, 0, maxCores) };
+    fields["full_link_delay_ms"] = { Presence::Optional, integerReader(settings.fullLinkDelayMs, 1, hourMs) };
     fields["link_mbps"] = { Presence::Optional, doubleReader(settings.linkMbps, 0, maxLinkMbps) };
     fields["memory_mb"] = { Presence::Optional, limitReader(settings.memoryMb) };
     fields["host_memory_mb"] = { Presence::Optional, limitReader(settings.hostMemoryMb) };
--- a/Services/jujuberelayd/src/RelaySettings.h
+++ b/Services/jujuberelayd/src/RelaySettings.h
@@ -3,6 +3,7 @@
 #include "LibCore/Address.h"
 #include "LibCore/Reason.h"
 #include "LibHTTP/ClientCapacity.h"
+#include "LibRelay/LinkMonitor.h"
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -43,6 +44,8 @@
     // CPU quota of the host in cores, and its link speed in Mbit/s. Hosts with more capacity do more work for their peers.
     double processorShare { 1 };
     double linkMbps { 1'000 };
+    // Round trip to most endpoints from which the host's link counts as full.
+    int64_t fullLinkDelayMs { Relay::LinkMonitor::defaultFullLinkDelay.count() };
     // Memory that the daemon may use in MB; 0: that of the host.
     double memoryMb { 0 };
     // Memory of the host in MB, for the shares of clients; 0: memoryMb.
--- a/Tests/LibRelay/TestLinkMonitor.cpp
+++ b/Tests/LibRelay/TestLinkMonitor.cpp
@@ -28,6 +28,8 @@
     connectAll(link, now, 20, 7, Outcome::Established, 6ms);
     cr_assert(!link.isFull(now));
     cr_assert(!link.needsRest(now));
+    // Their time limit is not taken off the time of requests.
+    cr_assert_eq(link.delay(now).count(), 6);
 }
 
 // Guards against taking a host that is cut off from all endpoints for one whose link is full.
@@ -37,6 +39,18 @@
     LinkMonitor::TimePoint now = Core::SteadyClock::now();
     connectAll(link, now, 0, 20, Outcome::TimedOut, connectTimeout);
     cr_assert(!link.isFull(now));
+    cr_assert_eq(link.delay(now).count(), 0);
+}
+
+// Guards against taking a distance for a full link.
+Test(LinkMonitor, limitFollowsTheSettings)
+{
+    LinkMonitor link(600ms);
+    LinkMonitor::TimePoint now = Core::SteadyClock::now();
+    connectAll(link, now, 0, 12, Outcome::Established, 250ms);
+    cr_assert(!link.isFull(now));
+    connectAll(link, now, 0, 12, Outcome::Established, 700ms);
+    cr_assert(link.isFull(now));
 }
 
 // Guards against a host that takes half of a failure domain's callers over a link of 10 Mbit/s, and goes on trying other endpoints over it.
